--- /dev/null
+++ b/adapter/src/host.rs
@@ -0,0 +1,210 @@
+//! Batches in, replies out: which instance each event belongs to, and what each server is called there.
+use crate::wire::{micros, terms, In, Item, Out};
+use oakhollow::rules::Sidecar;
+use oakhollow::types::*;
+use std::collections::HashMap;
+use std::io::{BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+/// One instance with its own numbering of servers, so that nothing of it depends on its neighbours.
+struct Instance {
+    sidecar: Sidecar,
+    numbers: HashMap<String, ServerId>,
+    names: Vec<String>,
+}
+
+impl Instance {
+    fn listings(&mut self, items: &[Item]) -> Result<Vec<Listing>, String> {
+        items.iter().map(|item| self.listing(item)).collect()
+    }
+
+    fn listing(&mut self, item: &Item) -> Result<Listing, String> {
+        let server = match self.numbers.get(&item.endpoint) {
+            Some(&known) => known,
+            None => {
+                let fresh = ServerId(self.names.len() as u32);
+                self.names.push(item.endpoint.clone());
+                self.numbers.insert(item.endpoint.clone(), fresh);
+                fresh
+            }
+        };
+        let standing = match item.availability {
+            0 => Standing::Gone,
+            1 => Standing::Ready,
+            2 => Standing::Draining,
+            other => return Err(format!("field availability: unknown state {other}")),
+        };
+        Ok(Listing {
+            server,
+            place: PlaceId(item.hall),
+            cell: CellId(item.block),
+            standing,
+            size: item.nominal,
+            started: micros(item.launched_s),
+        })
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    now: Micros,
+    round: Option<u64>,
+    instances: HashMap<u32, Instance>,
+    sheets: HashMap<u8, Vec<Item>>,
+    actions: Vec<Action>,
+    reply: Vec<u8>,
+}
+
+/// Answers batches until the input ends. A malformed line ends the service before any of its batch is answered.
+pub fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut host = Host::default();
+    for (number, line) in input.lines().enumerate() {
+        let line = line.map_err(|trouble| format!("cannot read line {}: {trouble}", number + 1))?;
+        if line.trim().is_empty() {
+            continue;
+        }
+        let heard =
+            serde_json::from_str(&line).map_err(|trouble| format!("line {}: {trouble}", number + 1))?;
+        let done = host.hear(heard).map_err(|trouble| format!("line {}: {trouble}", number + 1))?;
+        if done {
+            output
+                .write_all(&host.reply)
+                .and_then(|()| output.flush())
+                .map_err(|trouble| trouble.to_string())?;
+            host.reply.clear();
+        }
+    }
+    match host.round {
+        Some(round) => Err(format!("the input ends inside batch {round}: COMMIT is missing")),
+        None => Ok(()),
+    }
+}
+
+impl Host {
+    /// Takes one line; true when it closed a batch and the reply is whole.
+    fn hear(&mut self, heard: In) -> Result<bool, String> {
+        match (&heard, self.round) {
+            (In::Clock { .. }, Some(round)) => return Err(format!("CLOCK inside batch {round}")),
+            (In::Clock { .. }, None) | (_, Some(_)) => {}
+            (_, None) => return Err("an event or COMMIT outside a batch: CLOCK is missing".into()),
+        }
+        match heard {
+            In::Clock { t_s, round } => {
+                self.now = micros(t_s);
+                self.round = Some(round);
+            }
+            In::Commit => {
+                let round = self.round.take().unwrap_or_default();
+                self.write(&Out::Yield { round })?;
+                return Ok(true);
+            }
+            In::Inventory { sheet, items } => {
+                self.sheets.insert(sheet, items);
+            }
+            In::Init { who, init_seed, env } => {
+                let terms = terms(&env)?;
+                let mut actions = std::mem::take(&mut self.actions);
+                let sidecar = Sidecar::new(&terms, init_seed, self.now, &mut actions);
+                self.instances.insert(who, Instance { sidecar, numbers: HashMap::new(), names: Vec::new() });
+                self.carry_out(who, actions)?;
+            }
+            In::Destroy { who } => {
+                self.instances.remove(&who);
+            }
+            In::Targets { who, sheet, kind } => {
+                let kind = match kind {
+                    0 => ListKind::Changes,
+                    1 => ListKind::Whole,
+                    2 => ListKind::Cached,
+                    3 => ListKind::Failed,
+                    other => return Err(format!("field kind: unknown list kind {other}")),
+                };
+                let items: &[Item] = match (kind, sheet) {
+                    (ListKind::Failed, _) => &[],
+                    (_, None) => return Err("missing field `sheet`".into()),
+                    (_, Some(sheet)) => {
+                        let known = self.sheets.get(&sheet);
+                        known.ok_or(format!("field sheet: list {sheet} was never declared"))?
+                    }
+                };
+                let Some(instance) = self.instances.get_mut(&who) else { return Err(unknown(who)) };
+                let entries = instance.listings(items)?;
+                self.tell(who, Event::Listed { kind, entries: &entries })?;
+            }
+            In::Order { who, xid, category, expires_in_s, tenant } => {
+                let (workload, customer) = (WorkloadId(category), CustomerId(tenant));
+                let left = micros(expires_in_s);
+                self.tell(who, Event::Arrived { call: CallId(xid), workload, left, customer })?;
+            }
+            In::Headers { who, xid, r#try } => {
+                self.tell(who, Event::Streaming { call: CallId(xid), hop: HopNo(r#try) })?
+            }
+            In::Finished { who, xid, r#try, wait_time_s, complete, outcome } => {
+                let (call, hop, waited) = (CallId(xid), HopNo(r#try), micros(wait_time_s));
+                let outcome = outcome.into();
+                self.tell(who, Event::Ended { call, hop, outcome, waited, closed: complete })?;
+            }
+            In::Withdrawn { who, xid } => self.tell(who, Event::Withdrawn { call: CallId(xid) })?,
+            In::Wake { who, cookie } => self.tell(who, Event::Woke(Token(cookie)))?,
+            In::HealthResult { who } | In::Inbox { who } => {
+                self.instances.get(&who).map(|_| ()).ok_or_else(|| unknown(who))?
+            }
+        }
+        Ok(false)
+    }
+
+    fn tell(&mut self, who: u32, event: Event) -> Result<(), String> {
+        let now = self.now;
+        let mut actions = std::mem::take(&mut self.actions);
+        let Some(instance) = self.instances.get_mut(&who) else { return Err(unknown(who)) };
+        let told = catch_unwind(AssertUnwindSafe(|| instance.sidecar.on(now, event, &mut actions)));
+        if let Err(panic) = told {
+            let said = panic.downcast_ref::<String>().map(String::as_str);
+            let said = said.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+            let text = format!("instance {who}: {said}");
+            return self.write(&Out::Fatal { who, text });
+        }
+        self.carry_out(who, actions)
+    }
+
+    fn carry_out(&mut self, who: u32, mut actions: Vec<Action>) -> Result<(), String> {
+        for action in actions.drain(..) {
+            let reply = &mut self.reply;
+            let names = &self.instances[&who].names;
+            let name = |server: ServerId| names[server.0 as usize].as_str();
+            let said = match action {
+                Action::Send { call, server, give_up } => {
+                    Out::Try { who, xid: call.0, endpoint: name(server), give_up_after_s: give_up.secs() }
+                }
+                Action::Cancel { call, hop } => Out::Revoke { who, xid: call.0, r#try: hop.0 },
+                Action::Dismiss { call, cool_down } => {
+                    Out::Bounce { who, xid: call.0, cool_down_s: cool_down.secs() }
+                }
+                Action::Fail { call } => Out::EndFailed { who, xid: call.0 },
+                Action::Wake { after, token } => Out::Remind { who, after_s: after.secs(), cookie: token.0 },
+                Action::Subscribe => Out::Subscribe { who, want: true },
+                Action::Log { text, server: None } => Out::Emit { who, text },
+                Action::Log { text, server: Some(server) } => {
+                    Out::Emit { who, text: format!("{} {text}", name(server)) }
+                }
+            };
+            append(reply, &said)?;
+        }
+        self.actions = actions;
+        Ok(())
+    }
+
+    fn write(&mut self, said: &Out) -> Result<(), String> {
+        append(&mut self.reply, said)
+    }
+}
+
+fn append(reply: &mut Vec<u8>, said: &Out) -> Result<(), String> {
+    serde_json::to_writer(&mut *reply, said).map_err(|trouble| trouble.to_string())?;
+    reply.push(b'\n');
+    Ok(())
+}
+
+fn unknown(who: u32) -> String {
+    format!("field who: instance {who} was not started")
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,140 @@
+//! Decisions of a sidecar load balancer, without sockets, clocks or threads: a host hands events to
+//! [`rules::Sidecar::on`] and carries out the actions that come back. See `docs/design.md`.
+//!
+//! Beside the interface types ([`types`]) this file holds the two measures that the rules read.
+pub mod rules;
+pub mod types;
+
+use types::Micros;
+
+/// A coarse histogram: two bins an octave from 1 ms up, halved by its owner now and then.
+///
+/// ```
+/// use oakhollow::{types::Micros, Bins};
+/// let mut bins = Bins::default();
+/// for ms in [10, 20, 20, 20, 400] {
+///     bins.add(Micros::millis(ms));
+/// }
+/// let median = bins.median().unwrap();
+/// assert!(median > Micros::millis(15) && median < Micros::millis(27));
+/// ```
+#[derive(Clone, Default, Debug)]
+pub struct Bins {
+    counts: [f64; 28],
+    pub total: f64,
+}
+
+impl Bins {
+    pub fn add(&mut self, length: Micros) {
+        let bin = ((length.0.max(1) as f64 / 1000.0).log2() * 2.0).clamp(0.0, 27.0) as usize;
+        self.counts[bin] += 1.0;
+        self.total += 1.0;
+    }
+
+    pub fn halve(&mut self) {
+        self.counts.iter_mut().for_each(|count| *count *= 0.5);
+        self.total *= 0.5;
+    }
+
+    /// The middle, placed inside its bin by how many of the bin lie below it.
+    pub fn median(&self) -> Option<Micros> {
+        let mut below = 0.0;
+        for (bin, &count) in self.counts.iter().enumerate() {
+            if count > 0.0 && below + count >= self.total * 0.5 {
+                let place = bin as f64 + (self.total * 0.5 - below) / count;
+                return Some(Micros((2f64.powf(place / 2.0) * 1000.0) as u64));
+            }
+            below += count;
+        }
+        None
+    }
+}
+
+/// Latency over a window kept in four slices, as the design has it: log-linear buckets (eight an octave),
+/// each slice cleared when its turn comes again, the quantile worked out once a slice, or on every read
+/// while there are few samples. It reports a bucket's upper bound: too long by an eighth, never too short.
+///
+/// ```
+/// use oakhollow::{types::Micros, Slices};
+/// let mut seen = Slices::new(Micros::millis(30_000), 0.9, 10);
+/// assert_eq!(seen.quantile(Micros(0)), None);
+/// for ms in 1..=20 {
+///     seen.add(Micros(0), Micros::millis(ms));
+/// }
+/// let p90 = seen.quantile(Micros(0)).unwrap();
+/// assert!(p90 >= Micros::millis(18) && p90 <= Micros::millis(21));
+/// assert_eq!(seen.quantile(Micros::millis(60_000)), None); // old slices speak no more
+/// ```
+#[derive(Clone, Debug)]
+pub struct Slices {
+    slice: Micros,
+    share: f64,
+    least: u32,
+    rings: [(u64, Vec<u32>); 4],
+    answer: (u64, Option<Micros>),
+}
+
+const BUCKETS: usize = 208;
+
+impl Slices {
+    pub fn new(window: Micros, share: f64, least: u32) -> Slices {
+        let ring = || (u64::MAX, vec![0; BUCKETS]);
+        Slices {
+            slice: Micros(window.0 / 4),
+            share,
+            least,
+            rings: [ring(), ring(), ring(), ring()],
+            answer: (0, None),
+        }
+    }
+
+    fn bucket(length: Micros) -> usize {
+        let us = length.0.max(1);
+        if us < 8 {
+            return us as usize;
+        }
+        let octave = 63 - us.leading_zeros() as usize;
+        ((octave - 3) * 8 + (us >> (octave - 3)) as usize).min(BUCKETS - 1)
+    }
+
+    fn upper_bound(bucket: usize) -> Micros {
+        let octave = bucket / 8;
+        if octave == 0 {
+            return Micros(bucket as u64 + 1);
+        }
+        Micros(((8 + bucket % 8) as u64 + 1) << (octave - 1))
+    }
+
+    pub fn add(&mut self, now: Micros, length: Micros) {
+        let turn = now.0 / self.slice.0;
+        let (stamp, counts) = &mut self.rings[(turn % 4) as usize];
+        if *stamp != turn {
+            *stamp = turn;
+            counts.fill(0);
+        }
+        counts[Self::bucket(length)] += 1;
+    }
+
+    pub fn quantile(&mut self, now: Micros) -> Option<Micros> {
+        let turn = now.0 / self.slice.0;
+        if self.answer.0 != turn || self.answer.1.is_none() {
+            self.answer = (turn, self.work_out(turn));
+        }
+        self.answer.1
+    }
+
+    fn work_out(&self, turn: u64) -> Option<Micros> {
+        let live = |stamp: u64| stamp <= turn && turn - stamp < 4;
+        let fresh: Vec<_> = self.rings.iter().filter(|(stamp, _)| live(*stamp)).collect();
+        let total: u32 = fresh.iter().flat_map(|(_, counts)| counts).sum();
+        if total < self.least {
+            return None;
+        }
+        let mut seen = 0;
+        let wanted = (f64::from(total) * self.share).ceil() as u32;
+        (0..BUCKETS).find_map(|bucket| {
+            seen += fresh.iter().map(|(_, counts)| counts[bucket]).sum::<u32>();
+            (seen >= wanted).then(|| Self::upper_bound(bucket))
+        })
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,183 @@
+//! The interface of the decision module: ids, times, what a place tells a sidecar at start, events and actions.
+//! Nothing is decided here, and nothing here knows a wire.
+use std::ops::{Add, Sub};
+
+/// A point in time or a length of time, in whole microseconds.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Debug)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    pub const NEVER: Micros = Micros(u64::MAX);
+    pub const fn millis(ms: u64) -> Micros {
+        Micros(ms * 1000)
+    }
+    pub fn times(self, factor: f64) -> Micros {
+        Micros((self.0 as f64 * factor) as u64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Micros {
+    type Output = Micros;
+    /// Never below zero: a time that has passed is simply no time left.
+    fn sub(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {
+        $($(#[$doc])* #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Debug)]
+        pub struct $name(pub $inner);)*
+    };
+}
+
+ids! {
+    /// One API call, as one sidecar knows it.
+    CallId(u32);
+    /// Which hop of its API call: 0, 1, 2 ... in the order sent.
+    HopNo(u32);
+    /// A server, by whatever numbering the host keeps for this instance.
+    ServerId(u32);
+    /// A place (zone, site, data centre).
+    PlaceId(u32);
+    /// A small set of servers that share what they remember of tagged API calls.
+    CellId(u32);
+    /// A workload, by its position in [`Terms::workloads`].
+    WorkloadId(usize);
+    /// A customer, by its position in [`Terms::customers`].
+    CustomerId(usize);
+    /// A timer; given back unchanged.
+    Token(u64);
+}
+
+/// Which servers drop a repeat of a tagged API call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Group {
+    All,
+    Place,
+    Cell,
+}
+
+/// What a repeat of an API call may do.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Kind {
+    Repeatable,
+    Tagged { group: Group, memory: Micros },
+    OnceOnly,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub kind: Kind,
+    pub quoted: Micros,
+    pub payoff: f64,
+    /// The part of the payoff that an answer after the quoted time still earns.
+    pub late_payoff: f64,
+}
+
+/// What the place lays down for one instance at its start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Sidecars in this tier, this one included.
+    pub sidecars: u32,
+    pub workloads: Vec<Workload>,
+    /// API calls a second within each customer's share, over all sidecars.
+    pub customers: Vec<f64>,
+    /// What an API call beyond its customer's share is worth, as a part of its payoff.
+    pub beyond_share: f64,
+    /// How much of the result hangs on the worst-served workload.
+    pub worst_workload: f64,
+    pub most_hops: u32,
+    pub may_cancel: bool,
+    pub may_race: bool,
+    /// The longest cool-down that clients are told of; zero where none is passed on.
+    pub cool_down: Micros,
+    /// Whether changes of the list must be asked for.
+    pub must_ask: bool,
+    pub ask_within: Micros,
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub fall_span: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of servers.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    pub server: ServerId,
+    pub place: PlaceId,
+    pub cell: CellId,
+    pub standing: Standing,
+    pub size: f64,
+    /// When it last started; zero for long ago.
+    pub started: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ListKind {
+    /// Only what changed.
+    Changes,
+    /// Everything there is: who is missing is gone.
+    Whole,
+    /// The whole list as somebody once saw it.
+    Cached,
+    /// A request failed or the subscription broke.
+    Failed,
+}
+
+/// How a hop ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Outcome {
+    Succeeded,
+    Errored,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    NotSent,
+}
+
+impl Outcome {
+    /// The server is known not to have run it.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    Listed { kind: ListKind, entries: &'a [Listing] },
+    Arrived { call: CallId, workload: WorkloadId, left: Micros, customer: CustomerId },
+    Streaming { call: CallId, hop: HopNo },
+    Ended { call: CallId, hop: HopNo, outcome: Outcome, waited: Micros, closed: bool },
+    Withdrawn { call: CallId },
+    Woke(Token),
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Action {
+    Send { call: CallId, server: ServerId, give_up: Micros },
+    Cancel { call: CallId, hop: HopNo },
+    Dismiss { call: CallId, cool_down: Micros },
+    Fail { call: CallId },
+    Wake { after: Micros, token: Token },
+    Subscribe,
+    Log { text: String, server: Option<ServerId> },
+}
