--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,7 @@
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
-const CROWDED: f64 = 2.5; // latency over its uncrowded level that counts as crowding
+const CROWDED: f64 = 2.0; // latency over its uncrowded level that counts as crowding
 const PATIENCE: f64 = 0.4; // the part of the quoted time that may be spent in our own queue
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
 const POKE: Micros = Micros::millis(25);
@@ -208,6 +208,8 @@
     total_out: u32,
     slices: Slices,
     recent: Bins,
+    long: Bins,
+    usual: f64,
     level: Option<f64>,
     width: f64,
     crowded: bool,
@@ -261,6 +263,8 @@
             total_out: 0,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
             recent: Bins::default(),
+            long: Bins::default(),
+            usual: 0.0,
             level: None,
             width: 0.0,
             crowded: false,
@@ -624,10 +628,10 @@
         }
     }
 
-    /// Our own calls that one server may hold: twice its even part of the width.
+    /// Our own calls that one server may hold: half more than its even part of the width.
     fn per_server(&self) -> f64 {
         let ready = self.servers.values().filter(|server| server.usable()).count().max(1);
-        (2.0 * self.width / ready as f64).ceil().max(2.0)
+        (1.5 * self.width / ready as f64).ceil().max(2.0)
     }
 
     fn takes(&self, server: &Server, per_server: f64) -> bool {
@@ -682,8 +686,7 @@
         }
         if good {
             self.slices.add(self.now, waited);
-            self.recent.add(waited);
-            self.weigh_width(out);
+            self.weigh_width(waited, out);
         }
         if !(good && outlived) {
             self.judge(id, good, out);
@@ -705,21 +708,33 @@
     }
 
     /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level, more
-    /// of them would only wait in the servers, and tip them into the slow state that outlives its cause.
-    fn weigh_width(&mut self, out: &mut Vec<Action>) {
-        let Some(median) = self.recent.median().map(|median| median.0 as f64) else { return };
-        if self.recent.total >= 32.0 {
+    /// of them would only wait in the servers, and tip them into the slow state that outlives its cause. The
+    /// bound never falls under what calm times needed, or a slow shared dependency would starve us.
+    fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
+        self.recent.add(waited);
+        self.long.add(waited);
+        let (Some(median), Some(long)) = (self.recent.median(), self.long.median()) else { return };
+        let (median, long) = (median.0 as f64, long.0 as f64);
+        if self.recent.total >= 24.0 {
             self.recent.halve();
-            self.level = Some(self.level.map_or(median, |level| median.min(level * 1.02)));
         }
-        let Some(level) = self.level else { return };
+        if self.long.total >= 48.0 && (self.level.is_none() || self.long.total >= 128.0) {
+            self.level = Some(self.level.map_or(long, |level| long.min(level * 1.005)));
+        }
+        if self.long.total >= 128.0 {
+            self.long.halve();
+        }
+        let level = self.level.unwrap_or(long);
         let crowded = median > CROWDED * level;
         let ready = self.servers.values().filter(|server| server.usable()).count() as f64;
-        let floor = (1.5 * ready * self.my_part).max(2.0);
         if crowded {
-            self.width = (self.width.min(f64::from(self.total_out) + 1.0) * 0.98).max(floor);
-        } else if f64::from(self.total_out) + 1.0 >= self.width * 0.8 {
-            self.width += 0.2;
+            let floor = (1.5 * self.usual).max(2.0 * ready * self.my_part).max(2.0);
+            self.width = (self.width * 0.97).max(floor);
+        } else {
+            self.usual += 0.01 * (f64::from(self.total_out) - self.usual);
+            if f64::from(self.total_out) + 1.0 >= self.width * 0.8 {
+                self.width += 1.0 / self.width;
+            }
         }
         if crowded != self.crowded {
             self.crowded = crowded;
@@ -747,7 +762,7 @@
         }
         let rate = server.bad / (server.good + server.bad);
         let others = all_bad / (all_good + all_bad);
-        let worse = server.bad >= 3.0 && rate > 0.5 && rate > 2.0 * others;
+        let worse = server.bad >= 4.0 && rate > 0.6 && rate > 3.0 * others;
         if server.good + server.bad > 16.0 {
             server.good *= 0.5;
             server.bad *= 0.5;
@@ -815,7 +830,7 @@
         let gone: Vec<ServerId> = self.servers.keys().copied().collect();
         gone.into_iter().for_each(|server| self.forget_gone(server));
         let ready = self.servers.values().filter(|server| server.usable()).count() as f64;
-        self.width = self.width.max(4.0 * ready * self.my_part).max(4.0);
+        self.width = self.width.max(3.0 * ready * self.my_part).max(2.0);
     }
 
     fn forget_gone(&mut self, id: ServerId) {
