Judge crowding at 1.6 of the level and keep the width at the usual rate's own need

Cause: the width floor followed calls in flight, which the crowd itself raises; rate times uncrowded latency does not.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,8 @@
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
-const CROWDED: f64 = 2.0; // latency over its uncrowded level that counts as crowding
+const EASED: f64 = 1.3; // and the level below which it is over
+const CROWDED: f64 = 1.6; // latency over its uncrowded level that counts as crowding
 const PATIENCE: f64 = 0.4; // the part of the quoted time that may be spent in our own queue
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
 const POKE: Micros = Micros::millis(25);
@@ -209,7 +210,8 @@
     slices: Slices,
     recent: Bins,
     long: Bins,
-    usual: f64,
+    sends_a_second: f64,
+    opening: bool,
     level: Option<f64>,
     width: f64,
     crowded: bool,
@@ -221,6 +223,7 @@
     asking: bool,
     poked: bool,
     warm_sends: f64,
+    sends: f64,
     warm_rate: f64,
     now: Micros,
 }
@@ -264,7 +267,8 @@
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
             recent: Bins::default(),
             long: Bins::default(),
-            usual: 0.0,
+            sends_a_second: 0.0,
+            opening: true,
             level: None,
             width: 0.0,
             crowded: false,
@@ -276,6 +280,7 @@
             asking: false,
             poked: false,
             warm_sends: 0.0,
+            sends: 0.0,
             warm_rate: 0.0,
             now,
         };
@@ -396,6 +401,7 @@
         let give_up = call.abandon - now;
         out.push(Action::Send { call: id, server, give_up });
         self.total_out += 1;
+        self.sends += 1.0;
         let target = self.servers.get_mut(&server)?;
         let (place, cell) = (target.listing.place, target.listing.cell);
         call.hops.push(Hop { server, place, cell, sent: now, ended: None, outlived: false, copy });
@@ -709,7 +715,7 @@
 
     /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level, more
     /// of them would only wait in the servers, and tip them into the slow state that outlives its cause. The
-    /// bound never falls under what calm times needed, or a slow shared dependency would starve us.
+    /// bound never falls under what our usual rate needs uncrowded, or a slow shared dependency would starve us.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
         self.recent.add(waited);
         self.long.add(waited);
@@ -725,16 +731,15 @@
             self.long.halve();
         }
         let level = self.level.unwrap_or(long);
-        let crowded = median > CROWDED * level;
+        let crowded = median > if self.crowded { EASED } else { CROWDED } * level;
         let ready = self.servers.values().filter(|server| server.usable()).count() as f64;
         if crowded {
-            let floor = (1.5 * self.usual).max(2.0 * ready * self.my_part).max(2.0);
+            self.opening = false;
+            let needed = self.sends_a_second * level / 1e6;
+            let floor = (1.3 * needed).max(2.0 * ready * self.my_part).max(2.0);
             self.width = (self.width * 0.97).max(floor);
-        } else {
-            self.usual += 0.01 * (f64::from(self.total_out) - self.usual);
-            if f64::from(self.total_out) + 1.0 >= self.width * 0.8 {
-                self.width += 1.0 / self.width;
-            }
+        } else if f64::from(self.total_out) + 1.0 >= self.width * 0.8 {
+            self.width += if self.opening { 0.5 } else { 1.0 / self.width };
         }
         if crowded != self.crowded {
             self.crowded = crowded;
@@ -847,6 +852,9 @@
             self.warm_rate += 0.25 * (self.warm_sends / count / BEAT.secs() - self.warm_rate);
         }
         self.warm_sends = 0.0;
+        let part = if self.sends_a_second > 0.0 { 0.1 } else { 1.0 };
+        self.sends_a_second += part * (self.sends / BEAT.secs() - self.sends_a_second);
+        self.sends = 0.0;
         if self.long_run.0 > 2000.0 {
             self.long_run = (self.long_run.0 * 0.5, self.long_run.1 * 0.5);
         }
