--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,12 @@
 //! Decisions of a sidecar load balancer, without sockets, clocks or threads: a host hands events to
 //! [`rules::Sidecar::on`] and carries out the actions that come back. See `docs/design.md`.
 //!
-//! Beside the interface types ([`types`]) this file holds the two measures that the rules read.
+//! Beside the interface types ([`types`]) this file holds the measures that the rules read.
+mod records;
 pub mod rules;
 pub mod types;
 
+use nanorand::{Rng, WyRand};
 use types::Micros;
 
 /// A coarse histogram: two bins an octave from 1 ms up, halved by its owner now and then.
@@ -65,7 +67,7 @@
 /// assert!(p90 >= Micros::millis(18) && p90 <= Micros::millis(21));
 /// assert_eq!(seen.quantile(Micros::millis(60_000)), None); // old slices speak no more
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Default, Debug)]
 pub struct Slices {
     slice: Micros,
     share: f64,
@@ -138,3 +140,101 @@
         })
     }
 }
+
+/// Good and bad, in two bins.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Tally {
+    pub good: f64,
+    pub bad: f64,
+}
+
+impl Tally {
+    pub fn add(&mut self, good: bool) {
+        *(if good { &mut self.good } else { &mut self.bad }) += 1.0;
+    }
+
+    /// Makes all it holds count for less.
+    pub fn fade(&mut self, factor: f64) {
+        self.good *= factor;
+        self.bad *= factor;
+    }
+
+    pub fn total(&self) -> f64 {
+        self.good + self.bad
+    }
+
+    /// The part that is bad; zero where nothing is known.
+    pub fn rate(&self) -> f64 {
+        self.bad / self.total().max(1.0)
+    }
+}
+
+/// What may still be spent of something that comes in at a rate and is kept up to a depth.
+///
+/// ```
+/// use oakhollow::{types::Micros, Allowance};
+/// let mut calls = Allowance { left: 1.0, seen: Micros(0) };
+/// assert!(calls.take(0.5, 1.0, Micros(0)));
+/// assert!(!calls.take(0.5, 1.0, Micros::millis(1_000)));
+/// assert!(calls.take(0.5, 1.0, Micros::millis(2_000)));
+/// ```
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Allowance {
+    pub left: f64,
+    pub seen: Micros,
+}
+
+impl Allowance {
+    pub fn at(&self, rate: f64, depth: f64, now: Micros) -> f64 {
+        (self.left + rate * (now - self.seen).secs()).min(depth)
+    }
+
+    pub fn take(&mut self, rate: f64, depth: f64, now: Micros) -> bool {
+        self.left = self.at(rate, depth, now);
+        self.seen = now;
+        let enough = self.left >= 1.0;
+        self.left -= f64::from(u8::from(enough));
+        enough
+    }
+}
+
+/// How often something happens in a second, smoothed; the first whole beat counts in full.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Pace {
+    pub seen: f64,
+    pub a_second: f64,
+}
+
+impl Pace {
+    pub fn beat(&mut self, length: Micros, part: f64) {
+        let part = if self.a_second > 0.0 { part } else { 1.0 };
+        self.a_second += part * (self.seen / length.secs() - self.a_second);
+        self.seen = 0.0;
+    }
+}
+
+/// The one source of chance of an instance: the same seed, the same draws.
+#[derive(Clone)]
+pub struct Chance(WyRand);
+
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance::new(0)
+    }
+}
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance(WyRand::new_seed(seed))
+    }
+
+    /// An even draw from 0 up to 1.
+    pub fn draw(&mut self) -> f64 {
+        f64::from(self.0.generate::<u32>()) / 4294967296.0
+    }
+
+    /// One of the numbers under `count`, which must not be 0.
+    pub fn below(&mut self, count: usize) -> usize {
+        self.0.generate_range(0..count)
+    }
+}
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,97 @@
+//! What one instance remembers: plain records of API calls, servers and figures. Nothing is decided here.
+use crate::types::*;
+use crate::{Allowance, Bins, Tally};
+
+/// Where an API call stands.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum State {
+    Fresh,
+    Queued,
+    Out,
+    Raced,
+    Over,
+}
+
+/// How far a server is trusted.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Trust {
+    Fit,
+    Aside,
+    Trial,
+}
+
+pub struct Hop {
+    pub server: ServerId,
+    pub place: PlaceId,
+    pub cell: CellId,
+    pub sent: Micros,
+    pub ended: Option<Outcome>,
+    pub outlived: bool,
+    pub copy: bool,
+}
+
+impl Hop {
+    pub fn open(&self) -> bool {
+        self.ended.is_none()
+    }
+
+    pub fn may_have_run(&self) -> bool {
+        !self.ended.is_some_and(Outcome::proves_not_run)
+    }
+}
+
+pub struct Call {
+    pub workload: usize,
+    pub state: State,
+    pub turn: (u32, u64), // its place in the queue: dearest first, then oldest
+    pub abandon: Micros,
+    pub patience: Micros,
+    pub hops: Vec<Hop>,
+}
+
+pub struct Server {
+    pub listing: Listing,
+    pub out: u32,
+    pub answered: bool,
+    pub trust: Trust,
+    pub until: Micros,
+    pub asides: u32,
+    pub record: Tally,
+    pub unreached: u32,
+    pub cold: Allowance,
+}
+
+impl Server {
+    pub fn usable(&self) -> bool {
+        self.listing.standing == Standing::Ready && self.trust == Trust::Fit
+    }
+}
+
+/// What the place's terms come down to.
+#[derive(Default)]
+pub struct Figures {
+    pub workloads: Vec<Workload>,
+    pub shares: Vec<f64>, // API calls a second that each customer may send through this sidecar alone
+    pub beyond_share: f64,
+    pub lifted: f64,
+    pub most_hops: usize,
+    pub may_cancel: bool,
+    pub may_race: bool,
+    pub cool_down: Micros,
+    pub ask_again: Micros,
+    pub my_part: f64,
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub fall_span: Micros,
+}
+
+/// How crowded the servers are, as our own latency shows it.
+#[derive(Default)]
+pub struct Crowding {
+    pub recent: Bins,
+    pub long: Bins,
+    pub level: Option<f64>,
+    pub width: f64,
+    pub crowded: bool,
+    pub steady: bool,
+}
