--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -131,10 +131,13 @@
                 let entries = instance.listings(items)?;
                 self.tell(who, Event::Listed { kind, entries: &entries })?;
             }
-            In::Order { who, xid, category, expires_in_s, tenant } => {
+            In::Order { who, xid, category, expires_in_s, tenant, options } => {
                 let (workload, customer) = (WorkloadId(category), CustomerId(tenant));
-                let left = micros(expires_in_s);
-                self.tell(who, Event::Arrived { call: CallId(xid), workload, left, customer })?;
+                let (left, repeat) = (micros(expires_in_s), options & 2 != 0);
+                self.tell(
+                    who,
+                    Event::Arrived(Arrival { call: CallId(xid), workload, left, customer, repeat }),
+                )?;
             }
             In::Headers { who, xid, r#try } => {
                 self.tell(who, Event::Streaming { call: CallId(xid), hop: HopNo(r#try) })?
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -34,6 +34,8 @@
         expires_in_s: f64,
         #[serde(default)]
         tenant: usize,
+        #[serde(default)]
+        options: u32,
     },
     Headers {
         who: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,7 @@
 const CROWDED: f64 = 1.6; // latency over its uncrowded level that counts as crowding
 const EASED: f64 = 1.3; // and the one below which it is over
 const PATIENCE: f64 = 0.4; // the part of the quoted time that may be spent in our own queue
+const REPEAT_WORTH: f64 = 0.25; // a client's repeat against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
@@ -141,9 +142,7 @@
         self.now = now;
         match event {
             Event::Listed { kind, entries } => self.listed(kind, entries, out),
-            Event::Arrived { call, workload, left, customer } => {
-                self.arrived(call, workload.0, left, customer.0, out)
-            }
+            Event::Arrived(arrival) => self.arrived(arrival, out),
             Event::Streaming { call, hop } => self.streaming(call, hop, out),
             Event::Ended { call, hop, outcome, waited, closed } => {
                 self.ended(call, hop.0 as usize, outcome, waited, closed, out)
@@ -192,19 +191,22 @@
 
     // ---- API calls ----
 
-    fn arrived(&mut self, id: CallId, workload: usize, left: Micros, customer: usize, out: &mut Vec<Action>) {
-        let rank = |workload: &Workload| (workload.payoff.max(0.0) * 1000.0) as u32;
+    fn arrived(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
+        let Arrival { call: id, workload: WorkloadId(workload), left, customer, repeat } = arrival;
+        let payoff = |workload: &Workload| workload.payoff.max(0.0) * 1000.0;
         let lifted = self.chance.draw() < self.figures.lifted;
         let terms = &self.figures.workloads[workload];
         // Guards against starving the cheapest workload: a part of each is ranked with the dearest.
-        let dearest = self.figures.workloads.iter().map(rank).max().unwrap_or(0);
-        let mut worth = if lifted { dearest } else { rank(terms) };
-        if let (Some(purse), Some(&share)) =
-            (self.purses.get_mut(customer), self.figures.shares.get(customer))
-        {
-            if !purse.take(share, 2.0 * share.max(1.0), self.now) {
-                worth = (f64::from(worth) * self.figures.beyond_share) as u32;
-            }
+        let dearest = self.figures.workloads.iter().map(payoff).fold(0.0, f64::max);
+        let mut worth = if lifted { dearest } else { payoff(terms) };
+        let share = self.figures.shares.get(customer.0).copied().unwrap_or(f64::INFINITY);
+        let purse = self.purses.get_mut(customer.0);
+        if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
+            worth *= self.figures.beyond_share;
+        }
+        // A client's repeat has lost part of its quoted time elsewhere; before it go calls that can still earn.
+        if repeat {
+            worth *= REPEAT_WORTH;
         }
         // An answer that earns nothing is work taken from one that would.
         if terms.late_payoff <= 0.0 && terms.quoted < left {
@@ -214,7 +216,7 @@
         let call = Call {
             workload,
             state: Fresh,
-            turn: (u32::MAX - worth, self.arrivals),
+            turn: (u32::MAX - worth as u32, self.arrivals),
             abandon: self.now + left,
             patience: self.now + terms.quoted.min(left).times(PATIENCE),
             hops: Vec::new(),
--- a/src/types.rs
+++ b/src/types.rs
@@ -161,10 +161,22 @@
     }
 }
 
+/// An API call that comes in: from now on one final answer is owed.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub call: CallId,
+    pub workload: WorkloadId,
+    /// Until the client abandons this try.
+    pub left: Micros,
+    pub customer: CustomerId,
+    /// The client has tried before and marked this try so.
+    pub repeat: bool,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
     Listed { kind: ListKind, entries: &'a [Listing] },
-    Arrived { call: CallId, workload: WorkloadId, left: Micros, customer: CustomerId },
+    Arrived(Arrival),
     Streaming { call: CallId, hop: HopNo },
     Ended { call: CallId, hop: HopNo, outcome: Outcome, waited: Micros, closed: bool },
     Withdrawn { call: CallId },
