A queued API call's patience ends two median latencies before its quoted time

Cause: a call that left our queue at 0.4 of its quoted time met a crowded server and was answered too late.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -213,12 +213,13 @@
             self.remind(id, WORTH, terms.quoted, out);
         }
         self.arrivals += 1;
+        let (hope, median) = (terms.quoted.min(left), self.crowd.recent.median().unwrap_or_default());
         let call = Call {
             workload,
             state: Fresh,
             turn: (u32::MAX - worth as u32, self.arrivals),
             abandon: self.now + left,
-            patience: self.now + terms.quoted.min(left).times(PATIENCE),
+            patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
         };
         self.calls.insert(id, call);
