--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -144,8 +144,8 @@
             }
             In::Finished { who, xid, r#try, wait_time_s, complete, outcome } => {
                 let (call, hop, waited) = (CallId(xid), HopNo(r#try), micros(wait_time_s));
-                let outcome = outcome.into();
-                self.tell(who, Event::Ended { call, hop, outcome, waited, closed: complete })?;
+                let ending = Ending { call, hop, outcome: outcome.into(), waited, closed: complete };
+                self.tell(who, Event::Ended(ending))?;
             }
             In::Withdrawn { who, xid } => self.tell(who, Event::Withdrawn { call: CallId(xid) })?,
             In::Wake { who, cookie } => self.tell(who, Event::Woke(Token(cookie)))?,
--- a/src/records.rs
+++ b/src/records.rs
@@ -78,13 +78,34 @@
     pub may_cancel: bool,
     pub may_race: bool,
     pub cool_down: Micros,
-    pub ask_again: Micros,
+    pub ask_within: Micros,
     pub my_part: f64,
     pub cold_from: f64,
     pub warm_within: Micros,
     pub fall_span: Micros,
 }
 
+impl Figures {
+    pub fn new(terms: &Terms) -> Figures {
+        let sidecars = f64::from(terms.sidecars.max(1));
+        Figures {
+            workloads: terms.workloads.clone(),
+            shares: terms.customers.iter().map(|rate| rate / sidecars).collect(),
+            beyond_share: terms.beyond_share,
+            lifted: terms.worst_workload,
+            most_hops: terms.most_hops as usize,
+            may_cancel: terms.may_cancel,
+            may_race: terms.may_race,
+            cool_down: terms.cool_down,
+            ask_within: terms.ask_within,
+            my_part: 1.0 / sidecars,
+            cold_from: terms.cold_from,
+            warm_within: terms.warm_within,
+            fall_span: terms.fall_span,
+        }
+    }
+}
+
 /// How crowded the servers are, as our own latency shows it.
 #[derive(Default)]
 pub struct Crowding {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,6 +23,7 @@
 const PATIENCE: f64 = 0.4; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.25; // a client's repeat against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
+const ASK_AGAIN: f64 = 0.5; // of the time within which the list must be asked for again
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
 
@@ -105,22 +106,7 @@
 
 impl Sidecar {
     pub fn new(terms: &Terms, seed: u64, now: Micros, out: &mut Vec<Action>) -> Sidecar {
-        let sidecars = f64::from(terms.sidecars.max(1));
-        let figures = Figures {
-            workloads: terms.workloads.clone(),
-            shares: terms.customers.iter().map(|rate| rate / sidecars).collect(),
-            beyond_share: terms.beyond_share,
-            lifted: terms.worst_workload,
-            most_hops: terms.most_hops as usize,
-            may_cancel: terms.may_cancel,
-            may_race: terms.may_race,
-            cool_down: terms.cool_down,
-            ask_again: Micros(terms.ask_within.0 / 2),
-            my_part: 1.0 / sidecars,
-            cold_from: terms.cold_from,
-            warm_within: terms.warm_within,
-            fall_span: terms.fall_span,
-        };
+        let figures = Figures::new(terms);
         let purse = |share: &f64| Allowance { left: 2.0 * share, seen: now };
         let mut sidecar = Sidecar {
             now,
@@ -144,9 +130,7 @@
             Event::Listed { kind, entries } => self.listed(kind, entries, out),
             Event::Arrived(arrival) => self.arrived(arrival, out),
             Event::Streaming { call, hop } => self.streaming(call, hop, out),
-            Event::Ended { call, hop, outcome, waited, closed } => {
-                self.ended(call, hop.0 as usize, outcome, waited, closed, out)
-            }
+            Event::Ended(ending) => self.ended(ending, out),
             Event::Withdrawn { call } => self.step(call, Left, out),
             Event::Woke(POKED) => self.poked = false,
             Event::Woke(ASK) => self.ask(out),
@@ -204,7 +188,7 @@
         if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
             worth *= self.figures.beyond_share;
         }
-        // A client's repeat has lost part of its quoted time elsewhere; before it go calls that can still earn.
+        // A client's repeat has lost part of its quoted time; before it go calls that can still earn.
         if repeat {
             worth *= REPEAT_WORTH;
         }
@@ -360,13 +344,11 @@
         }
     }
 
-    fn ended(
-        &mut self, id: CallId, no: usize, outcome: Outcome, waited: Micros, closed: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, ending: Ending, out: &mut Vec<Action>) {
+        let Ending { call: id, hop: HopNo(no), outcome, waited, closed } = ending;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (state, workload, count, abandon) = (call.state, call.workload, call.hops.len(), call.abandon);
-        let Some(hop) = call.hops.get_mut(no).filter(|hop| hop.open()) else { return };
+        let Some(hop) = call.hops.get_mut(no as usize).filter(|hop| hop.open()) else { return };
         hop.ended = Some(outcome);
         let (server, outlived) = (hop.server, hop.outlived);
         let open = call.hops.iter().any(Hop::open);
@@ -522,7 +504,7 @@
     }
 
     /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level,
-    /// more would only wait in the servers, and tip them into the slow state that outlives its cause. The bound
+    /// more would only wait in servers, and tip them into the slow state that outlives its cause. The bound
     /// never falls under what our usual rate needs uncrowded, or a slow shared dependency would starve us.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
         let usable = self.servers.values().filter(|server| server.usable()).count() as f64;
@@ -607,7 +589,7 @@
     /// Rule three: stay subscribed. An ask that is never answered is repeated too.
     fn ask(&mut self, out: &mut Vec<Action>) {
         if !self.subscribed && self.now >= self.ask_at {
-            self.ask_at = self.now + self.figures.ask_again;
+            self.ask_at = self.now + self.figures.ask_within.times(ASK_AGAIN);
             out.push(Action::Subscribe);
         }
     }
@@ -615,7 +597,8 @@
     fn listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             (self.subscribed, self.failed_asks) = (false, self.failed_asks + 1);
-            let longest = self.figures.ask_again.min(Micros::millis(250 << self.failed_asks.min(6)));
+            let longest =
+                self.figures.ask_within.times(ASK_AGAIN).min(Micros::millis(250 << self.failed_asks.min(6)));
             let after = longest.times(0.5 + 0.5 * self.chance.draw());
             self.ask_at = self.now + after;
             out.push(Action::Wake { after, token: ASK });
--- a/src/types.rs
+++ b/src/types.rs
@@ -173,12 +173,23 @@
     pub repeat: bool,
 }
 
+/// How a hop ended, and whether its API call is over by that or by something earlier.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub call: CallId,
+    pub hop: HopNo,
+    pub outcome: Outcome,
+    /// From the send until now.
+    pub waited: Micros,
+    pub closed: bool,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
     Listed { kind: ListKind, entries: &'a [Listing] },
     Arrived(Arrival),
     Streaming { call: CallId, hop: HopNo },
-    Ended { call: CallId, hop: HopNo, outcome: Outcome, waited: Micros, closed: bool },
+    Ended(Ending),
     Withdrawn { call: CallId },
     Woke(Token),
 }
