--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
 const WINDOW: Micros = Micros::millis(30_000); // the design's, in four slices
 const QUANTILE: f64 = 0.9; // a hop that outlives this share of recent answers may be copied
 const MINIMUM_SAMPLES: u32 = 20;
-const BUDGET_SHARE: f64 = 0.1; // copies and retries for each first send
+const BUDGET_SHARE: f64 = 0.2; // copies and retries for each first send
 const BUDGET_DEPTH: f64 = 8.0; // unspent budget kept, so that a burst of failures can be met
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
@@ -558,7 +558,7 @@
         if server.record.total() > 16.0 {
             server.record.fade(0.5);
         }
-        let condemned = (worse || server.unreached >= 2) && 2 * (aside + 1) <= ready;
+        let condemned = (worse || server.unreached >= 1) && 2 * (aside + 1) <= ready;
         let sign = match (server.trust, good) {
             (Trust::Fit, false) if condemned => Sign::Condemned,
             (Trust::Trial, true) => Sign::Good,
@@ -575,7 +575,9 @@
         server.trust = trust;
         match trust {
             Trust::Aside => {
-                server.until = self.now + ASIDE.times(f64::from(1 << server.asides.min(3)));
+                // Guards against knocking again and again where others hold all connections.
+                let doubled = server.asides.min(3) + if server.answered { 0 } else { 3 };
+                server.until = self.now + ASIDE.times(f64::from(1 << doubled));
                 server.asides += 1;
             }
             Trust::Fit => (server.record, server.asides) = (Tally { good: 1.0, bad: 0.0 }, 0),
