Bound each server by its listed size, and by less where its answers have been slow

Cause: slow servers held as many of our calls as fast ones and tipped first into the crowded slow state.

--- a/src/records.rs
+++ b/src/records.rs
@@ -58,10 +58,16 @@
     pub asides: u32,
     pub record: Tally,
     pub unreached: u32,
+    pub ease: f64,
     pub cold: Allowance,
 }
 
 impl Server {
+    /// Its part of the work: the listed size, less where it has been slow.
+    pub fn weight(&self) -> f64 {
+        self.listing.size.max(0.01) * self.ease
+    }
+
     pub fn usable(&self) -> bool {
         self.listing.standing == Standing::Ready && self.trust == Trust::Fit
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -403,17 +403,17 @@
         if call.hops.len() >= self.figures.most_hops || self.now >= call.abandon {
             return None;
         }
-        let per_server = self.per_server();
+        let per_unit = self.per_unit();
         let known = self.servers.values().filter(|server| server.answered);
         let (held, count) = known.fold((0, 0u32), |(held, count), server| (held + server.out, count + 1));
         let mean = f64::from(held) / f64::from(count.max(1));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
         let untried = |server: &Server| call.hops.iter().all(|hop| hop.server != server.listing.server);
         let fits = |server: &&Server| {
-            untried(server) && self.takes(server, per_server) && self.kind_allows(call, &server.listing)
+            untried(server) && self.takes(server, per_unit) && self.kind_allows(call, &server.listing)
         };
         let fitting: Vec<(ServerId, f64, f64)> = (self.servers.values().filter(fits))
-            .map(|server| (server.listing.server, load(server), server.listing.size.max(0.01)))
+            .map(|server| (server.listing.server, load(server), server.weight()))
             .collect();
         let idle: Vec<ServerId> =
             fitting.iter().filter(|(_, load, _)| *load < 0.5).map(|(id, ..)| *id).collect();
@@ -429,13 +429,14 @@
         }
     }
 
-    /// Our own calls that one server may hold: half more than its even part of the width.
-    fn per_server(&self) -> f64 {
-        let usable = self.servers.values().filter(|server| server.usable()).count().max(1);
-        (1.5 * self.crowd.width / usable as f64).ceil().max(2.0)
+    /// Our own calls that one server may hold for each unit of its size: half more than its even part.
+    fn per_unit(&self) -> f64 {
+        let usable = self.servers.values().filter(|server| server.usable());
+        1.5 * self.crowd.width / usable.map(|server| server.listing.size).sum::<f64>().max(0.01)
     }
 
-    fn takes(&self, server: &Server, per_server: f64) -> bool {
+    fn takes(&self, server: &Server, per_unit: f64) -> bool {
+        let per_server = (per_unit * server.weight()).ceil().max(1.0);
         let trusted = match server.trust {
             Trust::Fit => true,
             Trust::Aside => self.now >= server.until && server.out == 0,
@@ -480,6 +481,12 @@
             server.unreached = if outcome == Outcome::NoConnection { server.unreached + 1 } else { 0 };
         }
         if good {
+            // A server slower than the level for most of our calls holds fewer of them: it would tip first.
+            let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.ease =
+                    if slow { (server.ease * 0.93).max(0.3) } else { (server.ease + 0.03).min(1.0) };
+            }
             self.slices.add(self.now, waited);
             self.weigh_width(waited, out);
         }
@@ -628,6 +635,7 @@
                 asides: 0,
                 record: Tally::default(),
                 unreached: 0,
+                ease: 1.0,
                 cold,
             };
             let known = self.servers.entry(entry.server).or_insert_with(|| fresh(0));
