--- a/src/rules.rs
+++ b/src/rules.rs
@@ -525,7 +525,9 @@
         }
         let whole = crowd.long.total >= 128.0;
         if whole || crowd.level.is_none() && crowd.long.total >= 48.0 {
-            crowd.level = Some(crowd.level.map_or(long, |level| long.min(level * 1.005)));
+            crowd.level = Some(
+                crowd.level.map_or(long, |level| long.min(level * if crowd.crowded { 1.0 } else { 1.001 })),
+            );
         }
         if whole {
             crowd.long.halve();
@@ -538,7 +540,7 @@
             let floor = (1.3 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
         } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
-            crowd.width += if crowd.steady { 1.0 / crowd.width } else { 0.5 };
+            crowd.width += if crowd.steady { 1.0 / crowd.width } else { 0.2 };
         }
         if crowded != crowd.crowded {
             crowd.crowded = crowded;
