Scenarios and their runner, framing tests; a call that no server may take is answered at once

The tagged scenario showed calls queued though no server could take them any more: they are ended at once now.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -9,6 +9,7 @@
 /// One instance with its own numbering of servers, so that nothing of it depends on its neighbours.
 struct Instance {
     sidecar: Sidecar,
+    workloads: usize,
     numbers: HashMap<String, ServerId>,
     names: Vec<String>,
 }
@@ -105,7 +106,8 @@
                 let terms = terms(&env)?;
                 let mut actions = std::mem::take(&mut self.actions);
                 let sidecar = Sidecar::new(&terms, init_seed, self.now, &mut actions);
-                self.instances.insert(who, Instance { sidecar, numbers: HashMap::new(), names: Vec::new() });
+                let (workloads, numbers, names) = (terms.workloads.len(), HashMap::new(), Vec::new());
+                self.instances.insert(who, Instance { sidecar, workloads, numbers, names });
                 self.carry_out(who, actions)?;
             }
             In::Destroy { who } => {
@@ -132,6 +134,9 @@
                 self.tell(who, Event::Listed { kind, entries: &entries })?;
             }
             In::Order { who, xid, category, expires_in_s, tenant, options } => {
+                if self.instances.get(&who).is_some_and(|instance| category >= instance.workloads) {
+                    return Err(format!("field category: there is no workload {category}"));
+                }
                 let (workload, customer) = (WorkloadId(category), CustomerId(tenant));
                 let (left, repeat) = (micros(expires_in_s), options & 2 != 0);
                 self.tell(
--- /dev/null
+++ b/adapter/tests/framing.rs
@@ -0,0 +1,67 @@
+//! The adapter's framing: whole replies to whole batches, and a plain message for what is malformed.
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const INIT: &str = concat!(
+    r#"{"what":"INIT","who":0,"init_seed":5,"env":{"balancers":1,"bounds":{"most_hops":3,"cancel":true},"#,
+    r#""discovery":"on_request","later":[1],"rules":{"ask_within_s":4,"cold_from":0.5,"fall_s":1,"warm_within_s":5},"#,
+    r#""workloads":[{"quoted_time_s":1,"abandon_time_s":2,"payoff":1,"semantics":"read_like"}]}}"#
+);
+
+fn serve(input: &str) -> Output {
+    let mut adapter = Command::new(env!("CARGO_BIN_EXE_oakhollow-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // It may have stopped reading by then: that is what some of these tests are about.
+    let _ = adapter.stdin.take().expect("its input").write_all(input.as_bytes());
+    adapter.wait_with_output().expect("the adapter ends")
+}
+
+fn refused(input: &str, words: &[&str]) {
+    let output = serve(input);
+    let said = String::from_utf8_lossy(&output.stderr).to_string();
+    assert!(!output.status.success(), "{input}");
+    assert!(output.stdout.is_empty(), "a half reply to {input}");
+    assert!(words.iter().all(|word| said.contains(word)), "{said}");
+}
+
+#[test]
+fn answers_a_call_from_start_to_end() {
+    let input = [
+        r#"{"what":"CLOCK","t_s":8.5,"round":1}"#,
+        INIT,
+        r#"{"what":"INVENTORY","sheet":0,"items":[{"endpoint":"endpoint_a","hall":0,"availability":1,"odd":2}]}"#,
+        r#"{"what":"TARGETS","who":0,"sheet":0,"stamp":1,"kind":2}"#,
+        r#"{"what":"ORDER","who":0,"xid":9,"category":0,"expires_in_s":1.5}"#,
+        r#"{"what":"COMMIT"}"#,
+        r#"{"what":"CLOCK","t_s":8.6,"round":2}"#,
+        r#"{"what":"FINISHED","who":0,"xid":9,"try":0,"wait_time_s":0.1,"complete":true,"outcome":"S"}"#,
+        r#"{"what":"DESTROY","who":0}"#,
+        INIT,
+        r#"{"what":"COMMIT"}"#,
+    ];
+    let output = serve(&(input.join("\n") + "\n"));
+    assert!(output.status.success());
+    let said = String::from_utf8(output.stdout).expect("text");
+    assert!(said.contains(r#"{"what":"TRY","who":0,"xid":9,"endpoint":"endpoint_a","give_up_after_s":1.5}"#));
+    assert_eq!(said.matches(r#""SUBSCRIBE""#).count(), 2);
+    assert_eq!(said.matches(r#"{"what":"YIELD","#).count(), 2);
+}
+
+#[test]
+fn refuses_what_is_malformed() {
+    let clock = r#"{"what":"CLOCK","t_s":1,"round":1}"#;
+    refused("not json\n", &["line 1"]);
+    refused(&format!("{clock}\n{{\"what\":\"SPLASH\",\"who\":0}}\n"), &["line 2", "SPLASH"]);
+    refused(&format!("{clock}\n{{\"what\":\"WAKE\",\"who\":0}}\n"), &["line 2", "cookie"]);
+    refused(&format!("{clock}\n"), &["batch 1", "COMMIT"]);
+    refused("{\"what\":\"COMMIT\"}\n", &["line 1", "CLOCK"]);
+    refused(&format!("{clock}\n{{\"what\":\"WAKE\",\"who\":4,\"cookie\":3}}\n"), &["line 2", "who", "4"]);
+    let targets = r#"{"what":"TARGETS","who":0,"sheet":3,"stamp":1,"kind":1}"#;
+    refused(&format!("{clock}\n{INIT}\n{targets}\n"), &["line 3", "sheet", "3"]);
+    let order = r#"{"what":"ORDER","who":0,"xid":9,"category":7,"expires_in_s":1}"#;
+    refused(&format!("{clock}\n{INIT}\n{order}\n"), &["line 3", "category", "7"]);
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -63,6 +63,21 @@
 }
 
 impl Server {
+    pub fn new(listing: &Listing, out: u32, cold: Allowance) -> Server {
+        Server {
+            listing: listing.clone(),
+            out,
+            answered: false,
+            trust: Trust::Fit,
+            until: Micros(0),
+            asides: 0,
+            record: Tally::default(),
+            unreached: 0,
+            ease: 1.0,
+            cold,
+        }
+    }
+
     /// Its part of the work: the listed size, less where it has been slow.
     pub fn weight(&self) -> f64 {
         self.listing.size.max(0.01) * self.ease
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,8 +18,8 @@
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
-const CROWDED: f64 = 1.6; // latency over its uncrowded level that counts as crowding
-const EASED: f64 = 1.3; // and the one below which it is over
+const CROWDED: f64 = 1.65; // latency over its uncrowded level that counts as crowding
+const EASED: f64 = 1.45; // and the one below which it is over
 const PATIENCE: f64 = 0.4; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.25; // a client's repeat against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
@@ -129,7 +129,11 @@
         match event {
             Event::Listed { kind, entries } => self.listed(kind, entries, out),
             Event::Arrived(arrival) => self.arrived(arrival, out),
-            Event::Streaming { call, hop } => self.streaming(call, hop, out),
+            Event::Streaming { call, hop } => {
+                // The answer has begun: that hop belongs to the client now.
+                self.calls.entry(call).and_modify(|call| call.state = Over);
+                self.drop_rest(call, Some(hop), out);
+            }
             Event::Ended(ending) => self.ended(ending, out),
             Event::Withdrawn { call } => self.step(call, Left, out),
             Event::Woke(POKED) => self.poked = false,
@@ -219,7 +223,16 @@
     /// found a server that is ready, trusted, not crowded and within its cold budget.
     fn send(&mut self, id: CallId, copy: bool, out: &mut Vec<Action>) -> Option<Input> {
         let Some(server) = self.pick(id) else {
-            return Some(if copy { LostOne } else { Crowd });
+            // Guards against parking a call that no server may take any more: it is answered at once.
+            let call = &self.calls[&id];
+            let lost = !self.servers.values().any(|server| self.open_to(call, server));
+            return Some(if copy {
+                LostOne
+            } else if lost {
+                LostAll
+            } else {
+                Crowd
+            });
         };
         let now = self.now;
         let cold = self.cold_share(&self.servers[&server]).map(|share| self.cold_pace(share));
@@ -298,8 +311,8 @@
 
     /// Whatever is still out for a call that is over is cancelled, where that is allowed, and tells nothing.
     fn drop_rest(&mut self, id: CallId, keep: Option<HopNo>, out: &mut Vec<Action>) -> Option<Input> {
-        let hops = self.calls[&id].hops.iter().zip(0..).map(|(hop, no)| (hop, HopNo(no)));
-        let open: Vec<HopNo> = hops.filter(|(hop, _)| hop.open()).map(|(_, no)| no).collect();
+        let hops = self.calls.get(&id)?.hops.iter().zip(0..);
+        let open: Vec<HopNo> = hops.filter(|(hop, _)| hop.open()).map(|(_, no)| HopNo(no)).collect();
         if open.is_empty() {
             self.calls.remove(&id);
         } else if self.figures.may_cancel {
@@ -309,18 +322,10 @@
         None
     }
 
-    /// The answer has begun: that hop belongs to the client now.
-    fn streaming(&mut self, id: CallId, hop: HopNo, out: &mut Vec<Action>) {
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.state = Over;
-            self.drop_rest(id, Some(hop), out);
-        }
-    }
-
     fn outlived(&mut self, id: CallId, out: &mut Vec<Action>) {
         let threshold = self.slices.quantile(self.now);
         let (Some(threshold), Some(call)) = (threshold, self.calls.get_mut(&id)) else { return };
-        let (left, count) = (call.abandon - self.now, call.hops.len());
+        let left = call.abandon - self.now;
         if call.state != Out || left.0 == 0 {
             return;
         }
@@ -337,7 +342,7 @@
         // Guards against copying nearly everything when all servers slow together: the slice's threshold is
         // stale then, but the crowding measure is not.
         let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width() && !self.suppressed;
-        if self.figures.may_race && count < self.figures.most_hops && calm && self.budget >= 1.0 {
+        if self.figures.may_race && calm && self.budget >= 1.0 && self.pick(id).is_some() {
             self.step(id, Outlived, out);
         } else {
             self.remind(id, COPY, threshold.min(left), out);
@@ -378,22 +383,20 @@
 
     // ---- servers ----
 
-    /// Rule two: where may this call's next hop go, given those that may have run?
-    fn kind_allows(&self, call: &Call, server: &Listing) -> bool {
-        let mut may_have_run = call.hops.iter().filter(|hop| hop.may_have_run()).peekable();
-        match self.figures.workloads[call.workload].kind {
-            _ if may_have_run.peek().is_none() => true,
+    /// Rules two and three: is the server ready, new to this call, and one where a repeat does no harm?
+    fn open_to(&self, call: &Call, server: &Server) -> bool {
+        let Listing { server: id, place, cell, standing, .. } = server.listing;
+        let kind = self.figures.workloads[call.workload].kind;
+        let harmless = |hop: &Hop| match kind {
+            _ if !hop.may_have_run() => true,
             Kind::Repeatable => true,
             Kind::OnceOnly => false,
-            Kind::Tagged { group, memory } => may_have_run.all(|hop| {
-                let same = match group {
-                    Group::All => true,
-                    Group::Place => hop.place == server.place,
-                    Group::Cell => hop.cell == server.cell,
-                };
-                same && self.now < hop.sent + memory
-            }),
-        }
+            Kind::Tagged { memory, .. } if self.now >= hop.sent + memory => false,
+            Kind::Tagged { group: Group::All, .. } => true,
+            Kind::Tagged { group: Group::Place, .. } => hop.place == place,
+            Kind::Tagged { group: Group::Cell, .. } => hop.cell == cell,
+        };
+        standing == Standing::Ready && call.hops.iter().all(|hop| hop.server != id && harmless(hop))
     }
 
     /// A random server holding none of our calls, else the lighter of two random ones. A new one counts at
@@ -408,10 +411,7 @@
         let (held, count) = known.fold((0, 0u32), |(held, count), server| (held + server.out, count + 1));
         let mean = f64::from(held) / f64::from(count.max(1));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
-        let untried = |server: &Server| call.hops.iter().all(|hop| hop.server != server.listing.server);
-        let fits = |server: &&Server| {
-            untried(server) && self.takes(server, per_unit) && self.kind_allows(call, &server.listing)
-        };
+        let fits = |server: &&Server| self.open_to(call, server) && self.takes(server, per_unit);
         let fitting: Vec<(ServerId, f64, f64)> = (self.servers.values().filter(fits))
             .map(|server| (server.listing.server, load(server), server.weight()))
             .collect();
@@ -451,7 +451,7 @@
                 0.0
             }
         });
-        server.listing.standing == Standing::Ready && trusted && f64::from(server.out) < most
+        trusted && f64::from(server.out) < most
     }
 
     /// The part of its full capacity that a cold server has by now at the least; none once it is warm.
@@ -628,21 +628,9 @@
         for entry in entries {
             // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
             let cold = Allowance { left: 1.0 - self.chance.draw(), seen: self.now };
-            let fresh = |out| Server {
-                listing: entry.clone(),
-                out,
-                answered: false,
-                trust: Trust::Fit,
-                until: self.now,
-                asides: 0,
-                record: Tally::default(),
-                unreached: 0,
-                ease: 1.0,
-                cold,
-            };
-            let known = self.servers.entry(entry.server).or_insert_with(|| fresh(0));
+            let known = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, 0, cold));
             if entry.started > known.listing.started {
-                *known = fresh(known.out);
+                *known = Server::new(entry, known.out, cold);
             }
             known.listing = entry.clone();
         }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,282 @@
+//! Plays every file in `tests/scenarios`. The notation, a command a line, `#` starts a comment:
+//!
+//! - `place KEY=VALUE ...` before all else: sidecars, hops, race, cancel, cool, ask, cold, warm, fall, customer
+//! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
+//! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
+//! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
+//! - `wait LENGTH`: time passes, timers fire in order
+//! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send
+//! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
+//!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
+//!
+//! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID, fail ID, subscribe, log WORDS.
+use oakhollow::rules::Sidecar;
+use oakhollow::types::*;
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+struct Play {
+    now: Micros,
+    terms: Option<Terms>,
+    workloads: Vec<String>,
+    servers: Vec<String>,
+    sidecar: Option<Sidecar>,
+    timers: Vec<(Micros, usize, Token)>,
+    done: Vec<String>,
+    hops: BTreeMap<u32, u32>,
+    sent: BTreeMap<String, u32>,
+    next_call: u32,
+}
+
+fn length(text: &str) -> Micros {
+    let (digits, unit) = text.split_at(text.find(|c: char| c.is_alphabetic()).expect("a unit"));
+    let number: f64 = digits.parse().expect("a number");
+    Micros((number * if unit == "ms" { 1e3 } else { 1e6 }) as u64)
+}
+
+fn hop(text: &str) -> (CallId, HopNo) {
+    let (call, hop) = text.split_once('.').expect("ID.HOP");
+    (CallId(call.parse().expect("an id")), HopNo(hop.parse().expect("a hop")))
+}
+
+impl Play {
+    fn place(&mut self, words: &[&str]) {
+        let get = |key: &str, other: &str| {
+            let found = words.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+            found.unwrap_or(other).to_string()
+        };
+        let number = |key: &str, other: &str| get(key, other).parse::<f64>().expect("a number");
+        self.terms = Some(Terms {
+            sidecars: number("sidecars", "2") as u32,
+            workloads: Vec::new(),
+            customers: get("customer", "1000").split(',').map(|rate| rate.parse().expect("a rate")).collect(),
+            beyond_share: 0.1,
+            worst_workload: 0.0,
+            most_hops: number("hops", "4") as u32,
+            may_cancel: get("cancel", "yes") == "yes",
+            may_race: get("race", "yes") == "yes",
+            cool_down: length(&get("cool", "2s")),
+            must_ask: get("ask", "none") != "none",
+            ask_within: length(&get("ask", "0s").replace("none", "0s")),
+            cold_from: number("cold", "0.3"),
+            warm_within: length(&get("warm", "10s")),
+            fall_span: length(&get("fall", "1s")),
+        });
+        self.now = Micros::millis(100_000);
+        self.next_call = 1000;
+    }
+
+    fn workload(&mut self, words: &[&str]) {
+        let kind: Vec<&str> = words[1].split(':').collect();
+        let group = |name| match name {
+            "all" => Group::All,
+            "place" => Group::Place,
+            "cell" => Group::Cell,
+            other => panic!("no group {other}"),
+        };
+        let kind = match kind[..] {
+            ["repeatable"] => Kind::Repeatable,
+            ["once-only"] => Kind::OnceOnly,
+            ["tagged", name, span] => Kind::Tagged { group: group(name), memory: length(span) },
+            _ => panic!("no kind {}", words[1]),
+        };
+        self.workloads.push(words[0].to_string());
+        let (payoff, late_payoff) = (words[3].parse().expect("payoff"), words[4].parse().expect("late"));
+        let workload = Workload { kind, quoted: length(words[2]), payoff, late_payoff };
+        self.terms.as_mut().expect("place first").workloads.push(workload);
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        if self.sidecar.is_none() {
+            let terms = self.terms.as_ref().expect("place first");
+            self.sidecar = Some(Sidecar::new(terms, 7, self.now, &mut out));
+        }
+        self.sidecar.as_mut().expect("started").on(self.now, event, &mut out);
+        for action in out {
+            let said = match action {
+                Action::Wake { after, token } => {
+                    self.timers.push((self.now + after, self.timers.len(), token));
+                    continue;
+                }
+                Action::Send { call, server, .. } => {
+                    let hop = self.hops.entry(call.0).or_default();
+                    *hop += 1;
+                    let name = &self.servers[server.0 as usize];
+                    *self.sent.entry(name.clone()).or_default() += 1;
+                    format!("send {}.{} {name}", call.0, *hop - 1)
+                }
+                Action::Cancel { call, hop } => format!("cancel {}.{}", call.0, hop.0),
+                Action::Dismiss { call, .. } => format!("dismiss {}", call.0),
+                Action::Fail { call } => format!("fail {}", call.0),
+                Action::Subscribe => "subscribe".to_string(),
+                Action::Log { text, .. } => format!("log {text}"),
+            };
+            self.done.push(said);
+        }
+    }
+
+    fn list(&mut self, words: &[&str]) {
+        let kind = match words[0] {
+            "whole" => ListKind::Whole,
+            "changes" => ListKind::Changes,
+            "cached" => ListKind::Cached,
+            _ => ListKind::Failed,
+        };
+        let entries: Vec<Listing> = words[1..].iter().map(|word| self.listing(word)).collect();
+        self.tell(Event::Listed { kind, entries: &entries });
+    }
+
+    fn listing(&mut self, word: &str) -> Listing {
+        let parts: Vec<&str> = word.split(':').collect();
+        let number =
+            |key: &str| parts.iter().find_map(|part| part.strip_prefix(key)?.strip_prefix('=')?.parse().ok());
+        let known = self.servers.iter().position(|name| name == parts[0]);
+        let known = known.unwrap_or_else(|| {
+            self.servers.push(parts[0].to_string());
+            self.servers.len() - 1
+        });
+        let standing = match () {
+            _ if parts.contains(&"draining") => Standing::Draining,
+            _ if parts.contains(&"gone") => Standing::Gone,
+            _ => Standing::Ready,
+        };
+        Listing {
+            server: ServerId(known as u32),
+            place: PlaceId(number("place").unwrap_or(0.0) as u32),
+            cell: CellId(number("cell").unwrap_or(0.0) as u32),
+            standing,
+            size: number("size").unwrap_or(1.0),
+            started: if parts.contains(&"new") { self.now } else { Micros(0) },
+        }
+    }
+
+    fn call(&mut self, id: u32, words: &[&str]) {
+        let workload = self.workloads.iter().position(|name| name == words[0]).expect("a workload");
+        let customer =
+            words.iter().find_map(|word| word.strip_prefix("customer=")?.parse().ok()).unwrap_or(0);
+        self.tell(Event::Arrived(Arrival {
+            call: CallId(id),
+            workload: WorkloadId(workload),
+            left: length(words[1]),
+            customer: CustomerId(customer),
+            repeat: words.contains(&"repeat"),
+        }));
+    }
+
+    fn ends(&mut self, which: &str, outcome: &str, waited: Micros) {
+        let (call, hop) = hop(which);
+        let outcome = match outcome {
+            "succeeded" => Outcome::Succeeded,
+            "errored" => Outcome::Errored,
+            "full" => Outcome::Full,
+            "timed-out" => Outcome::TimedOut,
+            "unreached" => Outcome::NoConnection,
+            "broken" => Outcome::Broken,
+            "cancelled" => Outcome::Cancelled,
+            other => panic!("no outcome {other}"),
+        };
+        let closed = matches!(outcome, Outcome::Succeeded | Outcome::Cancelled);
+        self.tell(Event::Ended(Ending { call, hop, outcome, waited, closed }));
+    }
+
+    fn wait(&mut self, until: Micros) {
+        while let Some(next) = (0..self.timers.len()).min_by_key(|&at| (self.timers[at].0, self.timers[at].1))
+        {
+            if self.timers[next].0 > until {
+                break;
+            }
+            let (due, _, token) = self.timers.remove(next);
+            self.now = due;
+            self.tell(Event::Woke(token));
+        }
+        self.now = until;
+    }
+
+    fn traffic(&mut self, count: u32, workload: &str, every: Micros, took: Micros) {
+        let mut out: Vec<(Micros, String)> = Vec::new();
+        let mut seen = self.done.len();
+        for turn in 0..=count {
+            let start = self.now;
+            if turn < count {
+                self.call(self.next_call, &[workload, "60s"]);
+                self.next_call += 1;
+            }
+            let end = if turn < count { start + every } else { Micros::NEVER };
+            loop {
+                let sends = self.done[seen..].iter().filter_map(|said| said.strip_prefix("send "));
+                out.extend(
+                    sends.map(|said| (self.now + took, said.split(' ').next().expect("hop").to_string())),
+                );
+                seen = self.done.len();
+                let due = out.iter().enumerate().min_by_key(|(_, (at, _))| *at).map(|(index, _)| index);
+                let Some(due) = due.filter(|&due| out[due].0 <= end) else { break };
+                let (at, which) = out.remove(due);
+                self.wait(at);
+                self.ends(&which, "succeeded", took);
+            }
+            if turn < count {
+                self.wait(end);
+            }
+        }
+        let about = |said: &str| said.split([' ', '.']).nth(1).and_then(|id| id.parse::<u32>().ok());
+        self.done.retain(|said| said.starts_with("log ") || about(said).is_none_or(|id| id < 1000));
+    }
+
+    fn play(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["place", ..] => self.place(&words[1..]),
+            ["workload", ..] => self.workload(&words[1..]),
+            ["list", ..] => self.list(&words[1..]),
+            ["call", id, ..] => self.call(id.parse().expect("an id"), &words[2..]),
+            ["ends", which, outcome, waited] => self.ends(which, outcome, length(waited)),
+            ["streams", which] => self.tell(Event::Streaming { call: hop(which).0, hop: hop(which).1 }),
+            ["leaves", id] => self.tell(Event::Withdrawn { call: CallId(id.parse().expect("an id")) }),
+            ["wait", time] => self.wait(self.now + length(time)),
+            ["traffic", count, workload, every, took] => {
+                self.traffic(count.parse().expect("a count"), workload, length(every), length(took))
+            }
+            ["count"] => self.sent.clear(),
+            ["sent", server, range] => {
+                let (least, most) = range.split_once("..").expect("LEAST..MOST");
+                let sent = self.sent.get(server).copied().unwrap_or(0);
+                let range: (u32, u32) = (least.parse().expect("least"), most.parse().expect("most"));
+                assert!(sent >= range.0 && sent <= range.1, "{sent} sent to {server}");
+            }
+            ["expect", ..] => {
+                let wanted = words[1..].join(" ");
+                let found = self.done.iter().position(|said| said.starts_with(&wanted));
+                self.done.remove(found.unwrap_or_else(|| panic!("not among {:?}", self.done)));
+            }
+            ["never", ..] => {
+                let wanted = words[1..].join(" ");
+                assert!(!self.done.iter().any(|said| said.starts_with(&wanted)), "among {:?}", self.done);
+            }
+            ["quiet"] => {
+                self.done.retain(|said| !said.starts_with("log "));
+                assert!(self.done.is_empty(), "left: {:?}", self.done);
+            }
+            _ => panic!("not a command"),
+        }
+    }
+}
+
+#[test]
+fn scenarios() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+    let mut files: Vec<_> =
+        std::fs::read_dir(folder).expect("the folder").map(|file| file.expect("a file").path()).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    for file in files {
+        let mut play = Play::default();
+        for (number, line) in std::fs::read_to_string(&file).expect("text").lines().enumerate() {
+            let line = line.split('#').next().expect("a part").trim();
+            if !line.is_empty() {
+                let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play.play(line)));
+                assert!(played.is_ok(), "{}:{}: {line}", file.display(), number + 1);
+            }
+        }
+    }
+}
