--- a/src/rules.rs
+++ b/src/rules.rs
@@ -429,10 +429,12 @@
         }
     }
 
-    /// Our own calls that one server may hold for each unit of its size: half more than its even part.
+    /// Our own calls that one server may hold for each unit of its weight: half more than its even part. Ease
+    /// is relative, so that servers slow together lose nothing by it.
     fn per_unit(&self) -> f64 {
-        let usable = self.servers.values().filter(|server| server.usable());
-        1.5 * self.crowd.width / usable.map(|server| server.listing.size).sum::<f64>().max(0.01)
+        let usable = || self.servers.values().filter(|server| server.usable());
+        let easiest = usable().map(|server| server.ease).fold(0.3, f64::max);
+        1.5 * self.crowd.width / usable().map(|server| server.listing.size).sum::<f64>().max(0.01) / easiest
     }
 
     fn takes(&self, server: &Server, per_unit: f64) -> bool {
