--- a/src/rules.rs
+++ b/src/rules.rs
@@ -527,9 +527,7 @@
         }
         let whole = crowd.long.total >= 128.0;
         if whole || crowd.level.is_none() && crowd.long.total >= 48.0 {
-            crowd.level = Some(
-                crowd.level.map_or(long, |level| long.min(level * if crowd.crowded { 1.0 } else { 1.001 })),
-            );
+            crowd.level = Some(crowd.level.map_or(long, |level| long.min(level * 1.001)));
         }
         if whole {
             crowd.long.halve();
@@ -656,7 +654,9 @@
             self.warm_sends.seen /= warm;
             self.warm_sends.beat(BEAT, 0.25);
         }
-        self.sends.beat(BEAT, 0.1);
+        // Guards against a spiral: what a crowd lets through must not become the measure of what is usual.
+        let part = if self.crowd.crowded { 0.0 } else { 0.1 };
+        self.sends.beat(BEAT, part);
         self.outcomes.fade(0.9);
         if self.long_run.total() > 2000.0 {
             self.long_run.fade(0.5);
