--- a/src/rules.rs
+++ b/src/rules.rs
@@ -527,7 +527,8 @@
         }
         let whole = crowd.long.total >= 128.0;
         if whole || crowd.level.is_none() && crowd.long.total >= 48.0 {
-            crowd.level = Some(crowd.level.map_or(long, |level| long.min(level * 1.001)));
+            crowd.level =
+                Some(crowd.level.map_or(long, |level| (0.8 * level + 0.2 * long).min(level * 1.001)));
         }
         if whole {
             crowd.long.halve();
