--- a/src/lib.rs
+++ b/src/lib.rs
@@ -169,6 +169,12 @@
     }
 }
 
+impl std::iter::Sum for Tally {
+    fn sum<I: Iterator<Item = Tally>>(tallies: I) -> Tally {
+        tallies.fold(Tally::default(), |all, one| Tally { good: all.good + one.good, bad: all.bad + one.bad })
+    }
+}
+
 /// What may still be spent of something that comes in at a rate and is kept up to a depth.
 ///
 /// ```
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -480,7 +480,7 @@
         self.long_run.add(good);
         if let Some(server) = self.servers.get_mut(&id) {
             server.answered |= good;
-            server.unreached = if outcome == Outcome::NoConnection { server.unreached + 1 } else { 0 };
+            server.unreached = if outcome.proves_not_run() { server.unreached + 1 } else { 0 };
         }
         if good {
             // A server slower than the level for most of our calls holds fewer of them: it would tip first.
@@ -554,16 +554,13 @@
 
     /// Health is relative: a server is condemned by its own record against the others', never more than half.
     fn judge(&mut self, id: ServerId, good: bool, out: &mut Vec<Action>) {
-        let mut all = Tally::default();
-        for server in self.servers.values().filter(|server| server.listing.server != id) {
-            all.good += server.record.good;
-            all.bad += server.record.bad;
-        }
+        let peers = self.servers.values().filter(|server| server.listing.server != id);
+        let peers: Tally = peers.map(|server| server.record).sum();
         let ready = self.servers.values().filter(|server| server.listing.standing == Standing::Ready).count();
         let aside = self.servers.values().filter(|server| server.trust != Trust::Fit).count();
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.record.add(good);
-        let (rate, others) = (server.record.rate(), all.rate());
+        let (rate, others) = (server.record.rate(), peers.rate());
         let worse = server.record.bad >= 4.0 && rate > 0.6 && rate > 3.0 * others;
         if server.record.total() > 16.0 {
             server.record.fade(0.5);
