--- a/src/rules.rs
+++ b/src/rules.rs
@@ -541,7 +541,7 @@
             let floor = (1.3 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
         } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
-            crowd.width += if crowd.steady { 1.0 / crowd.width } else { 0.2 };
+            crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.2 };
         }
         if crowded != crowd.crowded {
             crowd.crowded = crowded;
