--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,7 +11,7 @@
 use State::*;
 
 const WINDOW: Micros = Micros::millis(30_000); // the design's, in four slices
-const QUANTILE: f64 = 0.9; // a hop that outlives this share of recent answers may be copied
+const QUANTILE: f64 = 0.95; // a hop that outlives this share of recent answers may be copied
 const MINIMUM_SAMPLES: u32 = 20;
 const BUDGET_SHARE: f64 = 0.2; // copies and retries for each first send
 const BUDGET_DEPTH: f64 = 8.0; // unspent budget kept, so that a burst of failures can be met
@@ -561,7 +561,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.record.add(good);
         let (rate, others) = (server.record.rate(), peers.rate());
-        let worse = server.record.bad >= 4.0 && rate > 0.6 && rate > 3.0 * others;
+        let worse = server.record.bad >= 3.0 && rate > 0.6 && rate > 3.0 * others;
         if server.record.total() > 16.0 {
             server.record.fade(0.5);
         }
