--- a/src/rules.rs
+++ b/src/rules.rs
@@ -215,8 +215,10 @@
         self.step(id, if room { Room } else { Crowd }, out);
     }
 
+    /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence.
     fn has_width(&self) -> bool {
-        f64::from(self.out) < self.crowd.width
+        let stuck = self.servers.values().filter(|server| server.trust != Trust::Fit);
+        f64::from(self.out - stuck.map(|server| server.out).sum::<u32>()) < self.crowd.width
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -334,15 +336,16 @@
         if age < threshold {
             return self.remind(id, COPY, (threshold - age).min(left), out);
         }
-        if !hop.outlived {
-            hop.outlived = true;
-            let server = hop.server;
+        let server = hop.server;
+        if !std::mem::replace(&mut hop.outlived, true) {
             self.judge(server, false, out);
         }
         // Guards against copying nearly everything when all servers slow together: the slice's threshold is
-        // stale then, but the crowding measure is not.
-        let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width() && !self.suppressed;
-        if self.figures.may_race && calm && self.budget >= 1.0 && self.pick(id).is_some() {
+        // stale then, but the crowding measure is not. A hop at a server set aside is rescued all the same.
+        let stuck = self.servers.get(&server).is_some_and(|server| server.trust != Trust::Fit);
+        let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width();
+        let may = self.figures.may_race && (calm || stuck) && !self.suppressed;
+        if may && self.budget >= 1.0 && self.pick(id).is_some() {
             self.step(id, Outlived, out);
         } else {
             self.remind(id, COPY, threshold.min(left), out);
@@ -507,8 +510,7 @@
         if shut != self.suppressed {
             self.suppressed = shut;
             let word = if shut { "paused" } else { "resumed" };
-            let text = format!("copies {word}: {rate:.3} of hops failed, trip rate {trip:.3}");
-            out.push(Action::Log { text, server: None });
+            out.push(Action::log(format!("copies {word}: {rate:.3} of hops failed, trip rate {trip:.3}")));
         }
     }
 
@@ -547,8 +549,9 @@
             crowd.crowded = crowded;
             let word = if crowded { "crowded" } else { "calm" };
             let (now, then, width) = (median / 1000.0, level / 1000.0, crowd.width);
-            let text = format!("{word}: median {now:.0} ms against {then:.0} ms, width {width:.0}");
-            out.push(Action::Log { text, server: None });
+            out.push(Action::log(format!(
+                "{word}: median {now:.0} ms against {then:.0} ms, width {width:.0}"
+            )));
         }
     }
 
@@ -611,8 +614,7 @@
             let after = longest.times(0.5 + 0.5 * self.chance.draw());
             self.ask_at = self.now + after;
             out.push(Action::Wake { after, token: ASK });
-            let text = format!("list failed {} times, asking again", self.failed_asks);
-            return out.push(Action::Log { text, server: None });
+            return out.push(Action::log(format!("list failed {} times, asking again", self.failed_asks)));
         }
         if kind != ListKind::Cached {
             (self.subscribed, self.failed_asks) = (true, 0);
--- a/src/types.rs
+++ b/src/types.rs
@@ -204,3 +204,10 @@
     Subscribe,
     Log { text: String, server: Option<ServerId> },
 }
+
+impl Action {
+    /// A log line about no one server.
+    pub fn log(text: String) -> Action {
+        Action::Log { text, server: None }
+    }
+}
