--- a/src/rules.rs
+++ b/src/rules.rs
@@ -543,7 +543,7 @@
             let floor = (1.3 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
         } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
-            crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.2 };
+            crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
         }
         if crowded != crowd.crowded {
             crowd.crowded = crowded;
@@ -637,7 +637,7 @@
         let gone: Vec<ServerId> = self.servers.keys().copied().collect();
         gone.into_iter().for_each(|server| self.forget_gone(server));
         let usable = self.servers.values().filter(|server| server.usable()).count() as f64;
-        self.crowd.width = self.crowd.width.max(3.0 * usable * self.figures.my_part).max(2.0);
+        self.crowd.width = self.crowd.width.max(4.0 * usable * self.figures.my_part).max(2.0);
     }
 
     fn forget_gone(&mut self, id: ServerId) {
