--- a/src/rules.rs
+++ b/src/rules.rs
@@ -637,7 +637,9 @@
         let gone: Vec<ServerId> = self.servers.keys().copied().collect();
         gone.into_iter().for_each(|server| self.forget_gone(server));
         let usable = self.servers.values().filter(|server| server.usable()).count() as f64;
-        self.crowd.width = self.crowd.width.max(4.0 * usable * self.figures.my_part).max(2.0);
+        if !self.crowd.steady {
+            self.crowd.width = self.crowd.width.max(4.0 * usable * self.figures.my_part).max(2.0);
+        }
     }
 
     fn forget_gone(&mut self, id: ServerId) {
