--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -124,8 +124,12 @@
     goal: Goal,
     #[serde(default = "one")]
     overage_payoff: f64,
+    #[serde(default)]
+    prices: Prices,
     rules: Rules,
     #[serde(default)]
+    zone: u32,
+    #[serde(default)]
     tenants: Vec<Tenant>,
     workloads: Vec<Class>,
 }
@@ -149,6 +153,12 @@
     worst_class: f64,
 }
 
+#[derive(Deserialize, Default)]
+struct Prices {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
 #[derive(Deserialize)]
 struct Rules {
     #[serde(default)]
@@ -203,6 +213,7 @@
     let bounds = &env.bounds;
     Ok(Terms {
         sidecars: env.balancers,
+        near: (env.prices.cross_zone > 0.0).then_some(PlaceId(env.zone)),
         workloads: env.workloads.iter().map(workload).collect::<Result<_, _>>()?,
         customers: env.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
         beyond_share: env.overage_payoff,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -353,7 +353,7 @@
     }
 
     fn ended(&mut self, ending: Ending, out: &mut Vec<Action>) {
-        let Ending { call: id, hop: HopNo(no), outcome, waited, closed } = ending;
+        let Ending { call: id, hop: HopNo(no), outcome, closed, .. } = ending;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (state, workload, count, abandon) = (call.state, call.workload, call.hops.len(), call.abandon);
         let Some(hop) = call.hops.get_mut(no as usize).filter(|hop| hop.open()) else { return };
@@ -367,7 +367,7 @@
         self.forget_gone(server);
         // A cancelled loser, and whatever ends after the call was over, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
-            self.evidence(server, outcome, waited, outlived, out);
+            self.evidence(server, &ending, outlived, out);
         }
         let kind = self.figures.workloads[workload].kind;
         let again = (outcome.proves_not_run() || kind != Kind::OnceOnly) && count < self.figures.most_hops;
@@ -402,8 +402,8 @@
         standing == Standing::Ready && call.hops.iter().all(|hop| hop.server != id && harmless(hop))
     }
 
-    /// A random server holding none of our calls, else the lighter of two random ones. A new one counts at
-    /// the others' mean until it first answers.
+    /// A random server holding none of our calls, in our own place first where crossing is priced, else the
+    /// lighter of two random ones. A new one counts at the others' mean until it first answers.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let call = self.calls.get(&id)?;
         if call.hops.len() >= self.figures.most_hops || self.now >= call.abandon {
@@ -415,20 +415,21 @@
         let mean = f64::from(held) / f64::from(count.max(1));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
         let fits = |server: &&Server| self.open_to(call, server) && self.takes(server, per_unit);
-        let fitting: Vec<(ServerId, f64, f64)> = (self.servers.values().filter(fits))
-            .map(|server| (server.listing.server, load(server), server.weight()))
+        let far = |place| self.figures.near.is_some_and(|near| near != place);
+        let fitting: Vec<_> = (self.servers.values().filter(fits))
+            .map(|server| (server.listing.server, load(server), server.weight(), far(server.listing.place)))
             .collect();
-        let idle: Vec<ServerId> =
-            fitting.iter().filter(|(_, load, _)| *load < 0.5).map(|(id, ..)| *id).collect();
-        let mut any = |count: usize| self.chance.below(count);
-        match (idle.len(), fitting.len()) {
-            (_, 0) => None,
-            (0, count) => {
-                let (one, other) = (fitting[any(count)], fitting[any(count)]);
-                let weight = |(_, load, size): (ServerId, f64, f64)| (load + 1.0) / size;
-                Some(if weight(other) < weight(one) { other.0 } else { one.0 })
+        let idle = |far| fitting.iter().filter(move |fit| fit.1 < 0.5 && fit.3 == far).collect::<Vec<_>>();
+        let (near, all) = (idle(false), fitting.len());
+        let idle = if near.is_empty() { idle(true) } else { near };
+        match idle.len() {
+            0 if all == 0 => None,
+            0 => {
+                let (one, other) = (fitting[self.chance.below(all)], fitting[self.chance.below(all)]);
+                let heavier = (one.1 + 1.0) / one.2 > (other.1 + 1.0) / other.2;
+                Some(if heavier { other.0 } else { one.0 })
             }
-            (count, _) => Some(idle[any(count)]),
+            count => Some(idle[self.chance.below(count)].0),
         }
     }
 
@@ -447,16 +448,10 @@
             Trust::Aside => self.now >= server.until && server.out == 0,
             Trust::Trial => server.out == 0,
         };
-        let most = self.cold_share(server).map_or(per_server, |share| {
-            let (rate, burst) = self.cold_pace(share);
-            let allowed = server.cold.at(rate, burst, self.now) >= 1.0;
-            if allowed {
-                (per_server * share).floor().max(1.0)
-            } else {
-                0.0
-            }
-        });
-        trusted && f64::from(server.out) < most
+        let holds = |most: f64| trusted && f64::from(server.out) < most;
+        let Some(share) = self.cold_share(server) else { return holds(per_server) };
+        let (rate, burst) = self.cold_pace(share);
+        server.cold.at(rate, burst, self.now) >= 1.0 && holds((per_server * share).floor().max(1.0))
     }
 
     /// The part of its full capacity that a cold server has by now at the least; none once it is warm.
@@ -475,9 +470,8 @@
         (rate, (rate * span * 0.5).max(1.0))
     }
 
-    fn evidence(
-        &mut self, id: ServerId, outcome: Outcome, waited: Micros, outlived: bool, out: &mut Vec<Action>,
-    ) {
+    fn evidence(&mut self, id: ServerId, ending: &Ending, outlived: bool, out: &mut Vec<Action>) {
+        let Ending { outcome, waited, .. } = *ending;
         let good = outcome == Outcome::Succeeded;
         self.outcomes.add(good);
         self.long_run.add(good);
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,6 +90,8 @@
 pub struct Terms {
     /// Sidecars in this tier, this one included.
     pub sidecars: u32,
+    /// Our own place, where leaving it has a price.
+    pub near: Option<PlaceId>,
     pub workloads: Vec<Workload>,
     /// API calls a second within each customer's share, over all sidecars.
     pub customers: Vec<f64>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Plays every file in `tests/scenarios`. The notation, a command a line, `#` starts a comment:
 //!
-//! - `place KEY=VALUE ...` before all else: sidecars, hops, race, cancel, cool, ask, cold, warm, fall, customer
+//! - `place KEY=VALUE ...` before all else: sidecars, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
 //! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
 //! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
@@ -48,6 +48,7 @@
         let number = |key: &str, other: &str| get(key, other).parse::<f64>().expect("a number");
         self.terms = Some(Terms {
             sidecars: number("sidecars", "2") as u32,
+            near: get("near", "no").parse().ok().map(PlaceId),
             workloads: Vec::new(),
             customers: get("customer", "1000").split(',').map(|rate| rate.parse().expect("a rate")).collect(),
             beyond_share: 0.1,
