--- a/src/records.rs
+++ b/src/records.rs
@@ -138,4 +138,5 @@
     pub width: f64,
     pub crowded: bool,
     pub steady: bool,
+    pub fleet: f64,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,11 +107,10 @@
 impl Sidecar {
     pub fn new(terms: &Terms, seed: u64, now: Micros, out: &mut Vec<Action>) -> Sidecar {
         let figures = Figures::new(terms);
-        let purse = |share: &f64| Allowance { left: 2.0 * share, seen: now };
         let mut sidecar = Sidecar {
             now,
             chance: Chance::new(seed),
-            purses: figures.shares.iter().map(purse).collect(),
+            purses: figures.shares.iter().map(|share| Allowance { left: 2.0 * share, seen: now }).collect(),
             figures,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
             budget: 2.0,
@@ -434,11 +433,13 @@
     }
 
     /// Our own calls that one server may hold for each unit of its weight: half more than its even part. Ease
-    /// is relative, so that servers slow together lose nothing by it.
+    /// is relative, so that servers slow together lose nothing by it. The fleet's size fades slowly: guards
+    /// against pouring the width of many servers into the few that are left.
     fn per_unit(&self) -> f64 {
         let usable = || self.servers.values().filter(|server| server.usable());
         let easiest = usable().map(|server| server.ease).fold(0.3, f64::max);
-        1.5 * self.crowd.width / usable().map(|server| server.listing.size).sum::<f64>().max(0.01) / easiest
+        let size = usable().map(|server| server.listing.size).sum::<f64>().max(self.crowd.fleet).max(0.01);
+        1.5 * self.crowd.width / size / easiest
     }
 
     fn takes(&self, server: &Server, per_unit: f64) -> bool {
@@ -630,9 +631,11 @@
         }
         let gone: Vec<ServerId> = self.servers.keys().copied().collect();
         gone.into_iter().for_each(|server| self.forget_gone(server));
-        let usable = self.servers.values().filter(|server| server.usable()).count() as f64;
+        let usable = self.servers.values().filter(|server| server.usable());
+        let (count, size) = usable.fold((0.0, 0.0), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size));
+        self.crowd.fleet = self.crowd.fleet.max(size);
         if !self.crowd.steady {
-            self.crowd.width = self.crowd.width.max(4.0 * usable * self.figures.my_part).max(2.0);
+            self.crowd.width = self.crowd.width.max(4.0 * count * self.figures.my_part).max(2.0);
         }
     }
 
@@ -653,6 +656,7 @@
         // Guards against a spiral: what a crowd lets through must not become the measure of what is usual.
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
+        self.crowd.fleet *= 0.99;
         self.outcomes.fade(0.9);
         if self.long_run.total() > 2000.0 {
             self.long_run.fade(0.5);
