--- a/src/rules.rs
+++ b/src/rules.rs
@@ -363,7 +363,7 @@
         if let Some(server) = self.servers.get_mut(&server) {
             server.out -= 1;
         }
-        self.forget_gone(server);
+        self.forget_gone();
         // A cancelled loser, and whatever ends after the call was over, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
             self.evidence(server, &ending, outlived, out);
@@ -436,12 +436,17 @@
     /// is relative, so that servers slow together lose nothing by it. The fleet's size fades slowly: guards
     /// against pouring the width of many servers into the few that are left.
     fn per_unit(&self) -> f64 {
-        let usable = || self.servers.values().filter(|server| server.usable());
-        let easiest = usable().map(|server| server.ease).fold(0.3, f64::max);
-        let size = usable().map(|server| server.listing.size).sum::<f64>().max(self.crowd.fleet).max(0.01);
+        let eases = self.servers.values().filter(|server| server.usable()).map(|server| server.ease);
+        let (easiest, size) = (eases.fold(0.3, f64::max), self.usable().1.max(self.crowd.fleet));
         1.5 * self.crowd.width / size / easiest
     }
 
+    /// How many servers are ready and fit, and their size together, which is never 0.
+    fn usable(&self) -> (f64, f64) {
+        let usable = self.servers.values().filter(|server| server.usable());
+        usable.fold((0.0, 0.01), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size))
+    }
+
     fn takes(&self, server: &Server, per_unit: f64) -> bool {
         let per_server = (per_unit * server.weight()).ceil().max(1.0);
         let trusted = match server.trust {
@@ -513,7 +518,7 @@
     /// more would only wait in servers, and tip them into the slow state that outlives its cause. The bound
     /// never falls under what our usual rate needs uncrowded, or a slow shared dependency would starve us.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
-        let usable = self.servers.values().filter(|server| server.usable()).count() as f64;
+        let (usable, size) = self.usable();
         let crowd = &mut self.crowd;
         crowd.recent.add(waited);
         crowd.long.add(waited);
@@ -524,8 +529,7 @@
         }
         let whole = crowd.long.total >= 128.0;
         if whole || crowd.level.is_none() && crowd.long.total >= 48.0 {
-            crowd.level =
-                Some(crowd.level.map_or(long, |level| (0.8 * level + 0.2 * long).min(level * 1.001)));
+            crowd.level = Some(crowd.level.map_or(long, |old| (0.8 * old + 0.2 * long).min(1.001 * old)));
         }
         if whole {
             crowd.long.halve();
@@ -534,8 +538,8 @@
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
         if crowded {
             crowd.steady = true;
-            let needed = self.sends.a_second * level / 1e6;
-            let floor = (1.3 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
+            let needed = self.sends.a_second * level / 1e6 * size / crowd.fleet.max(size);
+            let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
         } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
             crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
@@ -629,21 +633,16 @@
             }
             known.listing = entry.clone();
         }
-        let gone: Vec<ServerId> = self.servers.keys().copied().collect();
-        gone.into_iter().for_each(|server| self.forget_gone(server));
-        let usable = self.servers.values().filter(|server| server.usable());
-        let (count, size) = usable.fold((0.0, 0.0), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size));
+        self.forget_gone();
+        let (count, size) = self.usable();
         self.crowd.fleet = self.crowd.fleet.max(size);
         if !self.crowd.steady {
             self.crowd.width = self.crowd.width.max(4.0 * count * self.figures.my_part).max(2.0);
         }
     }
 
-    fn forget_gone(&mut self, id: ServerId) {
-        let done = |server: &Server| server.listing.standing == Standing::Gone && server.out == 0;
-        if self.servers.get(&id).is_some_and(done) {
-            self.servers.remove(&id);
-        }
+    fn forget_gone(&mut self) {
+        self.servers.retain(|_, server| server.listing.standing != Standing::Gone || server.out > 0);
     }
 
     fn beat(&mut self, out: &mut Vec<Action>) {
