--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,7 +217,8 @@
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence.
     fn has_width(&self) -> bool {
         let stuck = self.servers.values().filter(|server| server.trust != Trust::Fit);
-        f64::from(self.out - stuck.map(|server| server.out).sum::<u32>()) < self.crowd.width
+        let (stuck, size) = (stuck.map(|server| server.out).sum::<u32>(), self.usable().1);
+        f64::from(self.out - stuck) < (self.crowd.width * size / self.crowd.fleet.max(size)).max(2.0)
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
