--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,9 +1,9 @@
-//! Plays every file in `tests/scenarios`. The notation, a command a line, `#` starts a comment:
+//! Plays every file in `tests/scenarios`. The notation, commands parted by lines or `;`, `#` starts a comment:
 //!
 //! - `place KEY=VALUE ...` before all else: sidecars, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
 //! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
-//! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
+//! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
 //! - `wait LENGTH`: time passes, timers fire in order
 //! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
@@ -230,6 +230,11 @@
             ["place", ..] => self.place(&words[1..]),
             ["workload", ..] => self.workload(&words[1..]),
             ["list", ..] => self.list(&words[1..]),
+            ["calls", range, ..] => {
+                let (first, last) = range.split_once("..").expect("FIRST..LAST");
+                let range = first.parse::<u32>().expect("an id")..=last.parse().expect("an id");
+                range.for_each(|id| self.call(id, &words[2..]));
+            }
             ["call", id, ..] => self.call(id.parse().expect("an id"), &words[2..]),
             ["ends", which, outcome, waited] => self.ends(which, outcome, length(waited)),
             ["streams", which] => self.tell(Event::Streaming { call: hop(which).0, hop: hop(which).1 }),
@@ -273,8 +278,8 @@
     for file in files {
         let mut play = Play::default();
         for (number, line) in std::fs::read_to_string(&file).expect("text").lines().enumerate() {
-            let line = line.split('#').next().expect("a part").trim();
-            if !line.is_empty() {
+            let line = line.split('#').next().expect("a part");
+            for line in line.split(';').map(str::trim).filter(|line| !line.is_empty()) {
                 let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play.play(line)));
                 assert!(played.is_ok(), "{}:{}: {line}", file.display(), number + 1);
             }
