--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,7 +39,6 @@
 const CALLS: &[(State, Input, State, Effect)] = &[
     (Fresh, Room, Out, Send),
     (Fresh, Crowd, Queued, Enqueue),
-    (Fresh, Hopeless, Over, TurnAway),
     (Queued, Room, Out, Send),
     (Queued, Hopeless, Over, TurnAway),
     (Queued, Worthless, Over, TurnAway),
