A part of a shared ring of servers for each sidecar

Cause: with 75 to 160 sidecars everybody connected to everybody; tables of 24 connections were full, and a server was seen once in a dozen seconds. Each sidecar now keeps to its part of a ring, as many servers as it had calls in flight.

The measure of the level and small records moved beside the module; retries of the list are logged once.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -1,8 +1,10 @@
 //! Batches in, replies out: which instance each event belongs to, and what each server is called there.
 use crate::wire::{micros, terms, In, Item, Out};
+use fnv::FnvHasher;
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use std::collections::HashMap;
+use std::hash::Hasher;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -41,6 +43,7 @@
             cell: CellId(item.block),
             standing,
             size: item.nominal,
+            mark: mark(&item.endpoint),
             started: micros(item.launched_s),
         })
     }
@@ -213,6 +216,13 @@
     Ok(())
 }
 
+/// The same number for the same name in every process.
+fn mark(name: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 fn unknown(who: u32) -> String {
     format!("field who: instance {who} was not started")
 }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -117,6 +117,7 @@
 
 #[derive(Deserialize)]
 pub struct Env {
+    me: u32,
     balancers: u32,
     bounds: Bounds,
     discovery: String,
@@ -213,6 +214,7 @@
     let bounds = &env.bounds;
     Ok(Terms {
         sidecars: env.balancers,
+        number: env.me,
         near: (env.prices.cross_zone > 0.0).then_some(PlaceId(env.zone)),
         workloads: env.workloads.iter().map(workload).collect::<Result<_, _>>()?,
         customers: env.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
--- a/adapter/tests/framing.rs
+++ b/adapter/tests/framing.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 const INIT: &str = concat!(
-    r#"{"what":"INIT","who":0,"init_seed":5,"env":{"balancers":1,"bounds":{"most_hops":3,"cancel":true},"#,
+    r#"{"what":"INIT","who":0,"init_seed":5,"env":{"me":0,"balancers":1,"bounds":{"most_hops":3,"cancel":true},"#,
     r#""discovery":"on_request","later":[1],"rules":{"ask_within_s":4,"cold_from":0.5,"fall_s":1,"warm_within_s":5},"#,
     r#""workloads":[{"quoted_time_s":1,"abandon_time_s":2,"payoff":1,"semantics":"read_like"}]}}"#
 );
--- a/src/records.rs
+++ b/src/records.rs
@@ -57,7 +57,7 @@
     pub until: Micros,
     pub asides: u32,
     pub record: Tally,
-    pub unreached: u32,
+    pub unreached: bool,
     pub ease: f64,
     pub cold: Allowance,
 }
@@ -72,7 +72,7 @@
             until: Micros(0),
             asides: 0,
             record: Tally::default(),
-            unreached: 0,
+            unreached: false,
             ease: 1.0,
             cold,
         }
@@ -83,6 +83,11 @@
         self.listing.size.max(0.01) * self.ease
     }
 
+    pub fn answer(&mut self, slow: bool) {
+        self.answered = true;
+        self.ease = if slow { (self.ease * 0.93).max(0.3) } else { (self.ease + 0.03).min(1.0) };
+    }
+
     pub fn usable(&self) -> bool {
         self.listing.standing == Standing::Ready && self.trust == Trust::Fit
     }
@@ -101,6 +106,7 @@
     pub cool_down: Micros,
     pub ask_within: Micros,
     pub my_part: f64,
+    pub my_number: f64,
     pub near: Option<PlaceId>,
     pub cold_from: f64,
     pub warm_within: Micros,
@@ -121,6 +127,7 @@
             cool_down: terms.cool_down,
             ask_within: terms.ask_within,
             my_part: 1.0 / sidecars,
+            my_number: f64::from(terms.number),
             near: terms.near,
             cold_from: terms.cold_from,
             warm_within: terms.warm_within,
@@ -129,6 +136,16 @@
     }
 }
 
+impl Figures {
+    /// The part of its full capacity that a cold server has by now at the least; none once it is warm.
+    pub fn cold_share(&self, server: &Server, now: Micros) -> Option<f64> {
+        let (started, from) = (server.listing.started, self.cold_from);
+        let age = now - started;
+        let cold = started.0 > 0 && age < self.warm_within;
+        cold.then(|| from + (1.0 - from) * age.secs() / self.warm_within.secs())
+    }
+}
+
 /// How crowded the servers are, as our own latency shows it.
 #[derive(Default)]
 pub struct Crowding {
@@ -140,3 +157,25 @@
     pub steady: bool,
     pub fleet: f64,
 }
+
+impl Crowding {
+    /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds. The level is
+    /// the long-run median: it follows lower ones a fifth of the way and rises by a thousandth at a time, so
+    /// that a long crowd can't become what counts as uncrowded.
+    pub fn measure(&mut self, waited: Micros) -> Option<(f64, f64)> {
+        self.recent.add(waited);
+        self.long.add(waited);
+        let (median, long) = (self.recent.median()?.0 as f64, self.long.median()?.0 as f64);
+        if self.recent.total >= 24.0 {
+            self.recent.halve();
+        }
+        let whole = self.long.total >= 128.0;
+        if whole || self.level.is_none() && self.long.total >= 48.0 {
+            self.level = Some(self.level.map_or(long, |old| (0.8 * old + 0.2 * long).min(1.001 * old)));
+        }
+        if whole {
+            self.long.halve();
+        }
+        Some((median, self.level.unwrap_or(long)))
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,6 +26,8 @@
 const ASK_AGAIN: f64 = 0.5; // of the time within which the list must be asked for again
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
+const CIRCLE_LEAST: f64 = 6.0; // servers a sidecar looks at even when it has next to nothing to send
+const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server at the least, so that their parts even out
 
 /// What happens to an API call, and what is done about it.
 #[rustfmt::skip]
@@ -75,6 +77,10 @@
     figures: Figures,
     chance: Chance,
     servers: BTreeMap<ServerId, Server>,
+    ring: Vec<ServerId>,   // the ready ones, in an order that all sidecars share
+    circle: Vec<ServerId>, // our part of the ring: the pick looks nowhere else
+    fit: (f64, f64),       // how many are ready and fit, and their size together, which is never 0
+    peak: f64,             // the most of our calls in flight of late
     calls: BTreeMap<CallId, Call>,
     queue: BTreeMap<(u32, u64), CallId>,
     arrivals: u64,
@@ -215,9 +221,9 @@
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence.
     fn has_width(&self) -> bool {
-        let stuck = self.servers.values().filter(|server| server.trust != Trust::Fit);
-        let (stuck, size) = (stuck.map(|server| server.out).sum::<u32>(), self.usable().1);
-        f64::from(self.out - stuck) < (self.crowd.width * size / self.crowd.fleet.max(size)).max(2.0)
+        let aside = self.around().filter(|server| server.trust != Trust::Fit);
+        f64::from(self.out - aside.map(|server| server.out).sum::<u32>())
+            < (self.crowd.width * self.left_of_fleet()).max(2.0)
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -226,17 +232,11 @@
         let Some(server) = self.pick(id) else {
             // Guards against parking a call that no server may take any more: it is answered at once.
             let call = &self.calls[&id];
-            let lost = !self.servers.values().any(|server| self.open_to(call, server));
-            return Some(if copy {
-                LostOne
-            } else if lost {
-                LostAll
-            } else {
-                Crowd
-            });
+            let waits = self.around().any(|server| self.open_to(call, server));
+            return Some(if waits { Crowd } else { LostAll }).filter(|_| !copy).or(Some(LostOne));
         };
         let now = self.now;
-        let cold = self.cold_share(&self.servers[&server]).map(|share| self.cold_pace(share));
+        let cold = self.figures.cold_share(&self.servers[&server], now).map(|share| self.cold_pace(share));
         let target = self.servers.get_mut(&server)?;
         let call = self.calls.get_mut(&id)?;
         let give_up = call.abandon - now;
@@ -246,6 +246,7 @@
         call.hops.push(Hop { server, place, cell, sent: now, ended: None, outlived: false, copy });
         out.push(Action::Send { call: id, server, give_up });
         self.out += 1;
+        self.peak = self.peak.max(f64::from(self.out));
         self.sends.seen += 1.0;
         target.out += 1;
         match cold {
@@ -361,10 +362,12 @@
         let (server, outlived) = (hop.server, hop.outlived);
         let open = call.hops.iter().any(Hop::open);
         self.out -= 1;
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.out -= 1;
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.out -= 1;
+            if known.out == 0 && known.listing.standing == Standing::Gone {
+                self.servers.remove(&server);
+            }
         }
-        self.forget_gone();
         // A cancelled loser, and whatever ends after the call was over, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
             self.evidence(server, &ending, outlived, out);
@@ -405,47 +408,67 @@
     /// A random server holding none of our calls, in our own place first where crossing is priced, else the
     /// lighter of two random ones. A new one counts at the others' mean until it first answers.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
+        let draws = [self.chance.draw(), self.chance.draw()];
         let call = self.calls.get(&id)?;
         if call.hops.len() >= self.figures.most_hops || self.now >= call.abandon {
             return None;
         }
         let per_unit = self.per_unit();
-        let known = self.servers.values().filter(|server| server.answered);
-        let (held, count) = known.fold((0, 0u32), |(held, count), server| (held + server.out, count + 1));
-        let mean = f64::from(held) / f64::from(count.max(1));
+        let known = self.around().filter(|server| server.answered).map(|server| f64::from(server.out));
+        let mean = known.clone().sum::<f64>() / known.count().max(1) as f64;
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
         let fits = |server: &&Server| self.open_to(call, server) && self.takes(server, per_unit);
-        let far = |place| self.figures.near.is_some_and(|near| near != place);
-        let fitting: Vec<_> = (self.servers.values().filter(fits))
-            .map(|server| (server.listing.server, load(server), server.weight(), far(server.listing.place)))
-            .collect();
-        let idle = |far| fitting.iter().filter(move |fit| fit.1 < 0.5 && fit.3 == far).collect::<Vec<_>>();
-        let (near, all) = (idle(false), fitting.len());
-        let idle = if near.is_empty() { idle(true) } else { near };
-        match idle.len() {
-            0 if all == 0 => None,
-            0 => {
-                let (one, other) = (fitting[self.chance.below(all)], fitting[self.chance.below(all)]);
-                let heavier = (one.1 + 1.0) / one.2 > (other.1 + 1.0) / other.2;
-                Some(if heavier { other.0 } else { one.0 })
-            }
-            count => Some(idle[self.chance.below(count)].0),
-        }
+        let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
+        let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
+        let fitting = self.around().filter(fits).map(|server| (rank(server), load(server), server));
+        let mut fitting: Vec<_> = fitting.collect();
+        let best = fitting.iter().map(|fit| fit.0).min()?;
+        fitting.retain(|fit| fit.0 == best);
+        let (one, other) = draws.map(|draw| fitting[(draw * fitting.len() as f64) as usize]).into();
+        let heavier = (one.1 + 1.0) / one.2.weight() > (other.1 + 1.0) / other.2.weight();
+        Some(if best == 2 && heavier { other } else { one }.2.listing.server)
     }
 
     /// Our own calls that one server may hold for each unit of its weight: half more than its even part. Ease
-    /// is relative, so that servers slow together lose nothing by it. The fleet's size fades slowly: guards
-    /// against pouring the width of many servers into the few that are left.
+    /// is relative, so that servers slow together lose nothing by it.
     fn per_unit(&self) -> f64 {
-        let eases = self.servers.values().filter(|server| server.usable()).map(|server| server.ease);
-        let (easiest, size) = (eases.fold(0.3, f64::max), self.usable().1.max(self.crowd.fleet));
-        1.5 * self.crowd.width / size / easiest
+        let fit = self.around().filter(|server| server.usable());
+        let (easiest, size) =
+            fit.fold((0.3, 0.01), |all, server| (server.ease.max(all.0), all.1 + server.listing.size));
+        1.5 * self.crowd.width * self.left_of_fleet() / size / easiest
+    }
+
+    /// The part of the fleet of the last while that is still ready and fit. The fleet's size fades slowly:
+    /// guards against pouring the width of many servers into the few that are left.
+    fn left_of_fleet(&self) -> f64 {
+        self.fit.1 / self.crowd.fleet.max(self.fit.1)
+    }
+
+    fn around(&self) -> impl Iterator<Item = &Server> + Clone {
+        self.circle.iter().filter_map(|id| self.servers.get(id))
     }
 
-    /// How many servers are ready and fit, and their size together, which is never 0.
-    fn usable(&self) -> (f64, f64) {
-        let usable = self.servers.values().filter(|server| server.usable());
-        usable.fold((0.0, 0.01), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size))
+    /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from everybody
+    /// to everybody, and against knowing next to nothing of each server. A server for each of our calls in
+    /// flight at the peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
+    fn draw_circle(&mut self) {
+        let (all, part) = (self.ring.len(), self.figures.my_part);
+        let wanted = self.peak.max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
+        let start = (all as f64 * part * self.figures.my_number) as usize;
+        let (mut room, mut circle) = (0.0, Vec::new());
+        for id in self.ring.iter().cycle().skip(start).take(all) {
+            let server = &self.servers[id];
+            if room >= wanted {
+                break;
+            }
+            if server.trust == Trust::Fit {
+                room += self.figures.cold_share(server, self.now).unwrap_or(1.0);
+            }
+            circle.push(*id);
+        }
+        self.circle = circle;
+        let fit = self.servers.values().filter(|server| server.usable());
+        self.fit = fit.fold((0.0, 0.01), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size));
     }
 
     fn takes(&self, server: &Server, per_unit: f64) -> bool {
@@ -456,19 +479,11 @@
             Trust::Trial => server.out == 0,
         };
         let holds = |most: f64| trusted && f64::from(server.out) < most;
-        let Some(share) = self.cold_share(server) else { return holds(per_server) };
+        let Some(share) = self.figures.cold_share(server, self.now) else { return holds(per_server) };
         let (rate, burst) = self.cold_pace(share);
         server.cold.at(rate, burst, self.now) >= 1.0 && holds((per_server * share).floor().max(1.0))
     }
 
-    /// The part of its full capacity that a cold server has by now at the least; none once it is warm.
-    fn cold_share(&self, server: &Server) -> Option<f64> {
-        let (started, from) = (server.listing.started, self.figures.cold_from);
-        let age = self.now - started;
-        let cold = started.0 > 0 && age < self.figures.warm_within;
-        cold.then(|| from + (1.0 - from) * age.secs() / self.figures.warm_within.secs())
-    }
-
     /// Rule four: a cold server gets its part of what we send a warm one; where that is unknown, a few calls
     /// in the span in which it could fall, all sidecars together. Returns the rate and the burst.
     fn cold_pace(&self, share: f64) -> (f64, f64) {
@@ -482,17 +497,15 @@
         let good = outcome == Outcome::Succeeded;
         self.outcomes.add(good);
         self.long_run.add(good);
+        // A server slower than the level for most of our calls holds fewer of them: it would tip first.
+        let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
         if let Some(server) = self.servers.get_mut(&id) {
-            server.answered |= good;
-            server.unreached = if outcome.proves_not_run() { server.unreached + 1 } else { 0 };
+            server.unreached = outcome.proves_not_run();
+            if good {
+                server.answer(slow);
+            }
         }
         if good {
-            // A server slower than the level for most of our calls holds fewer of them: it would tip first.
-            let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
-            if let Some(server) = self.servers.get_mut(&id) {
-                server.ease =
-                    if slow { (server.ease * 0.93).max(0.3) } else { (server.ease + 0.03).min(1.0) };
-            }
             self.slices.add(self.now, waited);
             self.weigh_width(waited, out);
         }
@@ -519,27 +532,13 @@
     /// more would only wait in servers, and tip them into the slow state that outlives its cause. The bound
     /// never falls under what our usual rate needs uncrowded, or a slow shared dependency would starve us.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
-        let (usable, size) = self.usable();
+        let ((usable, _), left) = (self.fit, self.left_of_fleet());
         let crowd = &mut self.crowd;
-        crowd.recent.add(waited);
-        crowd.long.add(waited);
-        let (Some(median), Some(long)) = (crowd.recent.median(), crowd.long.median()) else { return };
-        let (median, long) = (median.0 as f64, long.0 as f64);
-        if crowd.recent.total >= 24.0 {
-            crowd.recent.halve();
-        }
-        let whole = crowd.long.total >= 128.0;
-        if whole || crowd.level.is_none() && crowd.long.total >= 48.0 {
-            crowd.level = Some(crowd.level.map_or(long, |old| (0.8 * old + 0.2 * long).min(1.001 * old)));
-        }
-        if whole {
-            crowd.long.halve();
-        }
-        let level = crowd.level.unwrap_or(long);
+        let Some((median, level)) = crowd.measure(waited) else { return };
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
         if crowded {
             crowd.steady = true;
-            let needed = self.sends.a_second * level / 1e6 * size / crowd.fleet.max(size);
+            let needed = self.sends.a_second * level / 1e6 * left;
             let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
         } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
@@ -548,19 +547,17 @@
         if crowded != crowd.crowded {
             crowd.crowded = crowded;
             let word = if crowded { "crowded" } else { "calm" };
-            let (now, then, width) = (median / 1000.0, level / 1000.0, crowd.width);
-            out.push(Action::log(format!(
-                "{word}: median {now:.0} ms against {then:.0} ms, width {width:.0}"
-            )));
+            let (now, then, width) = (median / 1e3, level / 1e3, crowd.width);
+            out.push(Action::log(format!("{word}: median {now:.0} against {then:.0} ms, width {width:.1}")));
         }
     }
 
     /// Health is relative: a server is condemned by its own record against the others', never more than half.
     fn judge(&mut self, id: ServerId, good: bool, out: &mut Vec<Action>) {
-        let peers = self.servers.values().filter(|server| server.listing.server != id);
+        let peers = self.around().filter(|server| server.listing.server != id);
         let peers: Tally = peers.map(|server| server.record).sum();
-        let ready = self.servers.values().filter(|server| server.listing.standing == Standing::Ready).count();
-        let aside = self.servers.values().filter(|server| server.trust != Trust::Fit).count();
+        let ready = self.ring.len() as f64;
+        let aside = ready - self.fit.0;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.record.add(good);
         let (rate, others) = (server.record.rate(), peers.rate());
@@ -568,7 +565,7 @@
         if server.record.total() > 16.0 {
             server.record.fade(0.5);
         }
-        let condemned = (worse || server.unreached >= 1) && 2 * (aside + 1) <= ready;
+        let condemned = (worse || server.unreached) && 2.0 * (aside + 1.0) <= ready;
         let sign = match (server.trust, good) {
             (Trust::Fit, false) if condemned => Sign::Condemned,
             (Trust::Trial, true) => Sign::Good,
@@ -594,6 +591,7 @@
             Trust::Trial => {}
         }
         out.push(Action::Log { text: format!("server {trust:?}: {why}"), server: Some(id) });
+        self.draw_circle();
     }
 
     // ---- the list ----
@@ -609,21 +607,20 @@
     fn listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             (self.subscribed, self.failed_asks) = (false, self.failed_asks + 1);
-            let longest =
-                self.figures.ask_within.times(ASK_AGAIN).min(Micros::millis(250 << self.failed_asks.min(6)));
+            let growing = Micros::millis(250 << self.failed_asks.min(6));
+            let longest = growing.min(self.figures.ask_within.times(ASK_AGAIN));
             let after = longest.times(0.5 + 0.5 * self.chance.draw());
             self.ask_at = self.now + after;
-            out.push(Action::Wake { after, token: ASK });
-            return out.push(Action::log(format!("list failed {} times, asking again", self.failed_asks)));
+            if self.failed_asks == 1 {
+                out.push(Action::log(format!("list failed, asking again in {:.2} s", after.secs())));
+            }
+            return out.push(Action::Wake { after, token: ASK });
         }
         if kind != ListKind::Cached {
             (self.subscribed, self.failed_asks) = (true, 0);
         }
         if kind != ListKind::Changes {
-            let missing = |id: &ServerId| !entries.iter().any(|entry| entry.server == *id);
-            for (_, server) in self.servers.iter_mut().filter(|(id, _)| missing(id)) {
-                server.listing.standing = Standing::Gone;
-            }
+            self.servers.values_mut().for_each(|server| server.listing.standing = Standing::Gone);
         }
         for entry in entries {
             // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
@@ -634,21 +631,24 @@
             }
             known.listing = entry.clone();
         }
-        self.forget_gone();
-        let (count, size) = self.usable();
-        self.crowd.fleet = self.crowd.fleet.max(size);
+        self.servers.retain(|_, server| server.listing.standing != Standing::Gone || server.out > 0);
+        let ready = self.servers.values().filter(|server| server.listing.standing == Standing::Ready);
+        // Cells stay together, so that a tagged call finds its group; both orders are the same everywhere.
+        let mut ring: Vec<_> = ready.map(|server| (server.listing.turn(), server.listing.server)).collect();
+        ring.sort_unstable();
+        self.ring = ring.into_iter().map(|(_, id)| id).collect();
+        self.draw_circle();
+        self.crowd.fleet = self.crowd.fleet.max(self.fit.1);
         if !self.crowd.steady {
-            self.crowd.width = self.crowd.width.max(4.0 * count * self.figures.my_part).max(2.0);
+            self.crowd.width = self.crowd.width.max(4.0 * self.fit.0 * self.figures.my_part).max(2.0);
         }
     }
 
-    fn forget_gone(&mut self) {
-        self.servers.retain(|_, server| server.listing.standing != Standing::Gone || server.out > 0);
-    }
-
     fn beat(&mut self, out: &mut Vec<Action>) {
-        let warm = |server: &&Server| server.usable() && self.cold_share(server).is_none();
-        let warm = self.servers.values().filter(warm).count() as f64;
+        self.peak *= 0.98;
+        self.draw_circle();
+        let warm = |server: &&Server| server.usable() && self.figures.cold_share(server, self.now).is_none();
+        let warm = self.around().filter(warm).count() as f64;
         if warm > 0.0 {
             self.warm_sends.seen /= warm;
             self.warm_sends.beat(BEAT, 0.25);
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,6 +90,8 @@
 pub struct Terms {
     /// Sidecars in this tier, this one included.
     pub sidecars: u32,
+    /// Which of them this one is, from 0 up.
+    pub number: u32,
     /// Our own place, where leaving it has a price.
     pub near: Option<PlaceId>,
     pub workloads: Vec<Workload>,
@@ -127,10 +129,19 @@
     pub cell: CellId,
     pub standing: Standing,
     pub size: f64,
+    /// A number without meaning that every sidecar has for this server alike.
+    pub mark: u64,
     /// When it last started; zero for long ago.
     pub started: Micros,
 }
 
+impl Listing {
+    /// Where it stands in the order that all sidecars share: cells spread evenly however many there are.
+    pub fn turn(&self) -> (u64, u64) {
+        (u64::from(self.cell.0).wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15), self.mark)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ListKind {
     /// Only what changed.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Plays every file in `tests/scenarios`. The notation, commands parted by lines or `;`, `#` starts a comment:
 //!
-//! - `place KEY=VALUE ...` before all else: sidecars, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
+//! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
 //! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
 //! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
@@ -48,6 +48,7 @@
         let number = |key: &str, other: &str| get(key, other).parse::<f64>().expect("a number");
         self.terms = Some(Terms {
             sidecars: number("sidecars", "2") as u32,
+            number: number("number", "0") as u32,
             near: get("near", "no").parse().ok().map(PlaceId),
             workloads: Vec::new(),
             customers: get("customer", "1000").split(',').map(|rate| rate.parse().expect("a rate")).collect(),
@@ -148,6 +149,7 @@
             cell: CellId(number("cell").unwrap_or(0.0) as u32),
             standing,
             size: number("size").unwrap_or(1.0),
+            mark: known as u64,
             started: if parts.contains(&"new") { self.now } else { Micros(0) },
         }
     }
