--- a/src/rules.rs
+++ b/src/rules.rs
@@ -536,12 +536,12 @@
         let crowd = &mut self.crowd;
         let Some((median, level)) = crowd.measure(waited) else { return };
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
+        let needed = self.sends.a_second * level / 1e6 * left;
+        let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
         if crowded {
             crowd.steady = true;
-            let needed = self.sends.a_second * level / 1e6 * left;
-            let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
             crowd.width = (crowd.width * 0.97).max(floor);
-        } else if f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
+        } else if crowd.width < 1.5 * floor && f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
             crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
         }
         if crowded != crowd.crowded {
