A first level from 16 answers at a beat, and smaller parts of the ring

Cause: a sidecar with five answers a second knew no crowd for its first ten seconds, and took a slowness met meanwhile for its level; and with a server for each call at the peak it saw too little of each.

--- a/src/records.rs
+++ b/src/records.rs
@@ -104,7 +104,7 @@
     pub may_cancel: bool,
     pub may_race: bool,
     pub cool_down: Micros,
-    pub ask_within: Micros,
+    pub ask_again: Micros, // half of the time within which the list must be asked for again
     pub my_part: f64,
     pub my_number: f64,
     pub near: Option<PlaceId>,
@@ -125,7 +125,7 @@
             may_cancel: terms.may_cancel,
             may_race: terms.may_race,
             cool_down: terms.cool_down,
-            ask_within: terms.ask_within,
+            ask_again: terms.ask_within.times(0.5),
             my_part: 1.0 / sidecars,
             my_number: f64::from(terms.number),
             near: terms.near,
@@ -169,13 +169,21 @@
         if self.recent.total >= 24.0 {
             self.recent.halve();
         }
-        let whole = self.long.total >= 128.0;
-        if whole || self.level.is_none() && self.long.total >= 48.0 {
-            self.level = Some(self.level.map_or(long, |old| (0.8 * old + 0.2 * long).min(1.001 * old)));
-        }
-        if whole {
+        if self.long.total >= 128.0 {
+            self.level = self.level.map(|old| (0.8 * old + 0.2 * long).min(1.001 * old));
             self.long.halve();
         }
+        if self.long.total >= 48.0 {
+            self.level = self.level.or(Some(long));
+        }
         Some((median, self.level.unwrap_or(long)))
     }
+
+    /// For the beat: a first level from few answers, where more take long to come. Not for each answer, since
+    /// among the first few the short ones come before the long.
+    pub fn settle(&mut self) {
+        if self.long.total >= 16.0 {
+            self.level = self.level.or(self.long.median().map(|long| long.0 as f64));
+        }
+    }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,10 +23,9 @@
 const PATIENCE: f64 = 0.6; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.1; // a client's repeat against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
-const ASK_AGAIN: f64 = 0.5; // of the time within which the list must be asked for again
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
-const CIRCLE_LEAST: f64 = 6.0; // servers a sidecar looks at even when it has next to nothing to send
+const CIRCLE_LEAST: f64 = 5.0; // servers a sidecar looks at even when it has next to nothing to send
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server at the least, so that their parts even out
 
 /// What happens to an API call, and what is done about it.
@@ -420,8 +419,8 @@
         let fits = |server: &&Server| self.open_to(call, server) && self.takes(server, per_unit);
         let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
         let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
-        let fitting = self.around().filter(fits).map(|server| (rank(server), load(server), server));
-        let mut fitting: Vec<_> = fitting.collect();
+        let fit = |server| (rank(server), load(server), server);
+        let mut fitting: Vec<_> = self.around().filter(fits).map(fit).collect();
         let best = fitting.iter().map(|fit| fit.0).min()?;
         fitting.retain(|fit| fit.0 == best);
         let weights: Vec<f64> = fitting.iter().map(|fit| fit.2.weight()).collect();
@@ -450,11 +449,11 @@
     }
 
     /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from everybody
-    /// to everybody, and against knowing next to nothing of each server. A server for each of our calls in
-    /// flight at the peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
+    /// to everybody, and against knowing next to nothing of each server. Nearly a server for each of our calls
+    /// at the peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
     fn draw_circle(&mut self) {
         let (all, part) = (self.ring.len(), self.figures.my_part);
-        let wanted = self.peak.max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
+        let wanted = (0.8 * self.peak).max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
         let start = (all as f64 * part * self.figures.my_number) as usize;
         let (mut room, mut circle) = (0.0, Vec::new());
         for id in self.ring.iter().cycle().skip(start).take(all) {
@@ -600,7 +599,7 @@
     /// Rule three: stay subscribed. An ask that is never answered is repeated too.
     fn ask(&mut self, out: &mut Vec<Action>) {
         if !self.subscribed && self.now >= self.ask_at {
-            self.ask_at = self.now + self.figures.ask_within.times(ASK_AGAIN);
+            self.ask_at = self.now + self.figures.ask_again;
             out.push(Action::Subscribe);
         }
     }
@@ -608,8 +607,7 @@
     fn listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             (self.subscribed, self.failed_asks) = (false, self.failed_asks + 1);
-            let growing = Micros::millis(250 << self.failed_asks.min(6));
-            let longest = growing.min(self.figures.ask_within.times(ASK_AGAIN));
+            let longest = Micros::millis(250 << self.failed_asks.min(6)).min(self.figures.ask_again);
             let after = longest.times(0.5 + 0.5 * self.chance.draw());
             self.ask_at = self.now + after;
             if self.failed_asks == 1 {
@@ -658,6 +656,7 @@
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
         self.crowd.fleet *= 0.99;
+        self.crowd.settle();
         self.outcomes.fade(0.9);
         if self.long_run.total() > 2000.0 {
             self.long_run.fade(0.5);
