--- a/src/lib.rs
+++ b/src/lib.rs
@@ -219,21 +219,6 @@
     }
 }
 
-/// Which of the weights an even draw from 0 up to 1 falls on, each as likely as it is heavy.
-///
-/// ```
-/// assert_eq!(oakhollow::weighted(0.2, &[1.0, 3.0]), 0);
-/// assert_eq!(oakhollow::weighted(0.3, &[1.0, 3.0]), 1);
-/// ```
-pub fn weighted(draw: f64, weights: &[f64]) -> usize {
-    let mut left = draw * weights.iter().sum::<f64>();
-    let passed = weights.iter().position(|weight| {
-        left -= weight;
-        left < 0.0
-    });
-    passed.unwrap_or(weights.len() - 1)
-}
-
 /// The one source of chance of an instance: the same seed, the same draws.
 #[derive(Clone)]
 pub struct Chance(WyRand);
--- a/src/records.rs
+++ b/src/records.rs
@@ -85,7 +85,7 @@
 
     pub fn answer(&mut self, slow: bool) {
         self.answered = true;
-        self.ease = if slow { (self.ease * 0.92).max(0.2) } else { (self.ease * 1.04).min(1.0) };
+        self.ease = if slow { (self.ease * 0.93).max(0.3) } else { (self.ease + 0.03).min(1.0) };
     }
 
     pub fn usable(&self) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! and `docs/design.md` says what is kept of the design and when each departure acts.
 use crate::records::*;
 use crate::types::*;
-use crate::{weighted, Allowance, Chance, Pace, Slices, Tally};
+use crate::{Allowance, Chance, Pace, Slices, Tally};
 use std::collections::BTreeMap;
 use Effect::*;
 use Input::*;
@@ -423,8 +423,7 @@
         let mut fitting: Vec<_> = self.around().filter(fits).map(fit).collect();
         let best = fitting.iter().map(|fit| fit.0).min()?;
         fitting.retain(|fit| fit.0 == best);
-        let weights: Vec<f64> = fitting.iter().map(|fit| fit.2.weight()).collect();
-        let (one, other) = draws.map(|draw| fitting[weighted(draw, &weights)]).into();
+        let (one, other) = draws.map(|draw| fitting[(draw * fitting.len() as f64) as usize]).into();
         let heavier = (one.1 + 1.0) / one.2.weight() > (other.1 + 1.0) / other.2.weight();
         Some(if best == 2 && heavier { other } else { one }.2.listing.server)
     }
@@ -498,7 +497,7 @@
         self.outcomes.add(good);
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
-        let slow = waited > self.crowd.recent.median().unwrap_or(Micros::NEVER).times(1.25);
+        let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
         if let Some(server) = self.servers.get_mut(&id) {
             server.unreached = outcome.proves_not_run();
             if good {
