--- a/src/rules.rs
+++ b/src/rules.rs
@@ -540,7 +540,9 @@
         if crowded {
             crowd.steady = true;
             crowd.width = (crowd.width * 0.97).max(floor);
-        } else if crowd.width < 1.5 * floor && f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
+        } else if crowd.width < floor * (1.0 + self.sends.a_second / 80.0).min(1.5)
+            && f64::from(self.out) + 1.0 >= crowd.width * 0.8
+        {
             crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
         }
         if crowded != crowd.crowded {
