--- a/src/records.rs
+++ b/src/records.rs
@@ -99,6 +99,7 @@
     pub workloads: Vec<Workload>,
     pub shares: Vec<f64>, // API calls a second that each customer may send through this sidecar alone
     pub beyond_share: f64,
+    pub dearest: f64,
     pub lifted: f64,
     pub most_hops: usize,
     pub may_cancel: bool,
@@ -120,6 +121,7 @@
             workloads: terms.workloads.clone(),
             shares: terms.customers.iter().map(|rate| rate / sidecars).collect(),
             beyond_share: terms.beyond_share,
+            dearest: terms.workloads.iter().map(|workload| workload.payoff).fold(0.0, f64::max),
             lifted: terms.worst_workload,
             most_hops: terms.most_hops as usize,
             may_cancel: terms.may_cancel,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -184,12 +184,10 @@
 
     fn arrived(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
         let Arrival { call: id, workload: WorkloadId(workload), left, customer, repeat } = arrival;
-        let payoff = |workload: &Workload| workload.payoff.max(0.0) * 1000.0;
         let lifted = self.chance.draw() < self.figures.lifted;
         let terms = &self.figures.workloads[workload];
         // Guards against starving the cheapest workload: a part of each is ranked with the dearest.
-        let dearest = self.figures.workloads.iter().map(payoff).fold(0.0, f64::max);
-        let mut worth = if lifted { dearest } else { payoff(terms) };
+        let mut worth = if lifted { self.figures.dearest } else { terms.payoff };
         let share = self.figures.shares.get(customer.0).copied().unwrap_or(f64::INFINITY);
         let purse = self.purses.get_mut(customer.0);
         if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
@@ -208,7 +206,7 @@
         let call = Call {
             workload,
             state: Fresh,
-            turn: (u32::MAX - worth as u32, self.arrivals),
+            turn: (u32::MAX - (worth * 1000.0) as u32, self.arrivals),
             abandon: self.now + left,
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
@@ -269,11 +267,14 @@
         }
         self.queue.insert(call.turn, id);
         self.remind(id, PATIENT, call.patience - self.now, out);
-        // Answers leave at about width / latency a second, half of them to dearer calls still to come: guards
-        // against holding a call only to turn it away. Who would wait past its patience is told at once.
+        // Answers leave at about width / latency a second, half of them to dearer calls still to come, if there
+        // are any: guards against holding a call only to turn it away. Who would wait too long is told at once.
         while let Some((_, &last)) = self.queue.iter().next_back() {
             let each = self.crowd.recent.median().unwrap_or_default().times(1.0 / self.crowd.width.max(1.0));
-            if self.now + each.times(2.0 * self.queue.len() as f64) <= self.calls[&last].patience {
+            let call = &self.calls[&last];
+            let passed =
+                if call.turn.0 == u32::MAX - (self.figures.dearest * 1000.0) as u32 { 1.0 } else { 2.0 };
+            if self.now + each.times(passed * self.queue.len() as f64) <= call.patience {
                 break;
             }
             if last == id {
@@ -303,7 +304,8 @@
             _ => !call.hops.iter().any(Hop::may_have_run),
         };
         if harmless {
-            let cool_down = self.figures.cool_down.times(0.5 + 0.5 * self.chance.draw());
+            let soon = self.figures.workloads[call.workload].quoted.times(0.05 + 0.1 * self.chance.draw());
+            let cool_down = soon.min(self.figures.cool_down);
             out.push(Action::Dismiss { call: id, cool_down });
         } else {
             out.push(Action::Fail { call: id });
@@ -537,12 +539,12 @@
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
         let needed = self.sends.a_second * level / 1e6 * left;
         let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
+        // Few answers a second show a crowd late: guards against the sum of many bounds that open meanwhile.
+        let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5);
         if crowded {
             crowd.steady = true;
             crowd.width = (crowd.width * 0.97).max(floor);
-        } else if crowd.width < floor * (1.0 + self.sends.a_second / 80.0).min(1.5)
-            && f64::from(self.out) + 1.0 >= crowd.width * 0.8
-        {
+        } else if crowd.width < ceiling && f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
             crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
         }
         if crowded != crowd.crowded {
@@ -581,15 +583,13 @@
         let row = SERVERS.iter().find(|(trust, given, _)| *trust == server.trust && *given == sign);
         let Some(&(_, _, trust)) = row else { return };
         server.trust = trust;
-        match trust {
-            Trust::Aside => {
-                // Guards against knocking again and again where others hold all connections.
-                let doubled = server.asides.min(3) + if server.answered { 0 } else { 3 };
-                server.until = self.now + ASIDE.times(f64::from(1 << doubled));
-                server.asides += 1;
-            }
-            Trust::Fit => (server.record, server.asides) = (Tally { good: 1.0, bad: 0.0 }, 0),
-            Trust::Trial => {}
+        if trust == Trust::Aside {
+            // Guards against knocking again and again where others hold all connections.
+            let doubled = server.asides.min(3) + if server.answered { 0 } else { 3 };
+            server.until = self.now + ASIDE.times(f64::from(1 << doubled));
+            server.asides += 1;
+        } else if trust == Trust::Fit {
+            (server.record, server.asides) = (Tally { good: 1.0, bad: 0.0 }, 0);
         }
         out.push(Action::Log { text: format!("server {trust:?}: {why}"), server: Some(id) });
         self.draw_circle();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -9,7 +9,7 @@
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
 //!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
 //!
-//! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID, fail ID, subscribe, log WORDS.
+//! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID soon|late (cool-down under half a second or not), fail ID, subscribe, log WORDS.
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use std::collections::BTreeMap;
@@ -109,7 +109,9 @@
                     format!("send {}.{} {name}", call.0, *hop - 1)
                 }
                 Action::Cancel { call, hop } => format!("cancel {}.{}", call.0, hop.0),
-                Action::Dismiss { call, .. } => format!("dismiss {}", call.0),
+                Action::Dismiss { call, cool_down } => {
+                    format!("dismiss {} {}", call.0, if cool_down < length("0.5s") { "soon" } else { "late" })
+                }
                 Action::Fail { call } => format!("fail {}", call.0),
                 Action::Subscribe => "subscribe".to_string(),
                 Action::Log { text, .. } => format!("log {text}"),
