--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,6 +79,7 @@
     ring: Vec<ServerId>,   // the ready ones, in an order that all sidecars share
     circle: Vec<ServerId>, // our part of the ring: the pick looks nowhere else
     fit: (f64, f64),       // how many are ready and fit, and their size together, which is never 0
+    dither: f64,           // which way a part of a call is rounded, for this beat
     peak: f64,             // the most of our calls in flight of late
     calls: BTreeMap<CallId, Call>,
     queue: BTreeMap<(u32, u64), CallId>,
@@ -119,7 +120,6 @@
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
             budget: 2.0,
             subscribed: !terms.must_ask,
-            ask_at: now,
             ..Sidecar::default()
         };
         out.push(Action::Wake { after: BEAT, token: HEART });
@@ -216,11 +216,12 @@
         self.step(id, if room { Room } else { Crowd }, out);
     }
 
-    /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence.
+    /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
+    /// of a call is rounded by chance: guards against a hundred sidecars that each round up.
     fn has_width(&self) -> bool {
         let aside = self.around().filter(|server| server.trust != Trust::Fit);
-        f64::from(self.out - aside.map(|server| server.out).sum::<u32>())
-            < (self.crowd.width * self.left_of_fleet()).max(2.0)
+        f64::from(self.out - aside.map(|server| server.out).sum::<u32>()) + 1.0
+            <= (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -529,9 +530,8 @@
         }
     }
 
-    /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level,
-    /// more would only wait in servers, and tip them into the slow state that outlives its cause. The bound
-    /// never falls under what our usual rate needs uncrowded, or a slow shared dependency would starve us.
+    /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level, more
+    /// only wait in servers, and tip them into the slow state. Never under what our usual rate needs.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
         let ((usable, _), left) = (self.fit, self.left_of_fleet());
         let crowd = &mut self.crowd;
@@ -540,7 +540,7 @@
         let needed = self.sends.a_second * level / 1e6 * left;
         let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
         // Few answers a second show a crowd late: guards against the sum of many bounds that open meanwhile.
-        let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5);
+        let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5) + 0.5;
         if crowded {
             crowd.steady = true;
             crowd.width = (crowd.width * 0.97).max(floor);
@@ -611,9 +611,8 @@
             let longest = Micros::millis(250 << self.failed_asks.min(6)).min(self.figures.ask_again);
             let after = longest.times(0.5 + 0.5 * self.chance.draw());
             self.ask_at = self.now + after;
-            if self.failed_asks == 1 {
-                out.push(Action::log(format!("list failed, asking again in {:.2} s", after.secs())));
-            }
+            let text = || Action::log(format!("list failed, asking again in {:.2} s", after.secs()));
+            out.extend((self.failed_asks == 1).then(text));
             return out.push(Action::Wake { after, token: ASK });
         }
         if kind != ListKind::Cached {
@@ -646,6 +645,7 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         self.peak *= 0.98;
+        self.dither = self.chance.draw();
         self.draw_circle();
         let warm = |server: &&Server| server.usable() && self.figures.cold_share(server, self.now).is_none();
         let warm = self.around().filter(warm).count() as f64;
