--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,11 +217,11 @@
     }
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
-    /// of a call is rounded by chance: guards against a hundred sidecars that each round up.
+    /// of a call is rounded by chance where sidecars outnumber servers: guards against all rounding up.
     fn has_width(&self) -> bool {
-        let aside = self.around().filter(|server| server.trust != Trust::Fit);
-        f64::from(self.out - aside.map(|server| server.out).sum::<u32>()) + 1.0
-            <= (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither
+        let stuck = self.around().filter(|server| server.trust != Trust::Fit).map(|server| server.out);
+        let width = (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither;
+        f64::from(self.out - stuck.sum::<u32>()) + 1.0 <= width
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -229,8 +229,7 @@
     fn send(&mut self, id: CallId, copy: bool, out: &mut Vec<Action>) -> Option<Input> {
         let Some(server) = self.pick(id) else {
             // Guards against parking a call that no server may take any more: it is answered at once.
-            let call = &self.calls[&id];
-            let waits = self.around().any(|server| self.open_to(call, server));
+            let waits = self.around().any(|server| self.open_to(&self.calls[&id], server));
             return Some(if waits { Crowd } else { LostAll }).filter(|_| !copy).or(Some(LostOne));
         };
         let now = self.now;
@@ -645,7 +644,8 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         self.peak *= 0.98;
-        self.dither = self.chance.draw();
+        let to_two_servers = 0.5 / self.figures.my_part / self.fit.0.max(1.0);
+        self.dither = 0.999 - self.chance.draw() * to_two_servers.min(1.0);
         self.draw_circle();
         let warm = |server: &&Server| server.usable() && self.figures.cold_share(server, self.now).is_none();
         let warm = self.around().filter(warm).count() as f64;
