--- a/src/records.rs
+++ b/src/records.rs
@@ -129,7 +129,7 @@
             cool_down: terms.cool_down,
             ask_again: terms.ask_within.times(0.5),
             my_part: 1.0 / sidecars,
-            my_number: f64::from(terms.number),
+            my_number: f64::from(terms.number) % sidecars,
             near: terms.near,
             cold_from: terms.cold_from,
             warm_within: terms.warm_within,
@@ -161,9 +161,9 @@
 }
 
 impl Crowding {
-    /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds. The level is
-    /// the long-run median: it follows lower ones a fifth of the way and rises by a thousandth at a time, so
-    /// that a long crowd can't become what counts as uncrowded.
+    /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds. The level
+    /// is the long-run median: it follows lower ones a fifth of the way and rises by a thousandth at a time,
+    /// so that a long crowd can't become what counts as uncrowded.
     pub fn measure(&mut self, waited: Micros) -> Option<(f64, f64)> {
         self.recent.add(waited);
         self.long.add(waited);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,7 @@
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
 const CIRCLE_LEAST: f64 = 5.0; // servers a sidecar looks at even when it has next to nothing to send
-const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server at the least, so that their parts even out
+const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
 
 /// What happens to an API call, and what is done about it.
 #[rustfmt::skip]
@@ -267,8 +267,8 @@
         }
         self.queue.insert(call.turn, id);
         self.remind(id, PATIENT, call.patience - self.now, out);
-        // Answers leave at about width / latency a second, half of them to dearer calls still to come, if there
-        // are any: guards against holding a call only to turn it away. Who would wait too long is told at once.
+        // Answers leave at about width / latency a second, half of them to dearer calls to come, if any: guards
+        // against holding a call only to turn it away. Who would wait past its patience is told at once.
         while let Some((_, &last)) = self.queue.iter().next_back() {
             let each = self.crowd.recent.median().unwrap_or_default().times(1.0 / self.crowd.width.max(1.0));
             let call = &self.calls[&last];
@@ -449,9 +449,9 @@
         self.circle.iter().filter_map(|id| self.servers.get(id))
     }
 
-    /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from everybody
-    /// to everybody, and against knowing next to nothing of each server. Nearly a server for each of our calls
-    /// at the peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
+    /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from all to
+    /// all, and against knowing next to nothing of each server. Nearly a server for each of our calls at the
+    /// peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
     fn draw_circle(&mut self) {
         let (all, part) = (self.ring.len(), self.figures.my_part);
         let wanted = (0.8 * self.peak).max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
@@ -529,8 +529,8 @@
         }
     }
 
-    /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level, more
-    /// only wait in servers, and tip them into the slow state. Never under what our usual rate needs.
+    /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level,
+    /// more only wait in servers, and tip them into the slow state. Never under what our usual rate needs.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
         let ((usable, _), left) = (self.fit, self.left_of_fleet());
         let crowd = &mut self.crowd;
