--- a/src/rules.rs
+++ b/src/rules.rs
@@ -267,7 +267,7 @@
         }
         self.queue.insert(call.turn, id);
         self.remind(id, PATIENT, call.patience - self.now, out);
-        // Answers leave at about width / latency a second, half of them to dearer calls to come, if any: guards
+        // Answers leave at about width / latency a second, half of them to dearer calls, if any come: guards
         // against holding a call only to turn it away. Who would wait past its patience is told at once.
         while let Some((_, &last)) = self.queue.iter().next_back() {
             let each = self.crowd.recent.median().unwrap_or_default().times(1.0 / self.crowd.width.max(1.0));
