--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -1,10 +1,9 @@
 //! Batches in, replies out: which instance each event belongs to, and what each server is called there.
-use crate::wire::{micros, terms, In, Item, Out};
-use fnv::FnvHasher;
+use crate::wire::{In, Item, Out};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
+use oakhollow_terms::{mark, micros};
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -106,7 +105,7 @@
                 self.sheets.insert(sheet, items);
             }
             In::Init { who, init_seed, env } => {
-                let terms = terms(&env)?;
+                let terms = env.terms;
                 let mut actions = std::mem::take(&mut self.actions);
                 let sidecar = Sidecar::new(&terms, init_seed, self.now, &mut actions);
                 let (workloads, numbers, names) = (terms.workloads.len(), HashMap::new(), Vec::new());
@@ -216,13 +215,6 @@
     Ok(())
 }
 
-/// The same number for the same name in every process.
-fn mark(name: &str) -> u64 {
-    let mut hasher = FnvHasher::default();
-    hasher.write(name.as_bytes());
-    hasher.finish()
-}
-
 fn unknown(who: u32) -> String {
     format!("field who: instance {who} was not started")
 }
--- /dev/null
+++ b/sidecar/src/decider.rs
@@ -0,0 +1,301 @@
+//! The one task that owns the module. All else reaches it through a bounded queue of notes; it hands each to the
+//! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
+//! knows no protocol but through [`Protocol`].
+use crate::roster::Roster;
+use crate::tasks::Tasks;
+use crate::timers::{Clock, Timers};
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::Task;
+use futures_lite::{future, StreamExt};
+use oakhollow::rules::Sidecar;
+use oakhollow::types::*;
+use oakhollow_terms::{List, Place};
+use slog::{info, Logger};
+use std::cell::Cell;
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What the module's task needs of a protocol.
+pub trait Protocol: 'static {
+    /// A request, kept for as long as hops of it may go out.
+    type Request: 'static;
+    /// A server's answer, whole.
+    type Answer: 'static;
+
+    /// Sends one hop and waits for its end, for `give_up` at most. Dropping the future cancels the hop.
+    fn hop(
+        &self, request: Rc<Self::Request>, to: SocketAddr, give_up: Micros,
+    ) -> impl Future<Output = (Outcome, Option<Self::Answer>)> + 'static;
+
+    /// Nothing new is wanted at this address.
+    fn retire(&self, at: SocketAddr);
+}
+
+/// The one final answer of an API call.
+pub enum Verdict<A> {
+    Succeeded(A),
+    Dismissed { cool_down: Micros },
+    Errored,
+}
+
+/// An API call as it is taken in.
+pub struct Taken<P: Protocol> {
+    pub arrival: Arrival,
+    pub abandon: Micros,
+    pub request: Rc<P::Request>,
+    pub verdict: Sender<Verdict<P::Answer>>,
+}
+
+pub enum Note<P: Protocol> {
+    Taken(Taken<P>),
+    Withdrawn(CallId),
+    Ended { call: CallId, hop: HopNo, outcome: Outcome, answer: Option<P::Answer> },
+    Listed(ListKind, List),
+}
+
+/// How all else reaches the module.
+pub struct Desk<P: Protocol> {
+    notes: Sender<Note<P>>,
+    pub clock: Clock,
+    calls: Cell<u32>,
+    /// API calls taken and not yet answered.
+    pub held: Cell<usize>,
+    /// Whether the list names a server that may be sent to.
+    pub listed: Cell<bool>,
+}
+
+/// Notes that may wait: socket code is held up when there are more.
+const MOST_NOTES: usize = 256;
+
+impl<P: Protocol> Desk<P> {
+    pub fn new(clock: Clock) -> (Rc<Desk<P>>, Receiver<Note<P>>) {
+        let (notes, inbox) = bounded(MOST_NOTES);
+        let (calls, held, listed) = (Cell::new(0), Cell::new(0), Cell::new(false));
+        (Rc::new(Desk { notes, clock, calls, held, listed }), inbox)
+    }
+
+    pub async fn tell(&self, note: Note<P>) {
+        // The module's task ends last of all; what comes after it concerns nobody.
+        let _ = self.notes.send(note).await;
+    }
+
+    /// Takes an API call; its verdict comes from the receiver.
+    pub async fn take(
+        &self, workload: WorkloadId, customer: CustomerId, repeat: bool, abandon: Micros, request: P::Request,
+    ) -> (CallId, Receiver<Verdict<P::Answer>>) {
+        let (verdict, answer) = bounded(1);
+        let call = CallId(self.calls.replace(self.calls.get().wrapping_add(1)));
+        let arrival = Arrival { call, workload, left: Micros(0), customer, repeat };
+        self.held.set(self.held.get() + 1);
+        self.tell(Note::Taken(Taken { arrival, abandon, request: Rc::new(request), verdict })).await;
+        (call, answer)
+    }
+}
+
+struct Call<P: Protocol> {
+    request: Rc<P::Request>,
+    abandon: Micros,
+    verdict: Option<Sender<Verdict<P::Answer>>>,
+    hops: Vec<Hop>,
+}
+
+struct Hop {
+    sent: Micros,
+    running: Option<Task<()>>,
+}
+
+pub struct Decider<P: Protocol> {
+    protocol: Rc<P>,
+    desk: Rc<Desk<P>>,
+    tasks: Tasks,
+    log: Logger,
+    ask: Sender<()>,
+    roster: Roster,
+    timers: Timers,
+    most_hops: usize,
+    sidecar: Sidecar,
+    calls: HashMap<CallId, Call<P>>,
+    actions: Vec<Action>,
+    /// Ends of hops that carrying out an action has brought about; the module hears of them after it.
+    ends: VecDeque<(CallId, HopNo, Outcome)>,
+}
+
+/// What goes into the making of a [`Decider`].
+pub struct Parts<P: Protocol> {
+    pub protocol: Rc<P>,
+    pub desk: Rc<Desk<P>>,
+    pub tasks: Tasks,
+    pub log: Logger,
+    /// Asks for a subscription to the list.
+    pub ask: Sender<()>,
+}
+
+impl<P: Protocol> Decider<P> {
+    pub fn new(place: &Place, seed: u64, known: &List, parts: Parts<P>) -> Decider<P> {
+        let Parts { protocol, desk, tasks, log, ask } = parts;
+        let (mut actions, now) = (Vec::new(), desk.clock.now());
+        let mut decider = Decider {
+            sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
+            timers: Timers::new(desk.clock),
+            roster: Roster::new(&place.zones),
+            most_hops: place.terms.most_hops as usize,
+            calls: HashMap::new(),
+            ends: VecDeque::new(),
+            actions,
+            protocol,
+            desk,
+            tasks,
+            log,
+            ask,
+        };
+        decider.carry_out();
+        decider.listed(ListKind::Cached, known);
+        decider
+    }
+
+    /// Runs until nobody is left to send a note.
+    pub async fn run(mut self, notes: Receiver<Note<P>>) {
+        loop {
+            let due = async { self.timers.next().await.map(Ok) };
+            let note = async { notes.recv().await.ok().map(Err) };
+            match future::or(due, note).await {
+                Some(Ok(token)) => self.on(Event::Woke(token)),
+                Some(Err(note)) => self.hear(note),
+                None => return,
+            }
+        }
+    }
+
+    fn hear(&mut self, note: Note<P>) {
+        match note {
+            Note::Taken(Taken { mut arrival, abandon, request, verdict }) => {
+                arrival.left = abandon - self.desk.clock.now();
+                let call = Call { request, abandon, verdict: Some(verdict), hops: Vec::new() };
+                self.calls.insert(arrival.call, call);
+                self.on(Event::Arrived(arrival));
+            }
+            Note::Withdrawn(call) => {
+                if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
+                    self.desk.held.set(self.desk.held.get() - 1);
+                    self.on(Event::Withdrawn { call });
+                    self.clear(call);
+                }
+            }
+            Note::Ended { call, hop, outcome, answer } => {
+                let running = self.calls.get_mut(&call).and_then(|known| known.hops.get_mut(hop.0 as usize));
+                // One cancelled a moment ago has been counted as that.
+                if running.and_then(|hop| hop.running.take()).is_some() {
+                    if let Some(answer) = answer {
+                        self.answer(call, Verdict::Succeeded(answer));
+                    }
+                    self.ended(call, hop, outcome);
+                    self.settle();
+                }
+            }
+            Note::Listed(kind, list) => self.listed(kind, &list),
+        }
+    }
+
+    fn listed(&mut self, kind: ListKind, list: &List) {
+        let told = self.roster.take(list);
+        self.on(Event::Listed { kind, entries: &told.entries });
+        told.retired.into_iter().for_each(|address| self.protocol.retire(address));
+        self.desk.listed.set(self.roster.any_ready());
+    }
+
+    fn on(&mut self, event: Event) {
+        self.sidecar.on(self.desk.clock.now(), event, &mut self.actions);
+        self.carry_out();
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        while let Some((call, hop, outcome)) = self.ends.pop_front() {
+            self.ended(call, hop, outcome);
+        }
+    }
+
+    fn ended(&mut self, call: CallId, hop: HopNo, outcome: Outcome) {
+        let now = self.desk.clock.now();
+        let Some(known) = self.calls.get(&call) else { return };
+        let (waited, closed) = (now - known.hops[hop.0 as usize].sent, known.verdict.is_none());
+        self.sidecar.on(now, Event::Ended(Ending { call, hop, outcome, waited, closed }), &mut self.actions);
+        self.carry_out();
+        self.clear(call);
+    }
+
+    /// Forgets an API call that is answered and has nothing out.
+    fn clear(&mut self, call: CallId) {
+        let known = self.calls.get(&call);
+        let over = known.is_some_and(|known| {
+            known.verdict.is_none() && known.hops.iter().all(|hop| hop.running.is_none())
+        });
+        if over && !self.ends.iter().any(|(one, ..)| *one == call) {
+            self.calls.remove(&call);
+        }
+    }
+
+    fn answer(&mut self, call: CallId, verdict: Verdict<P::Answer>) {
+        let Some(known) = self.calls.get_mut(&call) else { return };
+        if let Some(client) = known.verdict.take() {
+            self.desk.held.set(self.desk.held.get() - 1);
+            // There is room for the one verdict; a client that has gone says so by a note of its own.
+            let _ = client.try_send(verdict);
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { call, server, give_up } => self.send(call, server, give_up),
+                Action::Cancel { call, hop } => {
+                    let known = self.calls.get_mut(&call);
+                    let hops = known.and_then(|known| known.hops.get_mut(hop.0 as usize));
+                    if hops.and_then(|hop| hop.running.take()).is_some() {
+                        self.ends.push_back((call, hop, Outcome::Cancelled));
+                    }
+                }
+                Action::Dismiss { call, cool_down } => {
+                    self.answer(call, Verdict::Dismissed { cool_down });
+                    self.clear(call);
+                }
+                Action::Fail { call } => {
+                    self.answer(call, Verdict::Errored);
+                    self.clear(call);
+                }
+                Action::Wake { after, token } => self.timers.set(self.desk.clock.now() + after, token),
+                // A full channel holds the same request already.
+                Action::Subscribe => _ = self.ask.try_send(()),
+                Action::Log { text, server: None } => info!(self.log, "{}", text),
+                Action::Log { text, server: Some(server) } => {
+                    info!(self.log, "{} {}", self.roster.name(server), text)
+                }
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Sends a hop, as the simulator did: never one for a call that is over, out of time or out of hops.
+    fn send(&mut self, id: CallId, server: ServerId, give_up: Micros) {
+        let now = self.desk.clock.now();
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let (no, left) = (HopNo(call.hops.len() as u32), call.abandon - now);
+        let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < self.most_hops;
+        let address = self.roster.address(server).filter(|_| sound);
+        let running = address.and_then(|address| {
+            let (desk, request) = (self.desk.clone(), call.request.clone());
+            let hop = self.protocol.hop(request, address, give_up.min(left));
+            self.tasks.spawn(async move {
+                let (outcome, answer) = hop.await;
+                desk.tell(Note::Ended { call: id, hop: no, outcome, answer }).await;
+            })
+        });
+        if running.is_none() {
+            self.ends.push_back((id, no, Outcome::NotSent));
+        }
+        call.hops.push(Hop { sent: now, running });
+    }
+}
--- /dev/null
+++ b/sidecar/src/http1/hop.rs
@@ -0,0 +1,94 @@
+//! One hop: a request to a server, and what comes back, as the outcome that the protocol gives it.
+use super::parse::{Assembler, Fault, Head, Message, Side};
+use super::pool::{Link, Pool};
+use crate::timers::duration;
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use oakhollow::types::{Micros, Outcome};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub const TIMEOUT: &str = "Request-Timeout-Ms";
+
+/// A request as it goes out, but for the time that is left at each hop.
+pub struct Outgoing {
+    front: Vec<u8>,
+    body: Vec<u8>,
+}
+
+impl Outgoing {
+    pub fn new(request: Message) -> Result<Outgoing, Fault> {
+        let Message { head, body, .. } = request;
+        let (method, target, _) = head.request()?;
+        let mut front = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+        head.pass_on(TIMEOUT, &mut front);
+        if !body.is_empty() || method != "GET" {
+            front.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        }
+        Ok(Outgoing { front, body })
+    }
+
+    fn bytes(&self, give_up: Micros) -> Vec<u8> {
+        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", (give_up.0 / 1000).max(1));
+        [&self.front, timeout.as_bytes(), &self.body].concat()
+    }
+}
+
+pub async fn hop(
+    pool: Rc<Pool>, request: Rc<Outgoing>, to: SocketAddr, give_up: Micros,
+) -> (Outcome, Option<Message>) {
+    let written = Cell::new(false);
+    let exchange = async {
+        let exchanged = exchange(&pool, &request, to, give_up, &written).await;
+        exchanged.map_or_else(|outcome| (outcome, None), judge)
+    };
+    let late = async {
+        Timer::after(duration(give_up)).await;
+        // What was never written whole has not been begun.
+        (if written.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None)
+    };
+    future::or(exchange, late).await
+}
+
+async fn exchange(
+    pool: &Pool, request: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<bool>,
+) -> Result<Message, Outcome> {
+    let link = match pool.idle(to) {
+        Some(link) => link,
+        None => pool.connect(to).await?,
+    };
+    let sent = (&link.stream).write_all(&request.bytes(give_up)).await;
+    sent.map_err(|_| Outcome::NoConnection)?;
+    written.set(true);
+    // From here on it may have run, whatever breaks.
+    let mut inbox = Assembler::new(Side::Answers);
+    let answer = read(&link, &mut inbox).await.ok_or(Outcome::Broken)?;
+    if answer.lasts && inbox.held() == 0 {
+        pool.park(to, link);
+    }
+    Ok(answer)
+}
+
+async fn read(link: &Link, inbox: &mut Assembler) -> Option<Message> {
+    let mut buffer = [0; 4096];
+    loop {
+        let count = (&link.stream).read(&mut buffer).await.ok()?;
+        if count == 0 {
+            return inbox.ended();
+        }
+        inbox.push(&buffer[..count]);
+        if let Some(answer) = inbox.take().ok()? {
+            return Some(answer);
+        }
+    }
+}
+
+fn judge(answer: Message) -> (Outcome, Option<Message>) {
+    let not_started = |head: &Head| head.all("Not-Started").any(|value| value == b"1");
+    match answer.head.status() {
+        Ok(200) => (Outcome::Succeeded, Some(answer)),
+        Ok(503 | 504) if not_started(&answer.head) => (Outcome::Full, None),
+        _ => (Outcome::Errored, None),
+    }
+}
--- /dev/null
+++ b/sidecar/src/http1/watch.rs
@@ -0,0 +1,116 @@
+//! The watch of the list: followed while the module has asked for it, told to the module as it comes.
+use super::parse::{Chunks, Framing, Head};
+use super::{Desk, Note};
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use oakhollow::types::ListKind;
+use oakhollow_terms::{read, List};
+use slog::{info, Logger};
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come.
+const SILENCE: Duration = Duration::from_millis(5_000);
+const MOST_LINE: usize = 4 * 1024 * 1024;
+
+pub struct Watch {
+    pub discovery: SocketAddr,
+    pub desk: Rc<Desk>,
+    /// One for each time that the module asks.
+    pub asks: Receiver<()>,
+    /// The version of the list that was told last.
+    pub index: u64,
+    pub log: Logger,
+}
+
+async fn within<T>(work: impl std::future::Future<Output = std::io::Result<T>>) -> Result<T, String> {
+    let late = async {
+        Timer::after(SILENCE).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    future::or(work, late).await.map_err(|fault| fault.to_string())
+}
+
+impl Watch {
+    pub async fn run(mut self) {
+        let asks = self.asks.clone();
+        let mut asked = asks.recv().await;
+        while asked.is_ok() {
+            // The module asks again only if it has heard nothing: what is under way is given up then.
+            let again = async { Err(asks.recv().await) };
+            asked = match future::or(again, async { Ok(self.follow().await) }).await {
+                Err(asked) => asked,
+                Ok(Err(why)) => {
+                    info!(self.log, "watch of the list ended: {}", why);
+                    self.desk.tell(Note::Listed(ListKind::Failed, List::default())).await;
+                    asks.recv().await
+                }
+                Ok(Ok(never)) => match never {},
+            };
+        }
+    }
+
+    async fn follow(&mut self) -> Result<Infallible, String> {
+        let stream = within(Async::<TcpStream>::connect(self.discovery)).await?;
+        let ask = format!(
+            "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.index, self.discovery
+        );
+        within((&stream).write_all(ask.as_bytes())).await?;
+        let (mut bytes, mut lines, mut chunks, mut framing) =
+            (Vec::new(), Vec::new(), Chunks::default(), None);
+        let mut buffer = vec![0; 16 * 1024];
+        loop {
+            let count = within((&stream).read(&mut buffer)).await?;
+            if count == 0 {
+                return Err("discovery closed the connection".into());
+            }
+            bytes.extend_from_slice(&buffer[..count]);
+            if framing.is_none() {
+                let Some((head, taken)) = Head::parse(&bytes).map_err(|fault| fault.why)? else { continue };
+                bytes.drain(..taken);
+                match head.status().map_err(|fault| fault.why)? {
+                    100..=199 => continue,
+                    200 => framing = Some(head.answer_framing().map_err(|fault| fault.why)?),
+                    other => return Err(format!("discovery answered {other}")),
+                }
+            }
+            match framing {
+                Some(Framing::Chunked) => {
+                    let fed = chunks.feed(&bytes, &mut lines, MOST_LINE).map_err(|fault| fault.why)?;
+                    bytes.drain(..fed);
+                }
+                _ => lines.append(&mut bytes),
+            }
+            while let Some(end) = lines.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = lines.drain(..=end).collect();
+                self.tell(line.trim_ascii()).await?;
+            }
+            if chunks.done() {
+                return Err("discovery ended the watch".into());
+            }
+            if lines.len() > MOST_LINE {
+                return Err("a line without an end".into());
+            }
+        }
+    }
+
+    async fn tell(&mut self, line: &[u8]) -> Result<(), String> {
+        if line.is_empty() {
+            return Ok(());
+        }
+        let list: List = read(line).map_err(|fault| {
+            // What a line that can't be read would have told is unknown: the next watch starts from the whole list.
+            self.index = 0;
+            info!(self.log, "a line of the list makes no sense: {}", fault);
+            fault
+        })?;
+        self.index = list.index;
+        let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
+        self.desk.tell(Note::Listed(kind, list)).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/sidecar/src/logging.rs
@@ -0,0 +1,9 @@
+//! Log lines on standard error, written by a thread of their own: a slow reader must not hold up an API call.
+use slog::{o, Drain, Logger};
+
+pub fn to_stderr(name: &str) -> Logger {
+    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    let queued = slog_async::Async::new(lines).build().fuse();
+    Logger::root(queued, o!("sidecar" => name.to_string()))
+}
--- /dev/null
+++ b/terms/src/lib.rs
@@ -0,0 +1,43 @@
+//! The one place where what a sidecar is told at its start is read, checked and given defaults: the settings
+//! object ([`Place`]), the file of a sidecar on sockets ([`Start`]) and the list of servers ([`List`]). Whoever
+//! finds a fault is told the key, as in `settings.workloads[1].payoff: must not be negative`.
+mod list;
+mod place;
+mod start;
+
+pub use list::{Entry, List};
+pub use place::{micros, Place};
+pub use start::{Limits, Start};
+
+use fnv::FnvHasher;
+use serde::de::DeserializeOwned;
+use std::hash::Hasher;
+
+/// Reads JSON; a fault names the key it lies at.
+pub fn read<T: DeserializeOwned>(json: &[u8]) -> Result<T, String> {
+    let mut source = serde_json::Deserializer::from_slice(json);
+    let read = serde_path_to_error::deserialize(&mut source).map_err(|fault| {
+        let (path, fault) = (fault.path().to_string(), fault.inner().to_string());
+        // The place of a fault in the text says little beside its key, and nothing where a check found it.
+        let fault = fault.split(" at line ").next().unwrap_or_default();
+        if path == "." {
+            fault.to_string()
+        } else {
+            format!("{path}: {fault}")
+        }
+    })?;
+    source.end().map_err(|fault| fault.to_string())?;
+    Ok(read)
+}
+
+/// A number without meaning that every process has for this server's name alike.
+///
+/// ```
+/// assert_eq!(oakhollow_terms::mark("s-1"), oakhollow_terms::mark("s-1"));
+/// assert_ne!(oakhollow_terms::mark("s-1"), oakhollow_terms::mark("s-2"));
+/// ```
+pub fn mark(name: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/terms/src/list.rs
@@ -0,0 +1,66 @@
+//! The list of servers as discovery words it.
+use crate::mark;
+use oakhollow::types::*;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// One whole list, or the entries that changed since the one before.
+///
+/// ```
+/// use oakhollow_terms::{read, List};
+/// let line = br#"{"index":3,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:70","status":"gone"}]}"#;
+/// assert!(read::<List>(line).unwrap_err().starts_with("endpoints[0].status: unknown variant `gone`"));
+/// ```
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    pub index: u64,
+    pub snapshot: bool,
+    pub endpoints: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u32,
+    status: Status,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Status {
+    Active,
+    Leaving,
+    Left,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Entry {
+    /// What the module is told of it, under the number that the host has given the server.
+    pub fn listing(&self, server: ServerId, zones: &[String]) -> Listing {
+        let place = zones.iter().position(|zone| *zone == self.zone).unwrap_or(zones.len());
+        Listing {
+            server,
+            place: PlaceId(place as u32),
+            cell: CellId(self.group),
+            standing: match self.status {
+                Status::Active => Standing::Ready,
+                Status::Leaving => Standing::Draining,
+                Status::Left => Standing::Gone,
+            },
+            size: self.weight,
+            mark: mark(&self.name),
+            started: Micros::millis(self.since_ms),
+        }
+    }
+}
--- /dev/null
+++ b/terms/src/place.rs
@@ -0,0 +1,272 @@
+//! The settings object: what the place lays down, as the module's [`Terms`] and as figures for the host.
+use oakhollow::types::*;
+use serde::Deserialize;
+
+/// What the place lays down for one instance.
+///
+/// ```
+/// let json = r#"{"me":0,"balancers":2,"bounds":{"most_hops":3},"rules":{"cold_from":0.5,"fall_s":1,"warm_within_s":5},
+///   "workloads":[{"name":"view","quoted_time_s":1,"abandon_time_s":2,"payoff":-1,"semantics":"read_like"}]}"#;
+/// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(json.as_bytes()).unwrap_err();
+/// assert_eq!(fault, "workloads[0].payoff: must be a number from 0 up");
+/// let json = json.replace("-1", "1").replace("read_like", "sometimes");
+/// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(json.as_bytes()).unwrap_err();
+/// assert!(fault.starts_with("workloads[0].semantics: unknown variant `sometimes`"), "{fault}");
+/// let json = json.replace("sometimes", "idempotency_key");
+/// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(json.as_bytes()).unwrap_err();
+/// assert_eq!(fault, "workloads[0].group: missing, and needed for idempotency_key");
+/// let place: oakhollow_terms::Place = oakhollow_terms::read(json.replace("idempotency_key", "read_like").as_bytes()).unwrap();
+/// assert_eq!(place.terms.most_hops, 3);
+/// assert_eq!(place.workloads[0].name, "view");
+/// ```
+#[derive(Clone, Debug, Deserialize)]
+#[serde(try_from = "Told")]
+pub struct Place {
+    pub terms: Terms,
+    /// In the order of [`Terms::workloads`].
+    pub workloads: Vec<Named>,
+    /// In the order of [`Terms::customers`].
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+    /// Which tier's servers this instance sends to.
+    pub tier: String,
+    pub connect_within: Micros,
+    /// When a server closes a connection that has stood idle, at the latest.
+    pub idle_close: Micros,
+}
+
+/// What the host needs of a workload.
+#[derive(Clone, Debug)]
+pub struct Named {
+    pub name: String,
+    /// The longest that a client waits.
+    pub abandon: Micros,
+}
+
+/// Seconds as the settings have them.
+pub fn micros(seconds: f64) -> Micros {
+    Micros((seconds * 1e6).round().max(0.0) as u64)
+}
+
+#[derive(Deserialize)]
+struct Told {
+    me: u32,
+    balancers: u32,
+    bounds: Bounds,
+    #[serde(default)]
+    discovery: Discovery,
+    #[serde(default)]
+    goal: Goal,
+    #[serde(default = "one")]
+    overage_payoff: f64,
+    #[serde(default)]
+    prices: Prices,
+    rules: Rules,
+    #[serde(default)]
+    stages: Vec<String>,
+    #[serde(default)]
+    tier: usize,
+    #[serde(default)]
+    zone: u32,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    workloads: Vec<Class>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn one_second() -> f64 {
+    1.0
+}
+
+fn one_minute() -> f64 {
+    60.0
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default = "one_second")]
+    connect_timeout_s: f64,
+    #[serde(default = "one_minute")]
+    idle_close_s: f64,
+    #[serde(default)]
+    max_retry_after_s: f64,
+    most_hops: u32,
+    #[serde(default)]
+    parallel_tries: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    #[default]
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize, Default)]
+struct Goal {
+    #[serde(default)]
+    worst_class: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct Prices {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    #[serde(default)]
+    ask_within_s: f64,
+    cold_from: f64,
+    fall_s: f64,
+    warm_within_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    #[serde(default)]
+    name: String,
+    quoted_time_s: f64,
+    abandon_time_s: f64,
+    #[serde(default)]
+    overdue_payoff: f64,
+    #[serde(default)]
+    payoff: f64,
+    semantics: Semantics,
+    #[serde(default)]
+    group: Option<Within>,
+    #[serde(default)]
+    memory_span_s: f64,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Semantics {
+    ReadLike,
+    IdempotencyKey,
+    NonIdempotent,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Within {
+    All,
+    Zone,
+    Cell,
+}
+
+impl TryFrom<Told> for Place {
+    type Error = String;
+
+    fn try_from(told: Told) -> Result<Place, String> {
+        told.check()?;
+        let Told { bounds, rules, .. } = &told;
+        let mut kinds = Vec::new();
+        for (at, class) in told.workloads.iter().enumerate() {
+            let kind = class
+                .kind()
+                .ok_or(format!("workloads[{at}].group: missing, and needed for idempotency_key"))?;
+            let (quoted, payoff) = (micros(class.quoted_time_s), class.payoff);
+            kinds.push(Workload { kind, quoted, payoff, late_payoff: class.overdue_payoff });
+        }
+        let named = |class: &Class| Named { name: class.name.clone(), abandon: micros(class.abandon_time_s) };
+        Ok(Place {
+            terms: Terms {
+                sidecars: told.balancers,
+                number: told.me,
+                near: (told.prices.cross_zone > 0.0).then_some(PlaceId(told.zone)),
+                workloads: kinds,
+                customers: told.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
+                beyond_share: told.overage_payoff,
+                worst_workload: told.goal.worst_class,
+                most_hops: bounds.most_hops,
+                may_cancel: bounds.cancel,
+                may_race: bounds.parallel_tries,
+                cool_down: if bounds.retry_after { micros(bounds.max_retry_after_s) } else { Micros(0) },
+                must_ask: told.discovery == Discovery::OnRequest,
+                ask_within: micros(rules.ask_within_s),
+                cold_from: rules.cold_from,
+                warm_within: micros(rules.warm_within_s),
+                fall_span: micros(rules.fall_s),
+            },
+            workloads: told.workloads.iter().map(named).collect(),
+            customers: told.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            tier: told.stages.get(told.tier).cloned().unwrap_or_default(),
+            connect_within: micros(bounds.connect_timeout_s),
+            idle_close: micros(bounds.idle_close_s),
+            zones: told.zones,
+        })
+    }
+}
+
+impl Told {
+    /// Figures that would parse and mean nothing.
+    fn check(&self) -> Result<(), String> {
+        let Told { bounds, rules, .. } = self;
+        let from_zero = |key: String, figure: f64| match figure >= 0.0 {
+            true => Ok(()),
+            false => Err(format!("{key}: must be a number from 0 up")),
+        };
+        from_zero("bounds.connect_timeout_s".into(), bounds.connect_timeout_s)?;
+        from_zero("bounds.idle_close_s".into(), bounds.idle_close_s)?;
+        from_zero("bounds.max_retry_after_s".into(), bounds.max_retry_after_s)?;
+        from_zero("goal.worst_class".into(), self.goal.worst_class)?;
+        from_zero("overage_payoff".into(), self.overage_payoff)?;
+        from_zero("rules.ask_within_s".into(), rules.ask_within_s)?;
+        from_zero("rules.cold_from".into(), rules.cold_from)?;
+        from_zero("rules.fall_s".into(), rules.fall_s)?;
+        from_zero("rules.warm_within_s".into(), rules.warm_within_s)?;
+        for (at, class) in self.workloads.iter().enumerate() {
+            let key = |name: &str| format!("workloads[{at}].{name}");
+            from_zero(key("quoted_time_s"), class.quoted_time_s)?;
+            from_zero(key("abandon_time_s"), class.abandon_time_s)?;
+            from_zero(key("overdue_payoff"), class.overdue_payoff)?;
+            from_zero(key("payoff"), class.payoff)?;
+            from_zero(key("memory_span_s"), class.memory_span_s)?;
+        }
+        for (at, tenant) in self.tenants.iter().enumerate() {
+            from_zero(format!("tenants[{at}].quota_per_s"), tenant.quota_per_s)?;
+        }
+        match () {
+            _ if self.balancers == 0 => Err("balancers: must be 1 or more".into()),
+            _ if bounds.most_hops == 0 => Err("bounds.most_hops: must be 1 or more".into()),
+            _ if self.workloads.is_empty() => Err("workloads: must name at least one".into()),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Class {
+    fn kind(&self) -> Option<Kind> {
+        let memory = micros(self.memory_span_s);
+        let group = self.group.map(|group| match group {
+            Within::All => Group::All,
+            Within::Zone => Group::Place,
+            Within::Cell => Group::Cell,
+        });
+        match self.semantics {
+            Semantics::ReadLike => Some(Kind::Repeatable),
+            Semantics::NonIdempotent => Some(Kind::OnceOnly),
+            Semantics::IdempotencyKey => group.map(|group| Kind::Tagged { group, memory }),
+        }
+    }
+}
--- /dev/null
+++ b/terms/src/start.rs
@@ -0,0 +1,73 @@
+//! The file that a sidecar on sockets is started with.
+use crate::{read, List, Place};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// All that a sidecar on sockets is told.
+///
+/// ```
+/// use oakhollow_terms::{read, Start};
+/// let fault = read::<Start>(br#"{"listen":"127.0.0.1:70000"}"#).unwrap_err();
+/// assert!(fault.starts_with("listen: "), "{fault}");
+/// ```
+#[derive(Clone, Debug, Deserialize)]
+pub struct Start {
+    #[serde(default)]
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    #[serde(deserialize_with = "seed")]
+    pub seed: u64,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub known: List,
+    #[serde(rename = "settings")]
+    pub place: Place,
+}
+
+/// What the machine allows.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
+impl Start {
+    /// The fewest descriptors that a sidecar can work with.
+    const FEWEST_SOCKETS: usize = 64;
+    const LEAST_MEMORY_MB: f64 = 16.0;
+
+    /// Reads the file; the message of a fault is one line that names the file and the key.
+    pub fn from_file(path: &Path) -> Result<Start, String> {
+        let named = |fault: String| format!("{}: {}", path.display(), fault.replace('\n', " "));
+        let json = std::fs::read(path).map_err(|fault| named(fault.to_string()))?;
+        let start: Start = read(&json).map_err(named)?;
+        match () {
+            _ if start.limits.sockets < Self::FEWEST_SOCKETS => {
+                Err(named(format!("limits.sockets: must be {} or more", Self::FEWEST_SOCKETS)))
+            }
+            _ if start.limits.memory_mb < Self::LEAST_MEMORY_MB => {
+                Err(named(format!("limits.memory_mb: must be {} or more", Self::LEAST_MEMORY_MB)))
+            }
+            _ => match start.place.workloads.iter().position(|workload| workload.name.is_empty()) {
+                Some(at) => Err(named(format!("settings.workloads[{at}].name: missing"))),
+                None => Ok(start),
+            },
+        }
+    }
+}
+
+fn seed<'de, D: serde::Deserializer<'de>>(source: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(source)?;
+    let wrong = || serde::de::Error::custom(format!("must be up to 16 hexadecimal digits, not {text:?}"));
+    u64::from_str_radix(&text, 16).map_err(|_| wrong())
+}
