Scenarios of the program on sockets; room is made for callers at the bound

Found by the new scenarios, each failing without its fix: with all connections in use and none idle at that moment, nobody was ever taken in again (Door::welcome waited, told_to_close did not wake it); a closed idle connection lingered half a second, so that room came slowly (Door::serve); a chunk longer than it says was waited for instead of refused (Chunks::feed).

--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -79,8 +79,13 @@
         self.idle.borrow_mut().clear();
     }
 
-    pub fn empty(&self) -> bool {
-        self.open.get() == 0
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// API calls taken and not yet answered.
+    pub fn held(&self) -> usize {
+        self.desk.held.get()
     }
 
     fn clock(&self) -> Clock {
@@ -134,7 +139,8 @@
         let mut inbox = Assembler::new(Side::Requests);
         loop {
             let (answer, lasts) = match self.next(stream, &mut inbox).await {
-                Next::Nothing => return drop(part(stream).await),
+                // Between requests nothing can be lost; lingering would keep out those who wait to be taken in.
+                Next::Nothing => return,
                 Next::Fault(fault) => (plain(fault.status, fault.why), false),
                 Next::Request(request, came) => {
                     let lasts = request.lasts;
@@ -207,6 +213,10 @@
         let (sender, receiver) = bounded::<()>(1);
         self.idle.borrow_mut().insert(number, sender);
         let _entry = Entry { idle: &self.idle, number };
+        if self.crowded.get() {
+            // Guards against waiting for room for ever where all were busy, or not yet idle, when it was looked for.
+            let _ = self.freed.0.try_send(());
+        }
         let _ = receiver.recv().await;
     }
 
--- a/sidecar/src/http1/parse.rs
+++ b/sidecar/src/http1/parse.rs
@@ -267,6 +267,9 @@
             if self.state == Chunk::Done {
                 return Ok(at);
             }
+            if self.state == Chunk::DataEnd && !b"\r\n".starts_with(&rest[..rest.len().min(2)]) {
+                return Err(bad("a chunk is longer than it says"));
+            }
             let Some(length) = find(&rest[..rest.len().min(MOST_CHUNK_LINE)], b"\r\n") else {
                 let long = rest.len() >= MOST_CHUNK_LINE && self.state != Chunk::Trailer;
                 let long = long || rest.len() >= MOST_TRAILER;
@@ -282,8 +285,7 @@
                     }
                     size => Chunk::Data(size),
                 },
-                Chunk::DataEnd if line.is_empty() => Chunk::Size,
-                Chunk::DataEnd => return Err(bad("a chunk is longer than it says")),
+                Chunk::DataEnd => Chunk::Size,
                 _ if line.is_empty() => Chunk::Done,
                 _ => {
                     self.trailer += length;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,6 +1,5 @@
 //! `oakhollow`: one sidecar, started with the file that `RELAY_CONFIG` or the first argument names.
-use futures_lite::future::pending;
-use oakhollow_sidecar::{logging, run};
+use oakhollow_sidecar::{logging, run, told_to_stop};
 use oakhollow_terms::Start;
 use std::process::ExitCode;
 
@@ -10,7 +9,8 @@
     let start = path.and_then(|path| Start::from_file(path.as_ref()));
     let ended = start.and_then(|start| {
         let (log, listen) = (logging::to_stderr(&start.name), start.listen);
-        run(start, log, pending()).map_err(|fault| format!("listen: {listen}: {fault}"))
+        let ended = told_to_stop().and_then(|stop| run(start, log, stop));
+        ended.map_err(|fault| format!("listen: {listen}: {fault}"))
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -10,16 +10,20 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{block_on, Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::StreamExt;
 use oakhollow_terms::Start;
 use slog::{info, Logger};
-use std::net::TcpListener;
+use std::future::Future;
+use std::io::{ErrorKind, Result};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How long new connections are still taken in after the word to stop: those who send clients here take a
 /// moment to notice.
 const NOTICE: Duration = Duration::from_millis(600);
+/// How long a taken address is tried again.
+const REBIND: Duration = Duration::from_secs(2);
 /// Descriptors that are neither a caller's connection nor a server's.
 const OWN_SOCKETS: usize = 24;
 /// What one connection may take of the memory at worst, of its bodies, heads and buffers.
@@ -75,20 +79,38 @@
     told: Instant,
 }
 
-/// Runs one sidecar until it is told to stop by SIGTERM or SIGINT, or by `stop`.
-pub fn run(start: Start, log: Logger, stop: impl std::future::Future<Output = ()>) -> std::io::Result<()> {
+/// Comes to an end when the process gets SIGTERM or SIGINT.
+pub fn told_to_stop() -> Result<impl Future<Output = ()>> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    Ok(async move { drop(signals.next().await) })
+}
+
+/// Runs one sidecar until `stop` comes to its end, and then as long as it takes to part in good order.
+pub fn run(start: Start, log: Logger, stop: impl Future<Output = ()>) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
     block_on(executor.run(async {
-        let signals = Signals::new([Signal::Term, Signal::Int])?;
-        let program = Program::build(start, log, tasks)?;
-        program.live(signals, stop).await;
+        let listener = bind(start.listen).await?;
+        Program::build(start, log, tasks, listener)?.live(stop).await;
         Ok(())
     }))
 }
 
+/// Guards against failing a quick restart: the program before this one may hold the address for a moment more.
+async fn bind(listen: SocketAddr) -> Result<Async<TcpListener>> {
+    let first = Instant::now();
+    loop {
+        match Async::<TcpListener>::bind(listen) {
+            Err(fault) if fault.kind() == ErrorKind::AddrInUse && first.elapsed() < REBIND => {
+                Timer::after(REBIND / 20).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 impl Program {
-    fn build(start: Start, log: Logger, tasks: Tasks) -> std::io::Result<Program> {
+    fn build(start: Start, log: Logger, tasks: Tasks, listener: Async<TcpListener>) -> Result<Program> {
         let place = Rc::new(start.place.clone());
         let (desk, notes) = Desk::new(Clock::start());
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
@@ -108,19 +130,20 @@
         tasks.run(watch.run());
         let decider = Http1Decider::new(&place, start.seed, &start.known, parts);
         tasks.run(decider.run(notes));
-        let listener = Rc::new(Async::<TcpListener>::bind(start.listen)?);
+        info!(log, "listening on {}", listener.get_ref().local_addr()?; "tier" => &place.tier);
+        let listener = Rc::new(listener);
         let door = Door::new(desk, place, tasks.clone(), log.clone(), most);
         let (phase, welcome, told) = (Phase::Starting, None, Instant::now());
         Ok(Program { phase, start, log, tasks, listener, door, welcome, told })
     }
 
-    async fn live(mut self, mut signals: Signals, stop: impl std::future::Future<Output = ()>) {
+    async fn live(mut self, stop: impl Future<Output = ()>) {
         let mut stop = Box::pin(stop);
         while self.phase != Phase::Over {
             let sign = match self.phase {
                 Phase::Starting => Sign::Bound,
                 Phase::Serving => {
-                    future::or(async { drop(signals.next().await) }, &mut stop).await;
+                    (&mut stop).await;
                     self.told = Instant::now();
                     Sign::Told
                 }
@@ -128,7 +151,7 @@
                     Timer::at(self.told + NOTICE).await;
                     Sign::Noticed
                 }
-                Phase::Finishing if self.door.empty() => Sign::Empty,
+                Phase::Finishing if self.door.open() == 0 => Sign::Empty,
                 Phase::Finishing if self.told.elapsed() > NOTICE + self.longest() => Sign::Overdue,
                 Phase::Finishing | Phase::Over => {
                     Timer::after(Duration::from_millis(10)).await;
@@ -162,7 +185,10 @@
             Effect::Nothing => {}
         }
         self.phase = phase;
-        let (tier, after) = (&self.start.place.tier, self.told.elapsed().as_millis());
-        info!(self.log, "{:?} on {:?}, {} ms after the last", phase, sign, after; "tier" => tier);
+        let (held, open, after) = (self.door.held(), self.door.open(), self.told.elapsed().as_millis());
+        info!(
+            self.log,
+            "{:?}: {:?} after {} ms, {} calls held, {} connections", phase, sign, after, held, open
+        );
     }
 }
--- /dev/null
+++ b/sidecar/tests/sockets.rs
@@ -0,0 +1,467 @@
+//! Plays every file in `sidecar/tests/scenarios` on the program itself, against stand-ins on ports of their own.
+//! The notation, beside that of `tests/scenarios.rs`:
+//!
+//! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
+//!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
+//!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server
+//! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, discovery=none
+//! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
+//!   `calls COUNT WORKLOAD LEFT`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
+//!   connection of OTHER; `leaves ID`
+//! - `raw ID BYTES` and `more ID BYTES`, with `\r`, `\n`, `_` for a blank and `*N` for N times an `x`
+//! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT`: idle connections
+//! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `gone NAME LEAST` given up, `got NAME BYTES` last
+//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`; `asked COUNT` watches at least
+//! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `calm`: it has used next to no CPU
+//! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
+#[path = "../../tests/runner/mod.rs"]
+mod runner;
+
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits for something that happens elsewhere.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    (listener, address)
+}
+
+/// Reads one message off a stream: its head, and the body that Content-Length or the chunks tell of.
+fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("text");
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a length"))];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).expect("text")))
+}
+
+#[derive(Default)]
+struct Seen {
+    how: String,
+    body: String,
+    requests: usize,
+    links: usize,
+    gone: usize,
+    last: String,
+}
+
+struct Server {
+    name: String,
+    address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Server {
+    fn start(name: &str) -> Server {
+        let (listener, address) = listen();
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let (shared, name) = (seen.clone(), name.to_string());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let shared = shared.clone();
+                shared.lock().expect("seen").links += 1;
+                thread::spawn(move || serve(stream, &shared));
+            }
+        });
+        Server { name, address, seen }
+    }
+}
+
+fn serve(mut stream: TcpStream, shared: &Mutex<Seen>) {
+    while let Some((head, body)) = read_message(&mut stream) {
+        let (how, say) = {
+            let mut seen = shared.lock().expect("seen");
+            seen.requests += 1;
+            seen.last = head + &body;
+            (seen.how.clone(), seen.body.clone())
+        };
+        let whole = format!("HTTP/1.1 200 OK\r\nX-Made-By: us\r\nContent-Length: {}\r\n\r\n{say}", say.len());
+        let empty = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        let answer = match how.as_str() {
+            "late" => {
+                thread::sleep(Duration::from_millis(300));
+                whole
+            }
+            "chunked" => format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\n{}\r\n{:x}\r\n{}\r\n0\r\nT: 1\r\n\r\n",
+                &say[..1],
+                say.len() - 1,
+                &say[1..]
+            ),
+            "interim" => format!("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n{whole}"),
+            "until-close" => format!("HTTP/1.1 200 OK\r\n\r\n{say}"),
+            "half" => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{say}", say.len() + 9),
+            "huge" => format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000)),
+            "errors" => empty("500 Internal Server Error"),
+            "busy" => empty("503 Service Unavailable"),
+            "turns-away" => empty("503 Service Unavailable\r\nNot-Started: 1"),
+            "garbled" => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc".into(),
+            "breaks" => return,
+            "silent" => {
+                let gone = stream.read(&mut [0]).is_ok_and(|count| count == 0);
+                shared.lock().expect("seen").gone += usize::from(gone);
+                return;
+            }
+            _ => whole,
+        };
+        if stream.write_all(answer.as_bytes()).is_err()
+            || matches!(how.as_str(), "closes" | "until-close" | "half")
+        {
+            return;
+        }
+    }
+}
+
+/// The stand-in for discovery: one whole list, then what the scenario says.
+#[derive(Default)]
+struct Discovery {
+    down: bool,
+    asked: usize,
+    whole: String,
+    watches: Vec<TcpStream>,
+}
+
+fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+fn discover(listener: TcpListener, shared: Arc<Mutex<Discovery>>) {
+    for mut stream in listener.incoming().map_while(Result::ok) {
+        let Some((head, _)) = read_message(&mut stream) else { continue };
+        assert!(head.starts_with("GET /v1/endpoints?stream=1&index="), "{head}");
+        let mut discovery = shared.lock().expect("discovery");
+        discovery.asked += 1;
+        let answer = match discovery.down {
+            true => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
+            false => {
+                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&discovery.whole))
+            }
+        };
+        if stream.write_all(answer.as_bytes()).is_ok() && !discovery.down {
+            discovery.watches.push(stream);
+        }
+    }
+}
+
+#[derive(Default)]
+struct World {
+    servers: Vec<Server>,
+    discovery: Arc<Mutex<Discovery>>,
+    program: Option<(Child, Arc<Mutex<String>>)>,
+    port: Option<SocketAddr>,
+    clients: BTreeMap<String, TcpStream>,
+    idle: Vec<TcpStream>,
+    started: Option<Instant>,
+    calls: u32,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some((mut program, _)) = self.program.take() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+    }
+}
+
+impl World {
+    fn entries(&self, words: &[&str]) -> String {
+        let entry = |word: &&str| {
+            let (name, status) = word.split_once(':').unwrap_or((word, "active"));
+            let at = self.servers.iter().position(|server| server.name == name).expect("a server");
+            let address = self.servers[at].address;
+            format!(
+                r#"{{"name":"{name}","address":"{address}","zone":"a","group":{at},"status":"{status}","weight":1.0,"since_ms":0}}"#
+            )
+        };
+        words.iter().map(entry).collect::<Vec<_>>().join(",")
+    }
+
+    fn list(&self, snapshot: bool, words: &[&str]) -> String {
+        format!(r#"{{"index":7,"snapshot":{snapshot},"endpoints":[{}]}}"#, self.entries(words))
+    }
+
+    fn config(&self, words: &[&str], discovery: &str) -> String {
+        let get = |key: &str, other: &'static str| {
+            let found = words.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+            found.unwrap_or(other).to_string()
+        };
+        let workload = |name: &str, semantics: &str| {
+            format!(
+                r#"{{"name":"{name}","semantics":"{semantics}","group":"cell","memory_span_s":5,"quoted_time_s":2,"abandon_time_s":3,"payoff":1,"overdue_payoff":0.5}}"#
+            )
+        };
+        let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
+            "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
+            "connect_timeout_s":{},"idle_close_s":60}},"discovery":"on_request","zones":["a"],
+            "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
+            "workloads":[{},{},{}]}}}}"#,
+            get("sockets", "1024"),
+            self.list(true, &names),
+            get("hops", "4"),
+            get("connect", "0.2"),
+            workload("view", "read_like"),
+            workload("save", "idempotency_key"),
+            workload("pay", "non_idempotent"),
+        )
+    }
+
+    fn launch(&self, config: &str, before: &str) -> Child {
+        let file = std::env::temp_dir().join(format!(
+            "oakhollow-{:?}-{}.json",
+            thread::current().id(),
+            std::process::id()
+        ));
+        std::fs::write(&file, config).expect("the file");
+        Command::new("/bin/sh")
+            .args(["-c", &format!("{before} exec {}", env!("CARGO_BIN_EXE_oakhollow"))])
+            .env("RELAY_CONFIG", file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts")
+    }
+
+    fn sidecar(&mut self, words: &[&str]) {
+        let (listener, address) = listen();
+        let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
+        let whole = self.list(true, &names);
+        self.discovery.lock().expect("discovery").whole = whole;
+        if !words.contains(&"discovery=none") {
+            let shared = self.discovery.clone();
+            thread::spawn(move || discover(listener, shared));
+        }
+        let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
+        let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
+        let mut program = self.launch(&self.config(words, &address.to_string()), &before);
+        let (mut errors, said) =
+            (program.stderr.take().expect("its log"), Arc::new(Mutex::new(String::new())));
+        let shared = said.clone();
+        thread::spawn(move || {
+            let mut buffer = [0; 1024];
+            while let Some(count) = errors.read(&mut buffer).ok().filter(|count| *count > 0) {
+                *shared.lock().expect("log") += &String::from_utf8_lossy(&buffer[..count]);
+            }
+        });
+        until("it listens", || {
+            let said = said.lock().expect("log");
+            let rest = said.split_once("listening on ").map(|(_, rest)| rest.to_string());
+            self.port = rest.and_then(|rest| rest.split([',', ' ', '\n']).next()?.parse().ok());
+            self.port.is_some()
+        });
+        self.program = Some((program, said));
+        self.started = Some(Instant::now());
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.port.expect("a sidecar")).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream
+    }
+
+    fn call(&mut self, id: &str, mut stream: TcpStream, workload: &str, left: &str) {
+        self.calls += 1;
+        let (calls, left) = (self.calls, runner::length_us(left) / 1000);
+        let head = format!("Host: api.internal\r\nRequest-Id: {calls:016x}\r\nRequest-Class: {workload}\r\nRequest-Timeout-Ms: {left}\r\n");
+        let request = match workload {
+            "view" => format!("GET /view/7?x=y HTTP/1.1\r\n{head}\r\n"),
+            _ => format!("POST /{workload} HTTP/1.1\r\n{head}Idempotency-Key: k{calls}\r\nContent-Length: 5\r\n\r\nhello"),
+        };
+        stream.write_all(request.as_bytes()).expect("sent");
+        self.clients.insert(id.to_string(), stream);
+    }
+
+    fn expect(&mut self, id: &str, status: &str, body: &str) {
+        let stream = self.clients.get_mut(id).expect("a call");
+        let (head, said) = read_message(stream).expect("an answer");
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+        assert!(body.is_empty() || said == body, "{said}");
+    }
+
+    fn server(&mut self, name: &str, how: &str, body: &str) {
+        if !self.servers.iter().any(|server| server.name == name) {
+            let mut server = Server::start(name);
+            if how == "absent" {
+                server.address = listen().1; // free again at once
+            }
+            self.servers.push(server);
+        }
+        let mut seen = self.find(name).seen.lock().expect("seen");
+        (seen.how, seen.body) = (how.to_string(), body.to_string());
+    }
+
+    fn find(&self, name: &str) -> &Server {
+        self.servers.iter().find(|server| server.name == name).expect("a server")
+    }
+
+    fn counts(&self, name: &str, wanted: &str, count: impl Fn(&Seen) -> usize) {
+        let (server, wanted) = (self.find(name), wanted.parse::<usize>().expect("a count"));
+        until("the count", || count(&server.seen.lock().expect("seen")) >= wanted);
+        assert_eq!(count(&server.seen.lock().expect("seen")), wanted);
+    }
+
+    fn discovery(&mut self, words: &[&str]) {
+        let line = match words {
+            ["whole", names @ ..] => self.list(true, names),
+            ["changes", names @ ..] => self.list(false, names),
+            _ => "{\"index\":8,".to_string(),
+        };
+        let mut discovery = self.discovery.lock().expect("discovery");
+        match words[0] {
+            "down" | "up" => discovery.down = words[0] == "down",
+            "ends" => discovery.watches.clear(),
+            _ => discovery.watches.iter_mut().for_each(|watch| {
+                let _ = watch.write_all(chunk(&line).as_bytes());
+            }),
+        }
+        if words[0] == "down" {
+            discovery.watches.clear();
+        }
+    }
+
+    fn play(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["server", name, how] => self.server(name, how, "hello"),
+            ["server", name, how, body] => self.server(name, how, body),
+            ["sidecar", ..] => self.sidecar(&words[1..]),
+            ["call", id, workload, left] => self.call(id, self.connect(), workload, left),
+            ["calls", count, workload, left] => {
+                for _ in 0..count.parse().expect("a count") {
+                    self.call("calls", self.connect(), workload, left);
+                    self.expect("calls", "200", "");
+                }
+            }
+            ["again", id, other, workload, left] => {
+                let stream = self.clients.remove(other).expect("a call");
+                self.call(id, stream, workload, left);
+            }
+            ["leaves", id] => drop(self.clients.remove(id)),
+            ["raw", id, bytes] => {
+                let stream = self.connect();
+                self.clients.insert(id.to_string(), stream);
+                self.more(id, bytes);
+            }
+            ["more", id, bytes] => self.more(id, bytes),
+            ["expect", id, status] => self.expect(id, status, ""),
+            ["expect", id, status, body] => self.expect(id, status, body),
+            ["closed", id] => {
+                let mut rest = Vec::new();
+                let ended = self.clients.remove(id).expect("a call").read_to_end(&mut rest);
+                assert!(rest.is_empty(), "{rest:?}");
+                assert!(!ended.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock), "still open");
+            }
+            ["opens", count] => {
+                let count: usize = count.parse().expect("a count");
+                self.idle.extend(
+                    (0..count).map(|_| TcpStream::connect(self.port.expect("a sidecar")).expect("one")),
+                );
+            }
+            ["seen", name, count] => self.counts(name, count, |seen| seen.requests),
+            ["links", name, count] => self.counts(name, count, |seen| seen.links),
+            ["gone", name, least] => {
+                let least: usize = least.parse().expect("a count");
+                until("given up", || self.find(name).seen.lock().expect("seen").gone >= least);
+            }
+            ["got", name, ..] => {
+                let last = self.find(name).seen.lock().expect("seen").last.clone();
+                assert!(last.contains(&plain(words[2])), "{last}");
+            }
+            ["list", ..] => self.discovery(&words[1..]),
+            ["asked", count] => {
+                let count: usize = count.parse().expect("a count");
+                until("it asks", || self.discovery.lock().expect("discovery").asked >= count);
+            }
+            ["ready", status] => until("ready or not", || {
+                let mut stream = self.connect();
+                stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
+                read_message(&mut stream)
+                    .is_some_and(|(head, _)| head.starts_with(&format!("HTTP/1.1 {status} ")))
+            }),
+            ["wait", time] => thread::sleep(Duration::from_micros(runner::length_us(time))),
+            ["stop"] => {
+                let id = self.program.as_ref().expect("a sidecar").0.id();
+                let killed = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {id}")]).status();
+                assert!(killed.expect("kill").success());
+            }
+            ["exits", code] => {
+                let program = &mut self.program.as_mut().expect("a sidecar").0;
+                until("it exits", || program.try_wait().expect("its state").is_some());
+                let status = program.wait().expect("its end");
+                assert_eq!(status.code(), code.parse().ok());
+            }
+            ["says", ..] => {
+                let (words, said) = (words[1..].join(" "), &self.program.as_ref().expect("a sidecar").1);
+                until("it says so", || said.lock().expect("log").contains(&words));
+            }
+            ["calm"] => {
+                let id = self.program.as_ref().expect("a sidecar").0.id();
+                let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("its figures");
+                let ticks =
+                    stat.split(' ').skip(13).take(2).map(|ticks| ticks.parse::<u32>().expect("ticks"));
+                let (ticks, lived) = (ticks.sum::<u32>(), self.started.expect("a sidecar").elapsed());
+                assert!(f64::from(ticks) / 100.0 < 0.3 * lived.as_secs_f64(), "{ticks} ticks in {lived:?}");
+            }
+            ["refused", from, to, ..] => {
+                let config = self.config(&[], "127.0.0.1:1");
+                assert!(config.contains(from), "{config}");
+                let output = self.launch(&config.replacen(from, to, 1), "").wait_with_output();
+                let output = output.expect("its end");
+                let said = String::from_utf8(output.stderr).expect("text");
+                assert!(!output.status.success() && said.lines().count() == 1, "{said}");
+                assert!(said.contains(&words[3..].join(" ")), "{said}");
+            }
+            _ => panic!("not a command"),
+        }
+    }
+
+    fn more(&mut self, id: &str, bytes: &str) {
+        let stream = self.clients.get_mut(id).expect("a connection");
+        stream.write_all(plain(bytes).as_bytes()).expect("sent");
+    }
+}
+
+/// Bytes as the notation has them.
+fn plain(text: &str) -> String {
+    let text = text.replace("\\r", "\r").replace("\\n", "\n").replace('_', " ");
+    match text.split_once('*') {
+        None => text,
+        Some((front, rest)) => {
+            let digits = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+            let count = rest[..digits].parse().expect("a count");
+            format!("{front}{}{}", "x".repeat(count), &rest[digits..])
+        }
+    }
+}
+
+#[test]
+fn scenarios() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+    runner::play_all(folder.as_ref(), World::default, World::play);
+}
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -20,10 +20,10 @@
         let (path, fault) = (fault.path().to_string(), fault.inner().to_string());
         // The place of a fault in the text says little beside its key, and nothing where a check found it.
         let fault = fault.split(" at line ").next().unwrap_or_default();
-        if path == "." {
-            fault.to_string()
-        } else {
-            format!("{path}: {fault}")
+        match (path.as_str(), fault.strip_prefix('.')) {
+            (".", inner) => inner.unwrap_or(fault).to_string(),
+            (_, Some(_)) => format!("{path}{fault}"), // a check's word begins with the key below this one
+            (_, None) => format!("{path}: {fault}"),
         }
     })?;
     source.end().map_err(|fault| fault.to_string())?;
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -184,7 +184,7 @@
         for (at, class) in told.workloads.iter().enumerate() {
             let kind = class
                 .kind()
-                .ok_or(format!("workloads[{at}].group: missing, and needed for idempotency_key"))?;
+                .ok_or(format!(".workloads[{at}].group: missing, and needed for idempotency_key"))?;
             let (quoted, payoff) = (micros(class.quoted_time_s), class.payoff);
             kinds.push(Workload { kind, quoted, payoff, late_payoff: class.overdue_payoff });
         }
@@ -226,17 +226,17 @@
             true => Ok(()),
             false => Err(format!("{key}: must be a number from 0 up")),
         };
-        from_zero("bounds.connect_timeout_s".into(), bounds.connect_timeout_s)?;
-        from_zero("bounds.idle_close_s".into(), bounds.idle_close_s)?;
-        from_zero("bounds.max_retry_after_s".into(), bounds.max_retry_after_s)?;
-        from_zero("goal.worst_class".into(), self.goal.worst_class)?;
-        from_zero("overage_payoff".into(), self.overage_payoff)?;
-        from_zero("rules.ask_within_s".into(), rules.ask_within_s)?;
-        from_zero("rules.cold_from".into(), rules.cold_from)?;
-        from_zero("rules.fall_s".into(), rules.fall_s)?;
-        from_zero("rules.warm_within_s".into(), rules.warm_within_s)?;
+        from_zero(".bounds.connect_timeout_s".into(), bounds.connect_timeout_s)?;
+        from_zero(".bounds.idle_close_s".into(), bounds.idle_close_s)?;
+        from_zero(".bounds.max_retry_after_s".into(), bounds.max_retry_after_s)?;
+        from_zero(".goal.worst_class".into(), self.goal.worst_class)?;
+        from_zero(".overage_payoff".into(), self.overage_payoff)?;
+        from_zero(".rules.ask_within_s".into(), rules.ask_within_s)?;
+        from_zero(".rules.cold_from".into(), rules.cold_from)?;
+        from_zero(".rules.fall_s".into(), rules.fall_s)?;
+        from_zero(".rules.warm_within_s".into(), rules.warm_within_s)?;
         for (at, class) in self.workloads.iter().enumerate() {
-            let key = |name: &str| format!("workloads[{at}].{name}");
+            let key = |name: &str| format!(".workloads[{at}].{name}");
             from_zero(key("quoted_time_s"), class.quoted_time_s)?;
             from_zero(key("abandon_time_s"), class.abandon_time_s)?;
             from_zero(key("overdue_payoff"), class.overdue_payoff)?;
@@ -244,12 +244,12 @@
             from_zero(key("memory_span_s"), class.memory_span_s)?;
         }
         for (at, tenant) in self.tenants.iter().enumerate() {
-            from_zero(format!("tenants[{at}].quota_per_s"), tenant.quota_per_s)?;
+            from_zero(format!(".tenants[{at}].quota_per_s"), tenant.quota_per_s)?;
         }
         match () {
-            _ if self.balancers == 0 => Err("balancers: must be 1 or more".into()),
-            _ if bounds.most_hops == 0 => Err("bounds.most_hops: must be 1 or more".into()),
-            _ if self.workloads.is_empty() => Err("workloads: must name at least one".into()),
+            _ if self.balancers == 0 => Err(".balancers: must be 1 or more".into()),
+            _ if bounds.most_hops == 0 => Err(".bounds.most_hops: must be 1 or more".into()),
+            _ if self.workloads.is_empty() => Err(".workloads: must name at least one".into()),
             _ => Ok(()),
         }
     }
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -1,5 +1,6 @@
 //! The file that a sidecar on sockets is started with.
 use crate::{read, List, Place};
+use oakhollow::types::Micros;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -44,13 +45,21 @@
 impl Start {
     /// The fewest descriptors that a sidecar can work with.
     const FEWEST_SOCKETS: usize = 64;
+    /// How long the list may go without being asked for, where the settings don't say.
+    const ASK_WITHIN: Micros = Micros::millis(10_000);
     const LEAST_MEMORY_MB: f64 = 16.0;
 
     /// Reads the file; the message of a fault is one line that names the file and the key.
     pub fn from_file(path: &Path) -> Result<Start, String> {
         let named = |fault: String| format!("{}: {}", path.display(), fault.replace('\n', " "));
         let json = std::fs::read(path).map_err(|fault| named(fault.to_string()))?;
-        let start: Start = read(&json).map_err(named)?;
+        let mut start: Start = read(&json).map_err(named)?;
+        // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
+        let terms = &mut start.place.terms;
+        terms.must_ask = true;
+        if terms.ask_within.0 == 0 {
+            terms.ask_within = Self::ASK_WITHIN;
+        }
         match () {
             _ if start.limits.sockets < Self::FEWEST_SOCKETS => {
                 Err(named(format!("limits.sockets: must be {} or more", Self::FEWEST_SOCKETS)))
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Plays every file in `tests/scenarios`. The notation, commands parted by lines or `;`, `#` starts a comment:
+//! Plays every file in `tests/scenarios` on the module. The notation:
 //!
 //! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
 //! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
@@ -10,6 +10,8 @@
 //!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
 //!
 //! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID soon|late (cool-down under half a second or not), fail ID, subscribe, log WORDS.
+mod runner;
+
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use std::collections::BTreeMap;
@@ -29,9 +31,7 @@
 }
 
 fn length(text: &str) -> Micros {
-    let (digits, unit) = text.split_at(text.find(|c: char| c.is_alphabetic()).expect("a unit"));
-    let number: f64 = digits.parse().expect("a number");
-    Micros((number * if unit == "ms" { 1e3 } else { 1e6 }) as u64)
+    Micros(runner::length_us(text))
 }
 
 fn hop(text: &str) -> (CallId, HopNo) {
@@ -275,18 +275,5 @@
 #[test]
 fn scenarios() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
-    let mut files: Vec<_> =
-        std::fs::read_dir(folder).expect("the folder").map(|file| file.expect("a file").path()).collect();
-    files.sort();
-    assert!(!files.is_empty());
-    for file in files {
-        let mut play = Play::default();
-        for (number, line) in std::fs::read_to_string(&file).expect("text").lines().enumerate() {
-            let line = line.split('#').next().expect("a part");
-            for line in line.split(';').map(str::trim).filter(|line| !line.is_empty()) {
-                let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play.play(line)));
-                assert!(played.is_ok(), "{}:{}: {line}", file.display(), number + 1);
-            }
-        }
-    }
+    runner::play_all(folder.as_ref(), Play::default, Play::play);
 }
