The listener is given up when nobody new is taken in; the door is a file of its own

callers.rs is split by job into door.rs, callers.rs and answers.rs, the parser into head.rs, chunks.rs and messages.rs; ids are types of their own; HTTP/1.0 connections end with their answer.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -19,14 +19,14 @@
 
 /// What the module's task needs of a protocol.
 pub trait Protocol: 'static {
-    /// A request, kept for as long as hops of it may go out.
-    type Request: 'static;
+    /// What a caller sent, kept for as long as hops of it may go out.
+    type Content: 'static;
     /// A server's answer, whole.
     type Answer: 'static;
 
     /// Sends one hop and waits for its end, for `give_up` at most. Dropping the future cancels the hop.
     fn hop(
-        &self, request: Rc<Self::Request>, to: SocketAddr, give_up: Micros,
+        &self, content: Rc<Self::Content>, to: SocketAddr, give_up: Micros,
     ) -> impl Future<Output = (Outcome, Option<Self::Answer>)> + 'static;
 
     /// Nothing new is wanted at this address.
@@ -40,11 +40,19 @@
     Errored,
 }
 
+/// What the decisions need to know of an API call.
+pub struct Ask {
+    pub workload: WorkloadId,
+    pub customer: CustomerId,
+    pub repeat: bool,
+    pub abandon: Micros,
+}
+
 /// An API call as it is taken in.
 pub struct Taken<P: Protocol> {
-    pub arrival: Arrival,
-    pub abandon: Micros,
-    pub request: Rc<P::Request>,
+    pub call: CallId,
+    pub ask: Ask,
+    pub content: Rc<P::Content>,
     pub verdict: Sender<Verdict<P::Answer>>,
 }
 
@@ -82,20 +90,17 @@
     }
 
     /// Takes an API call; its verdict comes from the receiver.
-    pub async fn take(
-        &self, workload: WorkloadId, customer: CustomerId, repeat: bool, abandon: Micros, request: P::Request,
-    ) -> (CallId, Receiver<Verdict<P::Answer>>) {
+    pub async fn take(&self, ask: Ask, content: P::Content) -> (CallId, Receiver<Verdict<P::Answer>>) {
         let (verdict, answer) = bounded(1);
         let call = CallId(self.calls.replace(self.calls.get().wrapping_add(1)));
-        let arrival = Arrival { call, workload, left: Micros(0), customer, repeat };
         self.held.set(self.held.get() + 1);
-        self.tell(Note::Taken(Taken { arrival, abandon, request: Rc::new(request), verdict })).await;
+        self.tell(Note::Taken(Taken { call, ask, content: Rc::new(content), verdict })).await;
         (call, answer)
     }
 }
 
 struct Call<P: Protocol> {
-    request: Rc<P::Request>,
+    content: Rc<P::Content>,
     abandon: Micros,
     verdict: Option<Sender<Verdict<P::Answer>>>,
     hops: Vec<Hop>,
@@ -170,11 +175,12 @@
 
     fn hear(&mut self, note: Note<P>) {
         match note {
-            Note::Taken(Taken { mut arrival, abandon, request, verdict }) => {
-                arrival.left = abandon - self.desk.clock.now();
-                let call = Call { request, abandon, verdict: Some(verdict), hops: Vec::new() };
-                self.calls.insert(arrival.call, call);
-                self.on(Event::Arrived(arrival));
+            Note::Taken(Taken { call, ask, content, verdict }) => {
+                let Ask { workload, customer, repeat, abandon } = ask;
+                let left = abandon - self.desk.clock.now();
+                let known = Call { content, abandon, verdict: Some(verdict), hops: Vec::new() };
+                self.calls.insert(call, known);
+                self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat }));
             }
             Note::Withdrawn(call) => {
                 if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
@@ -286,8 +292,8 @@
         let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < self.most_hops;
         let address = self.roster.address(server).filter(|_| sound);
         let running = address.and_then(|address| {
-            let (desk, request) = (self.desk.clone(), call.request.clone());
-            let hop = self.protocol.hop(request, address, give_up.min(left));
+            let (desk, content) = (self.desk.clone(), call.content.clone());
+            let hop = self.protocol.hop(content, address, give_up.min(left));
             self.tasks.spawn(async move {
                 let (outcome, answer) = hop.await;
                 desk.tell(Note::Ended { call: id, hop: no, outcome, answer }).await;
--- a/sidecar/src/http1/parse.rs
+++ b/sidecar/src/http1/head.rs
@@ -1,12 +1,10 @@
-//! HTTP/1.1 messages out of bytes, and nothing else: no socket, no clock. Strict, since two readers that take a
-//! message differently let one request hide in another: a message of doubtful framing is a [`Fault`].
+//! The head of an HTTP/1.1 message out of bytes, and nothing else: no socket, no clock. Strict, since two readers
+//! that take a message differently let one hide in another: a message of doubtful framing is a [`Fault`].
 use std::ops::Range;
 
 pub const MOST_HEAD: usize = 16 * 1024;
 pub const MOST_BODY: usize = 64 * 1024;
 const MOST_LINES: usize = 100;
-const MOST_CHUNK_LINE: usize = 256;
-const MOST_TRAILER: usize = 4 * 1024;
 
 /// What is wrong with a message, as the status that says so to whoever sent it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -15,7 +13,7 @@
     pub why: &'static str,
 }
 
-const fn bad(why: &'static str) -> Fault {
+pub const fn bad(why: &'static str) -> Fault {
     Fault { status: 400, why }
 }
 
@@ -34,15 +32,6 @@
     value: Range<usize>,
 }
 
-/// A request or an answer with all of its body.
-#[derive(Clone, Debug)]
-pub struct Message {
-    pub head: Head,
-    pub body: Vec<u8>,
-    /// The connection may carry another message after it.
-    pub lasts: bool,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Framing {
     Length(usize),
@@ -54,7 +43,7 @@
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
-fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+pub fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
     bytes.windows(what.len()).position(|window| window == what)
 }
 
@@ -158,9 +147,9 @@
         line.starts_with(b"HTTP/1.0") || line.ends_with(b"HTTP/1.0")
     }
 
-    /// Whether the connection may go on after this message.
+    /// Whether the connection may go on after this message; never in HTTP/1.0, where few mean it.
     pub fn lasts(&self) -> bool {
-        !self.lists("Connection", "close") && (!self.old() || self.lists("Connection", "keep-alive"))
+        !self.lists("Connection", "close") && !self.old()
     }
 
     fn length(&self) -> Result<Option<usize>, Fault> {
@@ -230,186 +219,3 @@
         }
     }
 }
-
-/// Takes the chunks out of a chunked body.
-#[derive(Debug, Default)]
-pub struct Chunks {
-    state: Chunk,
-    trailer: usize,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug, Default)]
-enum Chunk {
-    #[default]
-    Size,
-    Data(usize),
-    DataEnd,
-    Trailer,
-    Done,
-}
-
-impl Chunks {
-    /// Moves what it can from the front of `bytes` into `body`; says how many bytes are done with.
-    pub fn feed(&mut self, bytes: &[u8], body: &mut Vec<u8>, most: usize) -> Result<usize, Fault> {
-        let mut at = 0;
-        loop {
-            let rest = &bytes[at..];
-            if let Chunk::Data(left) = self.state {
-                let part = left.min(rest.len());
-                body.extend_from_slice(&rest[..part]);
-                at += part;
-                self.state = if part == left { Chunk::DataEnd } else { Chunk::Data(left - part) };
-                if part < left {
-                    return Ok(at);
-                }
-                continue;
-            }
-            if self.state == Chunk::Done {
-                return Ok(at);
-            }
-            if self.state == Chunk::DataEnd && !b"\r\n".starts_with(&rest[..rest.len().min(2)]) {
-                return Err(bad("a chunk is longer than it says"));
-            }
-            let Some(length) = find(&rest[..rest.len().min(MOST_CHUNK_LINE)], b"\r\n") else {
-                let long = rest.len() >= MOST_CHUNK_LINE && self.state != Chunk::Trailer;
-                let long = long || rest.len() >= MOST_TRAILER;
-                return if long { Err(bad("a chunk's line is too long")) } else { Ok(at) };
-            };
-            let line = &rest[..length];
-            at += length + 2;
-            self.state = match self.state {
-                Chunk::Size => match chunk_size(line)? {
-                    0 => Chunk::Trailer,
-                    size if size > most.saturating_sub(body.len()) => {
-                        return Err(Fault { status: 413, why: "the body is too long" })
-                    }
-                    size => Chunk::Data(size),
-                },
-                Chunk::DataEnd => Chunk::Size,
-                _ if line.is_empty() => Chunk::Done,
-                _ => {
-                    self.trailer += length;
-                    if self.trailer > MOST_TRAILER {
-                        return Err(bad("the trailer is too long"));
-                    }
-                    Chunk::Trailer
-                }
-            };
-        }
-    }
-
-    pub fn done(&self) -> bool {
-        self.state == Chunk::Done
-    }
-}
-
-fn chunk_size(line: &[u8]) -> Result<usize, Fault> {
-    let digits = line.split(|&byte| byte == b';').next().unwrap_or_default().trim_ascii_end();
-    let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
-    let text = std::str::from_utf8(digits).ok().filter(|_| hex);
-    let size = text.and_then(|text| usize::from_str_radix(text, 16).ok());
-    size.ok_or(bad("a chunk's size is no number"))
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Side {
-    Requests,
-    Answers,
-}
-
-/// Puts whole messages together from bytes as they come.
-#[derive(Debug)]
-pub struct Assembler {
-    side: Side,
-    bytes: Vec<u8>,
-    part: Option<Part>,
-}
-
-#[derive(Debug)]
-struct Part {
-    head: Head,
-    framing: Framing,
-    chunks: Chunks,
-    body: Vec<u8>,
-}
-
-impl Assembler {
-    pub fn new(side: Side) -> Assembler {
-        Assembler { side, bytes: Vec::new(), part: None }
-    }
-
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    /// Bytes that came and belong to no message that was given out.
-    pub fn held(&self) -> usize {
-        self.bytes.len() + self.part.as_ref().map_or(0, |part| part.body.len() + 1)
-    }
-
-    /// Whether a sender waits for leave to send the body of the message that has begun.
-    pub fn waits_for_leave(&self) -> bool {
-        let bodiless = |part: &&Part| part.body.is_empty() && part.framing != Framing::Length(0);
-        self.part.as_ref().filter(bodiless).is_some_and(|part| part.head.lists("Expect", "100-continue"))
-    }
-
-    /// The next whole message, if it is all there.
-    pub fn take(&mut self) -> Result<Option<Message>, Fault> {
-        while self.part.is_none() {
-            if self.side == Side::Requests {
-                // A line's end or two before a request is what some clients leave after the last body.
-                let blank = self.bytes.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
-                self.bytes.drain(..blank);
-            }
-            let Some((head, taken)) = Head::parse(&self.bytes)? else { return Ok(None) };
-            self.bytes.drain(..taken);
-            let framing = match self.side {
-                Side::Requests => head.request().and_then(|_| head.request_framing())?,
-                Side::Answers => head.answer_framing()?,
-            };
-            // An interim answer is no answer, and leave to speak another protocol was never asked for.
-            match self.side {
-                Side::Answers if head.status()? == 101 => return Err(bad("another protocol")),
-                Side::Answers if head.status()? < 200 => continue,
-                _ => self.part = Some(Part { head, framing, chunks: Chunks::default(), body: Vec::new() }),
-            }
-        }
-        let Some(part) = &mut self.part else { return Ok(None) };
-        let whole = match part.framing {
-            Framing::Length(length) => {
-                let taken = (length - part.body.len()).min(self.bytes.len());
-                part.body.extend(self.bytes.drain(..taken));
-                part.body.len() == length
-            }
-            Framing::Chunked => {
-                let taken = part.chunks.feed(&self.bytes, &mut part.body, MOST_BODY)?;
-                self.bytes.drain(..taken);
-                part.chunks.done()
-            }
-            Framing::UntilClose => {
-                part.body.append(&mut self.bytes);
-                if part.body.len() > MOST_BODY {
-                    return Err(Fault { status: 413, why: "the body is too long" });
-                }
-                false
-            }
-        };
-        Ok(if whole { self.give(true) } else { None })
-    }
-
-    /// The other side has ended its sending: an answer whose end was to be told so is whole now.
-    pub fn ended(&mut self) -> Option<Message> {
-        let until_close = self.part.as_ref().is_some_and(|part| part.framing == Framing::UntilClose);
-        if until_close {
-            self.give(false)
-        } else {
-            None
-        }
-    }
-
-    fn give(&mut self, lasts: bool) -> Option<Message> {
-        let Part { head, body, .. } = self.part.take()?;
-        let lasts = lasts && head.lasts();
-        Some(Message { head, body, lasts })
-    }
-}
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -1,5 +1,6 @@
 //! One hop: a request to a server, and what comes back, as the outcome that the protocol gives it.
-use super::parse::{Assembler, Fault, Head, Message, Side};
+use super::head::{Fault, Head};
+use super::messages::{Assembler, Message, Side};
 use super::pool::{Link, Pool};
 use crate::timers::duration;
 use async_io::Timer;
@@ -36,11 +37,11 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, request: Rc<Outgoing>, to: SocketAddr, give_up: Micros,
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: SocketAddr, give_up: Micros,
 ) -> (Outcome, Option<Message>) {
     let written = Cell::new(false);
     let exchange = async {
-        let exchanged = exchange(&pool, &request, to, give_up, &written).await;
+        let exchanged = exchange(&pool, &content, to, give_up, &written).await;
         exchanged.map_or_else(|outcome| (outcome, None), judge)
     };
     let late = async {
@@ -52,13 +53,13 @@
 }
 
 async fn exchange(
-    pool: &Pool, request: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<bool>,
+    pool: &Pool, content: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<bool>,
 ) -> Result<Message, Outcome> {
     let link = match pool.idle(to) {
         Some(link) => link,
         None => pool.connect(to).await?,
     };
-    let sent = (&link.stream).write_all(&request.bytes(give_up)).await;
+    let sent = (&link.stream).write_all(&content.bytes(give_up)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
     written.set(true);
     // From here on it may have run, whatever breaks.
--- /dev/null
+++ b/sidecar/src/http1/messages.rs
@@ -0,0 +1,124 @@
+//! Whole messages put together from bytes as they come, without a socket.
+//!
+//! ```
+//! use oakhollow_sidecar::http1::messages::{Assembler, Side};
+//! let mut inbox = Assembler::new(Side::Answers);
+//! inbox.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\noak\r\n6\r\nhol");
+//! assert!(inbox.take().unwrap().is_none());
+//! inbox.push(b"low\r\n0\r\n\r\n");
+//! assert_eq!(inbox.take().unwrap().unwrap().body, b"oakhollow");
+//! ```
+use super::chunks::Chunks;
+use super::head::{bad, Fault, Framing, Head, MOST_BODY};
+
+/// A request or an answer with all of its body.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub head: Head,
+    pub body: Vec<u8>,
+    /// The connection may carry another message after it.
+    pub lasts: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Side {
+    Requests,
+    Answers,
+}
+
+/// Puts whole messages together from bytes as they come.
+#[derive(Debug)]
+pub struct Assembler {
+    side: Side,
+    bytes: Vec<u8>,
+    part: Option<Part>,
+}
+
+#[derive(Debug)]
+struct Part {
+    head: Head,
+    framing: Framing,
+    chunks: Chunks,
+    body: Vec<u8>,
+}
+
+impl Assembler {
+    pub fn new(side: Side) -> Assembler {
+        Assembler { side, bytes: Vec::new(), part: None }
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes that came and belong to no message that was given out.
+    pub fn held(&self) -> usize {
+        self.bytes.len() + self.part.as_ref().map_or(0, |part| part.body.len() + 1)
+    }
+
+    /// Whether a sender waits for leave to send the body of the message that has begun.
+    pub fn waits_for_leave(&self) -> bool {
+        let bodiless = |part: &&Part| part.body.is_empty() && part.framing != Framing::Length(0);
+        self.part.as_ref().filter(bodiless).is_some_and(|part| part.head.lists("Expect", "100-continue"))
+    }
+
+    /// The next whole message, if it is all there.
+    pub fn take(&mut self) -> Result<Option<Message>, Fault> {
+        while self.part.is_none() {
+            if self.side == Side::Requests {
+                // A line's end or two before a request is what some clients leave after the last body.
+                let blank = self.bytes.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
+                self.bytes.drain(..blank);
+            }
+            let Some((head, taken)) = Head::parse(&self.bytes)? else { return Ok(None) };
+            self.bytes.drain(..taken);
+            let framing = match self.side {
+                Side::Requests => head.request().and_then(|_| head.request_framing())?,
+                Side::Answers => head.answer_framing()?,
+            };
+            // An interim answer is no answer, and leave to speak another protocol was never asked for.
+            match self.side {
+                Side::Answers if head.status()? == 101 => return Err(bad("another protocol")),
+                Side::Answers if head.status()? < 200 => continue,
+                _ => self.part = Some(Part { head, framing, chunks: Chunks::default(), body: Vec::new() }),
+            }
+        }
+        let Some(part) = &mut self.part else { return Ok(None) };
+        let whole = match part.framing {
+            Framing::Length(length) => {
+                let taken = (length - part.body.len()).min(self.bytes.len());
+                part.body.extend(self.bytes.drain(..taken));
+                part.body.len() == length
+            }
+            Framing::Chunked => {
+                let taken = part.chunks.feed(&self.bytes, &mut part.body, MOST_BODY)?;
+                self.bytes.drain(..taken);
+                part.chunks.done()
+            }
+            Framing::UntilClose => {
+                part.body.append(&mut self.bytes);
+                if part.body.len() > MOST_BODY {
+                    return Err(Fault { status: 413, why: "the body is too long" });
+                }
+                false
+            }
+        };
+        Ok(if whole { self.give(true) } else { None })
+    }
+
+    /// The other side has ended its sending: an answer whose end was to be told so is whole now.
+    pub fn ended(&mut self) -> Option<Message> {
+        let until_close = self.part.as_ref().is_some_and(|part| part.framing == Framing::UntilClose);
+        if until_close {
+            self.give(false)
+        } else {
+            None
+        }
+    }
+
+    fn give(&mut self, lasts: bool) -> Option<Message> {
+        let Part { head, body, .. } = self.part.take()?;
+        let lasts = lasts && head.lasts();
+        Some(Message { head, body, lasts })
+    }
+}
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -1,12 +1,17 @@
 //! The platform's protocol, HTTP/1.1 over plain TCP. Nothing outside this folder knows it.
+pub mod answers;
 pub mod callers;
+pub mod chunks;
+pub mod door;
+pub mod head;
 pub mod hop;
-pub mod parse;
+pub mod messages;
 pub mod pool;
 pub mod watch;
 
-use crate::decider::{Decider, Protocol};
+use crate::decider::Protocol;
 use oakhollow::types::{Micros, Outcome};
+use oakhollow_terms::Named;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,14 +21,20 @@
     pub pool: Rc<pool::Pool>,
 }
 
+/// What requests call things by.
+pub struct Names {
+    pub workloads: Vec<Named>,
+    pub customers: Vec<String>,
+}
+
 impl Protocol for Http1 {
-    type Request = hop::Outgoing;
-    type Answer = parse::Message;
+    type Content = hop::Outgoing;
+    type Answer = messages::Message;
 
     fn hop(
-        &self, request: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros,
-    ) -> impl Future<Output = (Outcome, Option<parse::Message>)> + 'static {
-        hop::hop(self.pool.clone(), request, to, give_up)
+        &self, content: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros,
+    ) -> impl Future<Output = (Outcome, Option<messages::Message>)> + 'static {
+        hop::hop(self.pool.clone(), content, to, give_up)
     }
 
     fn retire(&self, at: SocketAddr) {
@@ -33,4 +44,4 @@
 
 pub type Desk = crate::decider::Desk<Http1>;
 pub type Note = crate::decider::Note<Http1>;
-pub type Http1Decider = Decider<Http1>;
+pub type Decider = crate::decider::Decider<Http1>;
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -32,9 +32,13 @@
     }
 }
 
+/// One stay of a connection in the pool; the longer ago it began, the lower.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+struct LinkId(u64);
+
 struct Idle {
     link: Rc<Link>,
-    number: u64,
+    id: LinkId,
     /// Retires the connection by its age, or when it turns readable.
     _guard: Option<Task<()>>,
 }
@@ -44,7 +48,7 @@
     tasks: Tasks,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
-    parked: Cell<u64>,
+    parked: Cell<LinkId>,
     most: usize,
     connect_within: Micros,
     keep: Micros,
@@ -58,7 +62,7 @@
             tasks,
             idle: RefCell::default(),
             open: Rc::default(),
-            parked: Cell::new(0),
+            parked: Cell::default(),
             most,
             connect_within,
             // Guards against writing a request to a connection that the server is about to close.
@@ -106,7 +110,7 @@
 
     /// Keeps a connection whose answer has come whole.
     pub fn park(&self, to: SocketAddr, link: Rc<Link>) {
-        let number = self.parked.replace(self.parked.get() + 1);
+        let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
         let (pool, keep, watched) = (self.me.clone(), duration(self.keep), link.clone());
         let guard = self.tasks.spawn(async move {
             let stirred = async { drop(watched.stream.readable().await) };
@@ -115,11 +119,11 @@
             if let Some(pool) = pool.upgrade() {
                 let mut idle = pool.idle.borrow_mut();
                 if let Some(links) = idle.get_mut(&to) {
-                    links.retain(|idle| idle.number != number);
+                    links.retain(|idle| idle.id != id);
                 }
             }
         });
-        self.idle.borrow_mut().entry(to).or_default().push(Idle { link, number, _guard: guard });
+        self.idle.borrow_mut().entry(to).or_default().push(Idle { link, id, _guard: guard });
     }
 
     /// Closes what stands idle to a server that wants nothing new.
@@ -129,7 +133,7 @@
 
     fn drop_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(at, links)| Some((links.first()?.number, *at))).min();
+        let oldest = idle.iter().filter_map(|(at, links)| Some((links.first()?.id, *at))).min();
         if let Some(links) = oldest.and_then(|(_, at)| idle.get_mut(&at)) {
             links.remove(0);
         }
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,11 +1,12 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
-use super::parse::{Chunks, Framing, Head};
+use super::chunks::Chunks;
+use super::head::{Framing, Head};
 use super::{Desk, Note};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::ListKind;
-use oakhollow_terms::{read, List};
+use oakhollow_terms::{read, List, Version};
 use slog::{info, Logger};
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
@@ -17,13 +18,12 @@
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
 pub struct Watch {
-    pub discovery: SocketAddr,
-    pub desk: Rc<Desk>,
-    /// One for each time that the module asks.
-    pub asks: Receiver<()>,
+    discovery: SocketAddr,
     /// The version of the list that was told last.
-    pub index: u64,
-    pub log: Logger,
+    told: Version,
+    desk: Rc<Desk>,
+    asks: Receiver<()>,
+    log: Logger,
 }
 
 async fn within<T>(work: impl std::future::Future<Output = std::io::Result<T>>) -> Result<T, String> {
@@ -35,6 +35,13 @@
 }
 
 impl Watch {
+    /// `asks` holds one for each time that the module asks.
+    pub fn new(
+        discovery: SocketAddr, told: Version, desk: Rc<Desk>, asks: Receiver<()>, log: Logger,
+    ) -> Watch {
+        Watch { discovery, told, desk, asks, log }
+    }
+
     pub async fn run(mut self) {
         let asks = self.asks.clone();
         let mut asked = asks.recv().await;
@@ -57,7 +64,7 @@
         let stream = within(Async::<TcpStream>::connect(self.discovery)).await?;
         let ask = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
-            self.index, self.discovery
+            self.told.0, self.discovery
         );
         within((&stream).write_all(ask.as_bytes())).await?;
         let (mut bytes, mut lines, mut chunks, mut framing) =
@@ -104,11 +111,11 @@
         }
         let list: List = read(line).map_err(|fault| {
             // What a line that can't be read would have told is unknown: the next watch starts from the whole list.
-            self.index = 0;
+            self.told = Version::default();
             info!(self.log, "a line of the list makes no sense: {}", fault);
             fault
         })?;
-        self.index = list.index;
+        self.told = list.index;
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
         self.desk.tell(Note::Listed(kind, list)).await;
         Ok(())
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,9 +1,9 @@
 //! The program's life from start to exit, as named phases of one object.
 use crate::decider::Parts;
-use crate::http1::callers::Door;
+use crate::http1::door::Door;
 use crate::http1::pool::Pool;
 use crate::http1::watch::Watch;
-use crate::http1::{Desk, Http1, Http1Decider};
+use crate::http1::{Decider, Desk, Http1, Names};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use async_channel::bounded;
@@ -24,13 +24,15 @@
 const NOTICE: Duration = Duration::from_millis(600);
 /// How long a taken address is tried again.
 const REBIND: Duration = Duration::from_secs(2);
+/// How often it is looked whether all have left.
+const LOOK: Duration = Duration::from_millis(10);
 /// Descriptors that are neither a caller's connection nor a server's.
 const OWN_SOCKETS: usize = 24;
 /// What one connection may take of the memory at worst, of its bodies, heads and buffers.
 const CONNECTION_KB: f64 = 160.0;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Phase {
+enum Phase {
     /// Bound, and nobody sent here yet.
     Starting,
     Serving,
@@ -68,15 +70,19 @@
 ];
 
 /// One sidecar from its start to its end.
-pub struct Program {
+struct Program {
     phase: Phase,
-    start: Start,
+    /// When the phase began.
+    since: Instant,
     log: Logger,
     tasks: Tasks,
-    listener: Rc<Async<TcpListener>>,
-    door: Rc<Door>,
+    /// Given up when nobody new is taken in any more.
+    listener: Option<Rc<Async<TcpListener>>>,
     welcome: Option<Task<()>>,
-    told: Instant,
+    door: Rc<Door>,
+    desk: Rc<Desk>,
+    /// The longest that any API call may take.
+    longest: Duration,
 }
 
 /// Comes to an end when the process gets SIGTERM or SIGINT.
@@ -111,13 +117,15 @@
 
 impl Program {
     fn build(start: Start, log: Logger, tasks: Tasks, listener: Async<TcpListener>) -> Result<Program> {
-        let place = Rc::new(start.place.clone());
+        let Start { place, limits, known, .. } = start;
+        info!(log, "listening on {}", listener.get_ref().local_addr()?; "tier" => &place.tier);
         let (desk, notes) = Desk::new(Clock::start());
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
-        let by_memory = (start.limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
-        let most = (start.limits.sockets - OWN_SOCKETS).min(by_memory.max(16)) / 2;
+        let by_memory = (limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
+        let most = (limits.sockets - OWN_SOCKETS).min(by_memory) / 2;
         let pool = Pool::new(tasks.clone(), most, place.connect_within, place.idle_close);
         let (ask, asks) = bounded(1);
+        let watch = Watch::new(start.discovery, known.index, desk.clone(), asks, log.clone());
         let parts = Parts {
             protocol: Rc::new(Http1 { pool }),
             desk: desk.clone(),
@@ -125,16 +133,22 @@
             log: log.clone(),
             ask,
         };
-        let (discovery, index, watch_log) = (start.discovery, start.known.index, log.clone());
-        let watch = Watch { discovery, desk: desk.clone(), asks, index, log: watch_log };
+        let decider = Decider::new(&place, start.seed, &known, parts);
         tasks.run(watch.run());
-        let decider = Http1Decider::new(&place, start.seed, &start.known, parts);
         tasks.run(decider.run(notes));
-        info!(log, "listening on {}", listener.get_ref().local_addr()?; "tier" => &place.tier);
-        let listener = Rc::new(listener);
-        let door = Door::new(desk, place, tasks.clone(), log.clone(), most);
-        let (phase, welcome, told) = (Phase::Starting, None, Instant::now());
-        Ok(Program { phase, start, log, tasks, listener, door, welcome, told })
+        let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
+        let names = Names { workloads: place.workloads, customers: place.customers };
+        Ok(Program {
+            phase: Phase::Starting,
+            since: Instant::now(),
+            door: Door::new(desk.clone(), names, tasks.clone(), log.clone(), most),
+            listener: Some(Rc::new(listener)),
+            welcome: None,
+            longest: duration(longest),
+            desk,
+            log,
+            tasks,
+        })
     }
 
     async fn live(mut self, stop: impl Future<Output = ()>) {
@@ -144,51 +158,50 @@
                 Phase::Starting => Sign::Bound,
                 Phase::Serving => {
                     (&mut stop).await;
-                    self.told = Instant::now();
                     Sign::Told
                 }
                 Phase::Leaving => {
-                    Timer::at(self.told + NOTICE).await;
+                    Timer::at(self.since + NOTICE).await;
                     Sign::Noticed
                 }
                 Phase::Finishing if self.door.open() == 0 => Sign::Empty,
-                Phase::Finishing if self.told.elapsed() > NOTICE + self.longest() => Sign::Overdue,
+                Phase::Finishing if self.since.elapsed() > self.longest => Sign::Overdue,
                 Phase::Finishing | Phase::Over => {
-                    Timer::after(Duration::from_millis(10)).await;
+                    Timer::after(LOOK).await;
                     continue;
                 }
             };
-            self.step(sign);
+            self.step(sign).await;
         }
     }
 
-    /// The longest that any API call may take.
-    fn longest(&self) -> Duration {
-        duration(self.start.place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default())
-    }
-
-    fn step(&mut self, sign: Sign) {
+    async fn step(&mut self, sign: Sign) {
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
             Effect::Open => {
-                let (door, listener) = (self.door.clone(), self.listener.clone());
-                self.welcome = self.tasks.spawn(async move { door.welcome(&listener).await });
+                let welcome = self.listener.clone().map(|listener| self.door.clone().welcome(listener));
+                self.welcome = welcome.and_then(|welcome| self.tasks.spawn(welcome));
                 self.door.set_able(true);
             }
             Effect::SayNo => self.door.set_able(false),
             Effect::Shut => {
-                self.welcome = None;
+                if let Some(welcome) = self.welcome.take() {
+                    welcome.cancel().await;
+                }
                 self.door.close();
-                self.door.take_rest(&self.listener);
+                // Dropped at once after: a listener left open would go on accepting for nobody.
+                if let Some(listener) = self.listener.take() {
+                    self.door.take_rest(&listener);
+                }
             }
             Effect::Nothing => {}
         }
-        self.phase = phase;
-        let (held, open, after) = (self.door.held(), self.door.open(), self.told.elapsed().as_millis());
+        let (held, open, after) = (self.desk.held.get(), self.door.open(), self.since.elapsed().as_millis());
         info!(
             self.log,
             "{:?}: {:?} after {} ms, {} calls held, {} connections", phase, sign, after, held, open
         );
+        (self.phase, self.since) = (phase, Instant::now());
     }
 }
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -4,7 +4,8 @@
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server
-//! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, discovery=none
+//! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
+//!   taken (how long somebody else holds its address), deaf (its log is closed once it serves)
 //! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
 //!   `calls COUNT WORKLOAD LEFT`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
@@ -12,7 +13,7 @@
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT`: idle connections
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `gone NAME LEAST` given up, `got NAME BYTES` last
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`; `asked COUNT` watches at least
-//! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `calm`: it has used next to no CPU
+//! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
 #[path = "../../tests/runner/mod.rs"]
 mod runner;
@@ -217,16 +218,19 @@
         };
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
-            "connect_timeout_s":{},"idle_close_s":60}},"discovery":"on_request","zones":["a"],
+            "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}","zones":["a"],
             "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
+            get("listen", "127.0.0.1:0"),
             get("sockets", "1024"),
             self.list(true, &names),
             get("hops", "4"),
             get("connect", "0.2"),
+            get("idle", "60"),
+            get("discovery", "on_request"),
             workload("view", "read_like"),
             workload("save", "idempotency_key"),
             workload("pay", "non_idempotent"),
@@ -253,20 +257,31 @@
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         let whole = self.list(true, &names);
         self.discovery.lock().expect("discovery").whole = whole;
-        if !words.contains(&"discovery=none") {
-            let shared = self.discovery.clone();
-            thread::spawn(move || discover(listener, shared));
-        }
+        let shared = self.discovery.clone();
+        thread::spawn(move || discover(listener, shared));
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
         let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
-        let mut program = self.launch(&self.config(words, &address.to_string()), &before);
+        // An address that somebody holds for a moment more.
+        let taken = words.iter().find_map(|word| word.strip_prefix("taken=")).map(|time| (listen(), time));
+        let listen = taken.as_ref().map(|((_, address), _)| format!("listen={address}"));
+        let words: Vec<&str> = words.iter().copied().chain(listen.as_deref()).collect();
+        let mut program = self.launch(&self.config(&words, &address.to_string()), &before);
+        if let Some(((holder, _), time)) = taken {
+            thread::sleep(Duration::from_micros(runner::length_us(time)));
+            drop(holder);
+        }
+        let deaf = words.contains(&"deaf");
         let (mut errors, said) =
             (program.stderr.take().expect("its log"), Arc::new(Mutex::new(String::new())));
         let shared = said.clone();
         thread::spawn(move || {
             let mut buffer = [0; 1024];
             while let Some(count) = errors.read(&mut buffer).ok().filter(|count| *count > 0) {
-                *shared.lock().expect("log") += &String::from_utf8_lossy(&buffer[..count]);
+                let mut said = shared.lock().expect("log");
+                *said += &String::from_utf8_lossy(&buffer[..count]);
+                if deaf && said.contains("Serving") {
+                    break;
+                }
             }
         });
         until("it listens", || {
@@ -420,6 +435,7 @@
                 let (words, said) = (words[1..].join(" "), &self.program.as_ref().expect("a sidecar").1);
                 until("it says so", || said.lock().expect("log").contains(&words));
             }
+            ["unreachable"] => assert!(TcpStream::connect(self.port.expect("a sidecar")).is_err()),
             ["calm"] => {
                 let id = self.program.as_ref().expect("a sidecar").0.id();
                 let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("its figures");
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -5,8 +5,8 @@
 mod place;
 mod start;
 
-pub use list::{Entry, List};
-pub use place::{micros, Place};
+pub use list::{Entry, List, Version};
+pub use place::{micros, Named, Place};
 pub use start::{Limits, Start};
 
 use fnv::FnvHasher;
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -4,6 +4,10 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// Which state of the list was told.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Deserialize)]
+pub struct Version(pub u64);
+
 /// One whole list, or the entries that changed since the one before.
 ///
 /// ```
@@ -13,7 +17,7 @@
 /// ```
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct List {
-    pub index: u64,
+    pub index: Version,
     pub snapshot: bool,
     pub endpoints: Vec<Entry>,
 }
