--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -16,7 +16,7 @@
 /// How long a request may take to come once its first byte has, and an answer to be taken.
 const SLOWEST: Duration = Duration::from_secs(10);
 /// What a caller may send ahead while its API call is out.
-const MOST_AHEAD: usize = 64 * 1024;
+const MOST_AHEAD: usize = 16 * 1024;
 
 pub struct Caller<'a> {
     door: &'a Door,
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -70,6 +70,7 @@
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
+        let mut heard = false;
         loop {
             let count = within((&stream).read(&mut buffer)).await?;
             if count == 0 {
@@ -94,7 +95,7 @@
             }
             while let Some(end) = lines.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
-                self.tell(line.trim_ascii()).await?;
+                self.tell(line.trim_ascii(), !std::mem::replace(&mut heard, true)).await?;
             }
             if chunks.done() {
                 return Err("discovery ended the watch".into());
@@ -105,11 +106,14 @@
         }
     }
 
-    async fn tell(&mut self, line: &[u8]) -> Result<(), String> {
-        if line.is_empty() {
-            return Ok(());
-        }
-        let list: List = read(line).map_err(|fault| {
+    async fn tell(&mut self, line: &[u8], first: bool) -> Result<(), String> {
+        let list: Result<List, String> = match line {
+            // Guards against asking again and again where nothing has changed: the module waits for an answer.
+            b"" if first => Ok(List { index: self.told, ..List::default() }),
+            b"" => return Ok(()),
+            _ => read(line),
+        };
+        let list = list.map_err(|fault| {
             // What a line that can't be read would have told is unknown: the next watch starts from the whole list.
             self.told = Version::default();
             info!(self.log, "a line of the list makes no sense: {}", fault);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -5,7 +5,8 @@
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
-//!   taken (how long somebody else holds its address), deaf (its log is closed once it serves)
+//!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
+//!   (its log is closed once it serves)
 //! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
 //!   `calls COUNT WORKLOAD LEFT`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
@@ -13,7 +14,8 @@
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
-//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`; `asked COUNT` watches at least
+//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`; `asked COUNT` watches at
+//!   least, `asked COUNT only`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
 #[path = "../../tests/runner/mod.rs"]
@@ -145,7 +147,8 @@
 struct Discovery {
     down: bool,
     asked: usize,
-    whole: String,
+    /// What a watch is told first.
+    first: String,
     watches: Vec<TcpStream>,
 }
 
@@ -162,7 +165,7 @@
         let answer = match discovery.down {
             true => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
             false => {
-                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&discovery.whole))
+                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&discovery.first))
             }
         };
         if stream.write_all(answer.as_bytes()).is_ok() && !discovery.down {
@@ -225,7 +228,7 @@
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}","zones":["a"],
-            "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
+            "rules":{{"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
             get("listen", "127.0.0.1:0"),
             get("sockets", "1024"),
@@ -234,6 +237,7 @@
             get("connect", "0.2"),
             get("idle", "60"),
             get("discovery", "on_request"),
+            get("ask", "10"),
             workload("view", "read_like"),
             workload("save", "idempotency_key"),
             workload("pay", "non_idempotent"),
@@ -258,8 +262,8 @@
     fn sidecar(&mut self, words: &[&str]) {
         let (listener, address) = listen();
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
-        let whole = self.list(true, &names);
-        self.discovery.lock().expect("discovery").whole = whole;
+        let first = if words.contains(&"unchanged") { String::new() } else { self.list(true, &names) };
+        self.discovery.lock().expect("discovery").first = first;
         let shared = self.discovery.clone();
         thread::spawn(move || discover(listener, shared));
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
@@ -418,6 +422,9 @@
                 let count: usize = count.parse().expect("a count");
                 until("it asks", || self.discovery.lock().expect("discovery").asked >= count);
             }
+            ["asked", count, "only"] => {
+                assert_eq!(self.discovery.lock().expect("discovery").asked.to_string(), count);
+            }
             ["ready", status] => until("ready or not", || {
                 let mut stream = self.connect();
                 stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
