Room in the pool is made before it is looked for again; a leftover group is left alone

Also: the group of a workload that is not tagged is left alone again, as before the settings moved to terms; the adapter's message begins with the key.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -66,8 +66,10 @@
         if line.trim().is_empty() {
             continue;
         }
-        let heard =
-            serde_json::from_str(&line).map_err(|trouble| format!("line {}: {trouble}", number + 1))?;
+        let heard = serde_json::from_str(&line).map_err(|trouble| {
+            // A check of the settings begins with the key below the settings.
+            format!("line {}: {}", number + 1, trouble.to_string().trim_start_matches('.'))
+        })?;
         let done = host.hear(heard).map_err(|trouble| format!("line {}: {trouble}", number + 1))?;
         if done {
             output
--- a/adapter/tests/framing.rs
+++ b/adapter/tests/framing.rs
@@ -64,4 +64,6 @@
     refused(&format!("{clock}\n{INIT}\n{targets}\n"), &["line 3", "sheet", "3"]);
     let order = r#"{"what":"ORDER","who":0,"xid":9,"category":7,"expires_in_s":1}"#;
     refused(&format!("{clock}\n{INIT}\n{order}\n"), &["line 3", "category", "7"]);
+    let init = INIT.replace(r#""most_hops":3"#, r#""most_hops":0"#);
+    refused(&format!("{clock}\n{init}\n"), &["line 2: bounds.most_hops"]);
 }
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -4,17 +4,18 @@
 use super::head::Fault;
 use super::hop::{Outgoing, TIMEOUT};
 use super::messages::{Assembler, Message, Side};
-use super::pool::part;
 use super::Note;
 use crate::decider::{Ask, Verdict};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::*;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
 /// How long a request may take to come once its first byte has, and an answer to be taken.
 const SLOWEST: Duration = Duration::from_secs(10);
+/// How long a caller that has its last answer may take to close.
+const LINGER: Duration = Duration::from_millis(500);
 /// What a caller may send ahead while its API call is out.
 const MOST_AHEAD: usize = 16 * 1024;
 
@@ -52,7 +53,7 @@
                 return;
             }
             if !lasts {
-                return drop(part(&self.stream).await);
+                return self.part().await;
             }
         }
     }
@@ -157,6 +158,20 @@
         })
     }
 
+    /// Ends our sending, and waits a little for the caller to end its own: a close with bytes unread would reset
+    /// the connection, and could take the answer with it.
+    async fn part(&self) {
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let drained = async {
+            let mut buffer = [0; 1024];
+            while read(&self.stream, &mut buffer).await.is_some() {}
+        };
+        let late = async { _ = Timer::after(LINGER).await };
+        future::or(drained, late).await;
+    }
+
     /// False if the caller is gone or takes nothing.
     async fn write(&self, bytes: &[u8]) -> bool {
         let written = async { (&self.stream).write_all(bytes).await.is_ok() };
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -8,19 +8,29 @@
 use oakhollow::types::{Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{ErrorKind, Result};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 
 /// One open connection; dropping it closes it.
 pub struct Link {
     pub stream: Async<TcpStream>,
-    open: Rc<Cell<usize>>,
+    _counted: Counted,
+}
+
+/// One of the connections that are open or on their way.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn among(open: &Rc<Cell<usize>>) -> Counted {
+        open.set(open.get() + 1);
+        Counted(open.clone())
+    }
 }
 
-impl Drop for Link {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.open.set(self.open.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -40,7 +50,7 @@
     link: Rc<Link>,
     id: LinkId,
     /// Retires the connection by its age, or when it turns readable.
-    _guard: Option<Task<()>>,
+    guard: Option<Task<()>>,
 }
 
 pub struct Pool {
@@ -81,16 +91,15 @@
     }
 
     /// Opens a connection. The outcome of a failure proves that nothing ran.
-    pub async fn connect(&self, to: SocketAddr) -> std::result::Result<Rc<Link>, Outcome> {
+    pub async fn connect(&self, to: SocketAddr) -> Result<Rc<Link>, Outcome> {
         if self.open.get() >= self.most {
-            self.drop_oldest();
+            self.drop_oldest().await;
         }
         if self.open.get() >= self.most {
             return Err(Outcome::NotSent);
         }
-        // Counted from here on, so that connections on their way keep to the bound too.
-        self.open.set(self.open.get() + 1);
-        let held = Held(self.open.clone());
+        // Before the first wait, so that connections on their way keep to the bound too.
+        let counted = Counted::among(&self.open);
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
         let late = async {
             Timer::after(duration(self.connect_within)).await;
@@ -99,8 +108,7 @@
         match future::or(connected, late).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                std::mem::forget(held); // the link counts itself from now on
-                Ok(Rc::new(Link { stream, open: self.open.clone() }))
+                Ok(Rc::new(Link { stream, _counted: counted }))
             }
             // Our own lack of descriptors says nothing of the server.
             Some(Err(fault)) if out_of_descriptors(&fault) => Err(Outcome::NotSent),
@@ -123,7 +131,7 @@
                 }
             }
         });
-        self.idle.borrow_mut().entry(to).or_default().push(Idle { link, id, _guard: guard });
+        self.idle.borrow_mut().entry(to).or_default().push(Idle { link, id, guard });
     }
 
     /// Closes what stands idle to a server that wants nothing new.
@@ -131,39 +139,23 @@
         self.idle.borrow_mut().remove(&at);
     }
 
-    fn drop_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(at, links)| Some((links.first()?.id, *at))).min();
-        if let Some(links) = oldest.and_then(|(_, at)| idle.get_mut(&at)) {
-            links.remove(0);
+    async fn drop_oldest(&self) {
+        let Some(Idle { link, guard, .. }) = self.take_oldest() else { return };
+        drop(link);
+        // Guards against counting the connection on: its guard holds it too, until that has come to its end.
+        if let Some(guard) = guard {
+            guard.cancel().await;
         }
     }
-}
-
-/// Counts a connection that is being opened.
-struct Held(Rc<Cell<usize>>);
 
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+    fn take_oldest(&self) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(at, links)| Some((links.first()?.id, *at))).min();
+        oldest.and_then(|(_, at)| Some(idle.get_mut(&at)?.remove(0)))
     }
 }
 
 /// EMFILE and ENFILE.
-pub fn out_of_descriptors(fault: &std::io::Error) -> bool {
+fn out_of_descriptors(fault: &std::io::Error) -> bool {
     matches!(fault.raw_os_error(), Some(23 | 24))
 }
-
-/// Ends our sending, and waits a little for the other side to end its own: a close with bytes unread would
-/// reset the connection, and could take the answer with it.
-pub async fn part(stream: &Async<TcpStream>) -> Result<()> {
-    use futures_lite::AsyncReadExt;
-    stream.get_ref().shutdown(std::net::Shutdown::Write)?;
-    let drained = async {
-        let (mut rest, mut buffer) = (stream, [0; 1024]);
-        while rest.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
-    };
-    let late = async { _ = Timer::after(std::time::Duration::from_millis(500)).await };
-    future::or(drained, late).await;
-    Ok(())
-}
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -3,7 +3,8 @@
 //!
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
-//!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server
+//!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server;
+//!   `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves)
@@ -379,6 +380,10 @@
         match words[..] {
             ["server", name, how] => self.server(name, how, "hello"),
             ["server", name, how, body] => self.server(name, how, body),
+            ["servers", count, how] => {
+                let count: usize = count.parse().expect("a count");
+                (0..count).for_each(|number| self.server(&format!("s{number}"), how, "hello"));
+            }
             ["sidecar", ..] => self.sidecar(&words[1..]),
             ["call", id, workload, left] => self.call(id, self.connect(), workload, left),
             ["calls", count, workload, left] => {
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -14,7 +14,7 @@
 /// assert!(fault.starts_with("workloads[0].semantics: unknown variant `sometimes`"), "{fault}");
 /// let json = json.replace("sometimes", "idempotency_key");
 /// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(json.as_bytes()).unwrap_err();
-/// assert_eq!(fault, "workloads[0].group: missing, and needed for idempotency_key");
+/// assert_eq!(fault, "workloads[0].group: must be all, zone or cell for idempotency_key, not \"\"");
 /// let place: oakhollow_terms::Place = oakhollow_terms::read(json.replace("idempotency_key", "read_like").as_bytes()).unwrap();
 /// assert_eq!(place.terms.most_hops, 3);
 /// assert_eq!(place.workloads[0].name, "view");
@@ -153,7 +153,7 @@
     payoff: f64,
     semantics: Semantics,
     #[serde(default)]
-    group: Option<Within>,
+    group: String, // means something for tagged ones only
     #[serde(default)]
     memory_span_s: f64,
 }
@@ -166,14 +166,6 @@
     NonIdempotent,
 }
 
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-enum Within {
-    All,
-    Zone,
-    Cell,
-}
-
 impl TryFrom<Told> for Place {
     type Error = String;
 
@@ -182,9 +174,12 @@
         let Told { bounds, rules, .. } = &told;
         let mut kinds = Vec::new();
         for (at, class) in told.workloads.iter().enumerate() {
-            let kind = class
-                .kind()
-                .ok_or(format!(".workloads[{at}].group: missing, and needed for idempotency_key"))?;
+            let kind = class.kind().ok_or_else(|| {
+                format!(
+                    ".workloads[{at}].group: must be all, zone or cell for idempotency_key, not {:?}",
+                    class.group
+                )
+            })?;
             let (quoted, payoff) = (micros(class.quoted_time_s), class.payoff);
             kinds.push(Workload { kind, quoted, payoff, late_payoff: class.overdue_payoff });
         }
@@ -258,11 +253,12 @@
 impl Class {
     fn kind(&self) -> Option<Kind> {
         let memory = micros(self.memory_span_s);
-        let group = self.group.map(|group| match group {
-            Within::All => Group::All,
-            Within::Zone => Group::Place,
-            Within::Cell => Group::Cell,
-        });
+        let group = match self.group.as_str() {
+            "all" => Some(Group::All),
+            "zone" => Some(Group::Place),
+            "cell" => Some(Group::Cell),
+            _ => None,
+        };
         match self.semantics {
             Semantics::ReadLike => Some(Kind::Repeatable),
             Semantics::NonIdempotent => Some(Kind::OnceOnly),
