--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -146,15 +146,17 @@
         let workload = names.workloads.iter().position(|workload| workload.name == name);
         let workload = workload.ok_or(fault(404, "no such workload"))?;
         let longest = names.workloads[workload].abandon;
-        let told = head.only(TIMEOUT)?.map(|text| text.parse().map(Micros::millis)).transpose();
+        let told = head.only(TIMEOUT)?.map(str::parse::<u64>).transpose();
         let told = told.map_err(|_| fault(400, "Request-Timeout-Ms is no whole number"))?;
+        // Compared in its own unit: guards against a time so long that it wraps to a short one in microseconds.
+        let left = told.filter(|&told| told < longest.0 / 1000).map_or(longest, Micros::millis);
         let customer = head.only("Tenant")?;
         let known = |name| names.customers.iter().position(|customer| customer == name);
         Ok(Ask {
             workload: WorkloadId(workload),
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
-            abandon: came + told.unwrap_or(longest).min(longest),
+            abandon: came + left,
         })
     }
 
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -15,7 +15,7 @@
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
-//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`; `asked COUNT` watches at
+//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`; `asked COUNT` watches at
 //!   least, `asked COUNT only`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
@@ -360,6 +360,7 @@
         let line = match words {
             ["whole", names @ ..] => self.list(true, names),
             ["changes", names @ ..] => self.list(false, names),
+            ["raw", line] => line.to_string(),
             _ => "{\"index\":8,".to_string(),
         };
         let mut discovery = self.discovery.lock().expect("discovery");
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -1,7 +1,8 @@
 //! The list of servers as discovery words it.
 use crate::mark;
 use oakhollow::types::*;
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 
 /// Which state of the list was told.
@@ -31,7 +32,7 @@
     #[serde(default)]
     group: u32,
     status: Status,
-    #[serde(default = "one")]
+    #[serde(default = "one", deserialize_with = "from_zero")]
     weight: f64,
     #[serde(default)]
     since_ms: u64,
@@ -49,6 +50,16 @@
     1.0
 }
 
+/// Guards against a size that would make the fleet's less than nothing.
+fn from_zero<'de, D: Deserializer<'de>>(source: D) -> Result<f64, D::Error> {
+    let size = f64::deserialize(source)?;
+    if size >= 0.0 {
+        Ok(size)
+    } else {
+        Err(D::Error::custom("must be a number from 0 up"))
+    }
+}
+
 impl Entry {
     /// What the module is told of it, under the number that the host has given the server.
     pub fn listing(&self, server: ServerId, zones: &[String]) -> Listing {
@@ -64,7 +75,7 @@
             },
             size: self.weight,
             mark: mark(&self.name),
-            started: Micros::millis(self.since_ms),
+            started: Micros(self.since_ms.saturating_mul(1000)),
         }
     }
 }
