--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -14,7 +14,7 @@
 
 /// How long a request may take to come once its first byte has, and an answer to be taken.
 const SLOWEST: Duration = Duration::from_secs(10);
-/// How long a caller that has its last answer may take to close.
+/// How long a caller that has its last answer may take to close, and one that came last to send.
 const LINGER: Duration = Duration::from_millis(500);
 /// What a caller may send ahead while its API call is out.
 const MOST_AHEAD: usize = 16 * 1024;
@@ -23,6 +23,8 @@
     door: &'a Door,
     stream: Async<TcpStream>,
     inbox: Assembler,
+    /// Nothing has been answered on it yet.
+    fresh: bool,
 }
 
 enum Next {
@@ -33,7 +35,7 @@
 
 impl Caller<'_> {
     pub fn new(door: &Door, stream: Async<TcpStream>) -> Caller<'_> {
-        Caller { door, stream, inbox: Assembler::new(Side::Requests) }
+        Caller { door, stream, inbox: Assembler::new(Side::Requests), fresh: true }
     }
 
     pub async fn serve(mut self) {
@@ -55,6 +57,7 @@
             if !lasts {
                 return self.part().await;
             }
+            self.fresh = false;
         }
     }
 
@@ -81,6 +84,10 @@
                     Timer::after(SLOWEST).await;
                 } else {
                     self.door.told_to_close().await;
+                    // Guards against losing a request on its way from a caller let in at the last moment.
+                    if self.fresh && self.door.closing() {
+                        Timer::after(LINGER).await;
+                    }
                 }
                 None
             };
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -77,6 +77,10 @@
         self.idle.borrow_mut().clear();
     }
 
+    pub fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
     pub fn open(&self) -> usize {
         self.open.get()
     }
