SIGHUP reads the file again and moves the watch of the list

Lines at fault: told_to_stop in sidecar/src/phases.rs asked for SIGTERM and SIGINT only, so the default action of SIGHUP held; Watch in sidecar/src/http1/watch.rs kept its address for good. Now: SIGHUP is a word of its own with rows in the table of phases; the file is read through terms; the watch leaves the old address at once and asks the new one for the whole list, also while another ask would be some time away. A file that can't be meant changes nothing, one line names the key. Scenarios reread, reread-pool: both end at the signal without the change.

--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -22,10 +22,21 @@
     /// The version of the list that was told last.
     told: Version,
     desk: Rc<Desk>,
+    /// One for each time that the module asks.
     asks: Receiver<()>,
+    /// Where discovery is from now on.
+    moves: Receiver<SocketAddr>,
     log: Logger,
 }
 
+/// Why a watch is begun, or no more.
+enum Turn {
+    Asked,
+    Moved(SocketAddr),
+    Ended(String),
+    Over,
+}
+
 async fn within<T>(work: impl std::future::Future<Output = std::io::Result<T>>) -> Result<T, String> {
     let late = async {
         Timer::after(SILENCE).await;
@@ -35,28 +46,42 @@
 }
 
 impl Watch {
-    /// `asks` holds one for each time that the module asks.
     pub fn new(
-        discovery: SocketAddr, told: Version, desk: Rc<Desk>, asks: Receiver<()>, log: Logger,
+        discovery: SocketAddr, told: Version, desk: Rc<Desk>, words: (Receiver<()>, Receiver<SocketAddr>),
+        log: Logger,
     ) -> Watch {
-        Watch { discovery, told, desk, asks, log }
+        let (asks, moves) = words;
+        Watch { discovery, told, desk, asks, moves, log }
     }
 
     pub async fn run(mut self) {
-        let asks = self.asks.clone();
-        let mut asked = asks.recv().await;
-        while asked.is_ok() {
-            // The module asks again only if it has heard nothing: what is under way is given up then.
-            let again = async { Err(asks.recv().await) };
-            asked = match future::or(again, async { Ok(self.follow().await) }).await {
-                Err(asked) => asked,
-                Ok(Err(why)) => {
+        let (asks, moves) = (self.asks.clone(), self.moves.clone());
+        // The module asks again only if it has heard nothing: what is under way is given up then.
+        let word = || {
+            let asked = async { asks.recv().await.map_or(Turn::Over, |()| Turn::Asked) };
+            future::or(asked, async { moves.recv().await.map_or(Turn::Over, Turn::Moved) })
+        };
+        let mut turn = word().await;
+        loop {
+            match turn {
+                Turn::Over => return,
+                Turn::Asked => {}
+                // Guards against following another service by the first one's versions: the whole list is asked for.
+                Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
+                Turn::Ended(why) => {
                     info!(self.log, "watch of the list ended: {}", why);
                     self.desk.tell(Note::Listed(ListKind::Failed, List::default())).await;
-                    asks.recv().await
+                    turn = word().await;
+                    continue;
+                }
+            }
+            let ended = async {
+                match self.follow().await {
+                    Err(why) => Turn::Ended(why),
+                    Ok(never) => match never {},
                 }
-                Ok(Ok(never)) => match never {},
             };
+            turn = future::or(word(), ended).await;
         }
     }
 
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod tasks;
 pub mod timers;
 
-pub use phases::{run, told_to_stop};
+pub use phases::{run, signals, Word};
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -6,14 +6,13 @@
 use crate::http1::{Decider, Desk, Http1, Names};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
-use async_channel::bounded;
+use async_channel::{bounded, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{block_on, Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{future, Stream, StreamExt};
 use oakhollow_terms::Start;
-use slog::{info, Logger};
-use std::future::Future;
+use slog::{info, warn, Logger};
 use std::io::{ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -47,6 +46,8 @@
 enum Sign {
     Bound,
     Told,
+    /// The file is to be read again.
+    Changed,
     Noticed,
     Empty,
     Overdue,
@@ -56,6 +57,7 @@
 enum Effect {
     Open,
     SayNo,
+    Reread,
     Shut,
     Nothing,
 }
@@ -64,6 +66,8 @@
 const LIFE: &[(Phase, Sign, Phase, Effect)] = &[
     (Phase::Starting, Sign::Bound, Phase::Serving, Effect::Open),
     (Phase::Serving, Sign::Told, Phase::Leaving, Effect::SayNo),
+    (Phase::Serving, Sign::Changed, Phase::Serving, Effect::Reread),
+    (Phase::Leaving, Sign::Changed, Phase::Leaving, Effect::Reread),
     (Phase::Leaving, Sign::Noticed, Phase::Finishing, Effect::Shut),
     (Phase::Finishing, Sign::Empty, Phase::Over, Effect::Nothing),
     (Phase::Finishing, Sign::Overdue, Phase::Over, Effect::Nothing),
@@ -83,21 +87,38 @@
     desk: Rc<Desk>,
     /// The longest that any API call may take.
     longest: Duration,
+    /// Where the list is watched from now on.
+    moves: Sender<SocketAddr>,
 }
 
-/// Comes to an end when the process gets SIGTERM or SIGINT.
-pub fn told_to_stop() -> Result<impl Future<Output = ()>> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    Ok(async move { drop(signals.next().await) })
+/// What a running sidecar may be told from outside.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Word {
+    Stop,
+    /// Its file has changed.
+    Reread,
 }
 
-/// Runs one sidecar until `stop` comes to its end, and then as long as it takes to part in good order.
-pub fn run(start: Start, log: Logger, stop: impl Future<Output = ()>) -> Result<()> {
+/// The words that come as signals: SIGTERM and SIGINT to stop, SIGHUP to read the file again.
+pub fn signals() -> Result<impl Stream<Item = Word>> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    Ok(signals.filter_map(Result::ok).map(|signal| match signal {
+        Signal::Hup => Word::Reread,
+        _ => Word::Stop,
+    }))
+}
+
+/// Runs one sidecar until `words` say stop, or end, and then as long as it takes to part in good order. `reread`
+/// gives what it is to be started with by now.
+pub fn run(
+    start: Start, reread: impl Fn() -> std::result::Result<Start, String>, log: Logger,
+    words: impl Stream<Item = Word>,
+) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
     block_on(executor.run(async {
         let listener = bind(start.listen).await?;
-        Program::build(start, log, tasks, listener)?.live(stop).await;
+        Program::build(start, log, tasks, listener)?.live(reread, words).await;
         Ok(())
     }))
 }
@@ -125,7 +146,8 @@
         let most = (limits.sockets - OWN_SOCKETS).min(by_memory) / 2;
         let pool = Pool::new(tasks.clone(), most, place.connect_within, place.idle_close);
         let (ask, asks) = bounded(1);
-        let watch = Watch::new(start.discovery, known.index, desk.clone(), asks, log.clone());
+        let (moves, moved) = bounded(1);
+        let watch = Watch::new(start.discovery, known.index, desk.clone(), (asks, moved), log.clone());
         let parts = Parts {
             protocol: Rc::new(Http1 { pool }),
             desk: desk.clone(),
@@ -145,24 +167,34 @@
             listener: Some(Rc::new(listener)),
             welcome: None,
             longest: duration(longest),
+            moves,
             desk,
             log,
             tasks,
         })
     }
 
-    async fn live(mut self, stop: impl Future<Output = ()>) {
-        let mut stop = Box::pin(stop);
+    async fn live(
+        mut self, reread: impl Fn() -> std::result::Result<Start, String>, words: impl Stream<Item = Word>,
+    ) {
+        // Held until the end: a word that is late by a phase is heard by nobody, and ends nothing.
+        let mut words = Box::pin(words);
         while self.phase != Phase::Over {
+            let word = async {
+                match words.next().await {
+                    Some(Word::Reread) => Sign::Changed,
+                    Some(Word::Stop) | None => Sign::Told,
+                }
+            };
             let sign = match self.phase {
                 Phase::Starting => Sign::Bound,
-                Phase::Serving => {
-                    (&mut stop).await;
-                    Sign::Told
-                }
+                Phase::Serving => word.await,
                 Phase::Leaving => {
-                    Timer::at(self.since + NOTICE).await;
-                    Sign::Noticed
+                    let noticed = async {
+                        Timer::at(self.since + NOTICE).await;
+                        Sign::Noticed
+                    };
+                    future::or(noticed, word).await
                 }
                 Phase::Finishing if self.door.open() == 0 => Sign::Empty,
                 Phase::Finishing if self.since.elapsed() > self.longest => Sign::Overdue,
@@ -171,11 +203,11 @@
                     continue;
                 }
             };
-            self.step(sign).await;
+            self.step(sign, &reread).await;
         }
     }
 
-    async fn step(&mut self, sign: Sign) {
+    async fn step(&mut self, sign: Sign, reread: &impl Fn() -> std::result::Result<Start, String>) {
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
@@ -195,8 +227,19 @@
                     self.door.take_rest(&listener);
                 }
             }
+            Effect::Reread => match reread() {
+                Ok(start) => {
+                    info!(self.log, "file read again, the list is watched at {}", start.discovery);
+                    let _ = self.moves.send(start.discovery).await;
+                }
+                // Guards against serving by half a file: what held before holds on, whole.
+                Err(fault) => warn!(self.log, "file not taken, all stays as it was: {}", fault),
+            },
             Effect::Nothing => {}
         }
+        if phase == self.phase {
+            return;
+        }
         let (held, open, after) = (self.desk.held.get(), self.door.open(), self.since.elapsed().as_millis());
         info!(
             self.log,
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -17,6 +17,8 @@
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`; `asked COUNT` watches at
 //!   least, `asked COUNT only`
+//! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
+//!   replaced, SIGHUP
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
 #[path = "../../tests/runner/mod.rs"]
@@ -25,6 +27,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -185,6 +188,8 @@
     idle: Vec<TcpStream>,
     started: Option<Instant>,
     calls: u32,
+    file: PathBuf,
+    told: String,
 }
 
 impl Drop for World {
@@ -245,28 +250,43 @@
         )
     }
 
-    fn launch(&self, config: &str, before: &str) -> Child {
-        let file = std::env::temp_dir().join(format!(
-            "oakhollow-{:?}-{}.json",
-            thread::current().id(),
-            std::process::id()
-        ));
-        std::fs::write(&file, config).expect("the file");
+    fn launch(&mut self, config: &str, before: &str) -> Child {
+        let file = format!("oakhollow-{:?}-{}.json", thread::current().id(), std::process::id());
+        (self.file, self.told) = (std::env::temp_dir().join(file), config.to_string());
+        std::fs::write(&self.file, config).expect("the file");
         Command::new("/bin/sh")
             .args(["-c", &format!("{before} exec {}", env!("CARGO_BIN_EXE_oakhollow"))])
-            .env("RELAY_CONFIG", file)
+            .env("RELAY_CONFIG", &self.file)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts")
     }
 
-    fn sidecar(&mut self, words: &[&str]) {
+    /// A stand-in for discovery at an address of its own.
+    fn stand_in(&mut self, unchanged: bool) -> SocketAddr {
         let (listener, address) = listen();
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
-        let first = if words.contains(&"unchanged") { String::new() } else { self.list(true, &names) };
+        let first = if unchanged { String::new() } else { self.list(true, &names) };
         self.discovery.lock().expect("discovery").first = first;
         let shared = self.discovery.clone();
         thread::spawn(move || discover(listener, shared));
+        address
+    }
+
+    fn reread(&mut self, from: &str, to: &str) {
+        assert!(self.told.contains(from), "{}", self.told);
+        std::fs::write(&self.file, self.told.replacen(from, to, 1)).expect("the file");
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.program.as_ref().expect("a sidecar").0.id();
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    fn sidecar(&mut self, words: &[&str]) {
+        let address = self.stand_in(words.contains(&"unchanged"));
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
         let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
         // An address that somebody holds for a moment more.
@@ -438,11 +458,15 @@
                     .is_some_and(|(head, _)| head.starts_with(&format!("HTTP/1.1 {status} ")))
             }),
             ["wait", time] => thread::sleep(Duration::from_micros(runner::length_us(time))),
-            ["stop"] => {
-                let id = self.program.as_ref().expect("a sidecar").0.id();
-                let killed = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {id}")]).status();
-                assert!(killed.expect("kill").success());
+            ["stop"] => self.signal("TERM"),
+            ["moves"] => {
+                self.discovery = Arc::default();
+                let to = format!(r#""discovery":"{}","seed""#, self.stand_in(false));
+                let from = self.told.split_once(r#""discovery":"#).expect("an address").1;
+                let from = format!(r#""discovery":{},"seed""#, from.split(',').next().expect("an address"));
+                self.reread(&from, &to);
             }
+            ["rereads", from, to] => self.reread(from, to),
             ["exits", code] => {
                 let program = &mut self.program.as_mut().expect("a sidecar").0;
                 until("it exits", || program.try_wait().expect("its state").is_some());
