After SIGTERM kept connections are served on for half of the time to leave

In the logs n0 ended 1.05 s after SIGTERM and started 4.4 s after it, n1 was told to leave 3.0 s after n0 and shut 0.6 s later: for a second and a half nobody served. Excluded: the list (read again at once), servers (no error or reset in that window). Lines at fault: Door::keeps in sidecar/src/http1/door.rs ended every connection from SIGTERM on, and LIFE in sidecar/src/phases.rs went from Leaving to Finishing at 0.6 s, though callers go on using connections that stay open and the program may not be killed for 3.7 s. Now: a phase Staying between the two; calls that come after SIGTERM have their abandon time before the kill, so that a later end costs nobody an answer. Scenario leaving fails without either part.

--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -163,7 +163,7 @@
             workload: WorkloadId(workload),
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
-            abandon: came + left,
+            abandon: (came + left).min(self.door.latest()),
         })
     }
 
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -5,6 +5,7 @@
 use crate::tasks::Tasks;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
+use oakhollow::types::Micros;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
     crowded: Cell<bool>,
     able: Cell<bool>,
     closing: Cell<bool>,
+    answer_by: Cell<Micros>,
 }
 
 impl Door {
@@ -53,6 +55,7 @@
             crowded: Cell::new(false),
             able: Cell::new(false),
             closing: Cell::new(false),
+            answer_by: Cell::new(Micros::NEVER),
         })
     }
 
@@ -68,7 +71,16 @@
 
     /// Whether a connection may be kept after an answer.
     pub fn keeps(&self) -> bool {
-        self.able.get() && !self.crowded.get()
+        !self.closing.get() && !self.crowded.get()
+    }
+
+    /// No API call that comes from now on may take longer than until then.
+    pub fn answer_by(&self, then: Micros) {
+        self.answer_by.set(then);
+    }
+
+    pub fn latest(&self) -> Micros {
+        self.answer_by.get()
     }
 
     /// From now on no connection outlives the answer it waits for.
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -11,6 +11,7 @@
 use async_io::{block_on, Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
+use oakhollow::types::Micros;
 use oakhollow_terms::Start;
 use slog::{info, warn, Logger};
 use std::io::{ErrorKind, Result};
@@ -21,6 +22,12 @@
 /// How long new connections are still taken in after the word to stop: those who send clients here take a
 /// moment to notice.
 const NOTICE: Duration = Duration::from_millis(600);
+/// The platform's word on planned restarts: after the word to stop, the longest that a call may take, yet no more
+/// than this, and a moment besides pass before the program may be killed.
+const MOST_GRACE: Micros = Micros::millis(3_000);
+const GRACE_BESIDES: Micros = Micros::millis(700);
+/// How long before that moment the last answer is due.
+const MARGIN: Micros = Micros::millis(150);
 /// How long a taken address is tried again.
 const REBIND: Duration = Duration::from_secs(2);
 /// How often it is looked whether all have left.
@@ -37,7 +44,9 @@
     Serving,
     /// Told to stop: `/ready` says no, whoever still comes is served.
     Leaving,
-    /// Nobody new is taken in; what was taken is finished.
+    /// Nobody new is taken in; connections that are there are served on, and kept.
+    Staying,
+    /// What was taken is finished, each answer ends its connection.
     Finishing,
     Over,
 }
@@ -49,6 +58,8 @@
     /// The file is to be read again.
     Changed,
     Noticed,
+    /// Half of the time before the program may be killed is gone.
+    Spent,
     Empty,
     Overdue,
 }
@@ -59,6 +70,7 @@
     SayNo,
     Reread,
     Shut,
+    Close,
     Nothing,
 }
 
@@ -68,7 +80,10 @@
     (Phase::Serving, Sign::Told, Phase::Leaving, Effect::SayNo),
     (Phase::Serving, Sign::Changed, Phase::Serving, Effect::Reread),
     (Phase::Leaving, Sign::Changed, Phase::Leaving, Effect::Reread),
-    (Phase::Leaving, Sign::Noticed, Phase::Finishing, Effect::Shut),
+    (Phase::Leaving, Sign::Noticed, Phase::Staying, Effect::Shut),
+    (Phase::Staying, Sign::Changed, Phase::Staying, Effect::Reread),
+    (Phase::Staying, Sign::Spent, Phase::Finishing, Effect::Close),
+    (Phase::Staying, Sign::Empty, Phase::Over, Effect::Nothing),
     (Phase::Finishing, Sign::Empty, Phase::Over, Effect::Nothing),
     (Phase::Finishing, Sign::Overdue, Phase::Over, Effect::Nothing),
 ];
@@ -87,6 +102,9 @@
     desk: Rc<Desk>,
     /// The longest that any API call may take.
     longest: Duration,
+    /// How long after the word to stop the program is sure to live.
+    grace: Micros,
+    told: Instant,
     /// Where the list is watched from now on.
     moves: Sender<SocketAddr>,
 }
@@ -167,6 +185,8 @@
             listener: Some(Rc::new(listener)),
             welcome: None,
             longest: duration(longest),
+            grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
+            told: Instant::now(),
             moves,
             desk,
             log,
@@ -196,7 +216,15 @@
                     };
                     future::or(noticed, word).await
                 }
-                Phase::Finishing if self.door.open() == 0 => Sign::Empty,
+                Phase::Staying | Phase::Finishing if self.door.open() == 0 => Sign::Empty,
+                Phase::Staying if self.told.elapsed() >= duration(self.grace.times(0.5)) => Sign::Spent,
+                Phase::Staying => match future::poll_once(word).await {
+                    Some(sign) => sign,
+                    None => {
+                        Timer::after(LOOK).await;
+                        continue;
+                    }
+                },
                 Phase::Finishing if self.since.elapsed() > self.longest => Sign::Overdue,
                 Phase::Finishing | Phase::Over => {
                     Timer::after(LOOK).await;
@@ -216,17 +244,22 @@
                 self.welcome = welcome.and_then(|welcome| self.tasks.spawn(welcome));
                 self.door.set_able(true);
             }
-            Effect::SayNo => self.door.set_able(false),
+            Effect::SayNo => {
+                self.told = Instant::now();
+                self.door.set_able(false);
+                // Guards against a kill that finds an API call without its answer.
+                self.door.answer_by(self.desk.clock.now() + (self.grace - MARGIN));
+            }
             Effect::Shut => {
                 if let Some(welcome) = self.welcome.take() {
                     welcome.cancel().await;
                 }
-                self.door.close();
                 // Dropped at once after: a listener left open would go on accepting for nobody.
                 if let Some(listener) = self.listener.take() {
                     self.door.take_rest(&listener);
                 }
             }
+            Effect::Close => self.door.close(),
             Effect::Reread => match reread() {
                 Ok(start) => {
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -19,6 +19,7 @@
 //!   least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP
+//! - `before LENGTH`: no more than that has passed since the last `stop`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
 #[path = "../../tests/runner/mod.rs"]
@@ -187,6 +188,7 @@
     clients: BTreeMap<String, TcpStream>,
     idle: Vec<TcpStream>,
     started: Option<Instant>,
+    stopped: Option<Instant>,
     calls: u32,
     file: PathBuf,
     told: String,
@@ -458,7 +460,14 @@
                     .is_some_and(|(head, _)| head.starts_with(&format!("HTTP/1.1 {status} ")))
             }),
             ["wait", time] => thread::sleep(Duration::from_micros(runner::length_us(time))),
-            ["stop"] => self.signal("TERM"),
+            ["stop"] => {
+                self.signal("TERM");
+                self.stopped = Some(Instant::now());
+            }
+            ["before", time] => {
+                let passed = self.stopped.expect("a stop").elapsed();
+                assert!(passed < Duration::from_micros(runner::length_us(time)), "{passed:?}");
+            }
             ["moves"] => {
                 self.discovery = Arc::default();
                 let to = format!(r#""discovery":"{}","seed""#, self.stand_in(false));
