Bad callers get 2.5 s for a whole request, one answer, and no room at others' cost

Good and bad callers share addresses, so nothing may hang on an address alone. Lines at fault: callers.rs measured 10 s from each read, so drips never ended (WITHIN now runs from the connection or from a later request's first byte); kept on after what can't be taken; knew no open ids; took +480 for a number, a class that the path does not name and a tagged call without its key. messages.rs looked through a head anew at each drip and waited for the end of noise. door.rs closed the longest idle only: callers with half a request held all there is. A connection is counted with 96 KB, not 160, so that 32 MB no longer hold fewer callers than a third of 256 descriptors.

--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -76,6 +76,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -9,19 +9,24 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::*;
-use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use oakhollow_terms::Named;
+use std::net::{IpAddr, Shutdown, TcpStream};
+use std::time::{Duration, Instant};
 
-/// How long a request may take to come once its first byte has, and an answer to be taken.
-const SLOWEST: Duration = Duration::from_secs(10);
+/// How long a caller may take from connecting, or from the first byte of a later request, until its request is
+/// there whole, and then to take its answer.
+const WITHIN: Duration = Duration::from_millis(2_500);
+/// How long a connection is kept on which nothing is asked any more.
+const KEPT: Duration = Duration::from_secs(10);
 /// How long a caller that has its last answer may take to close, and one that came last to send.
 const LINGER: Duration = Duration::from_millis(500);
-/// What a caller may send ahead while its API call is out.
+/// What a caller may send ahead while its API call is out, and after its last answer.
 const MOST_AHEAD: usize = 16 * 1024;
 
 pub struct Caller<'a> {
     door: &'a Door,
     stream: Async<TcpStream>,
+    source: IpAddr,
     inbox: Assembler,
     /// Nothing has been answered on it yet.
     fresh: bool,
@@ -34,20 +39,24 @@
 }
 
 impl Caller<'_> {
-    pub fn new(door: &Door, stream: Async<TcpStream>) -> Caller<'_> {
-        Caller { door, stream, inbox: Assembler::new(Side::Requests), fresh: true }
+    pub fn new(door: &Door, stream: Async<TcpStream>, source: IpAddr) -> Caller<'_> {
+        Caller { door, stream, source, inbox: Assembler::new(Side::Requests), fresh: true }
     }
 
     pub async fn serve(mut self) {
         loop {
+            // Whoever sends what can't be taken is parted with: guards against hundreds of such requests at once.
             let (answer, lasts) = match self.next().await {
                 // Between requests nothing can be lost; lingering would keep out those who wait to be taken in.
                 Next::Nothing => return,
                 Next::Fault(fault) => (fault.into(), false),
                 Next::Request(request, came) => {
                     let lasts = request.lasts;
-                    let Some(answer) = self.answer(request, came).await else { return };
-                    (answer, lasts)
+                    match self.answer(request, came).await {
+                        Ok(Some(answer)) => (answer, lasts),
+                        Ok(None) => return,
+                        Err(fault) => (fault.into(), false),
+                    }
                 }
             };
             let lasts = lasts && self.door.keeps();
@@ -63,8 +72,11 @@
 
     /// Waits for the next request, and for the word to close while there is none.
     async fn next(&mut self) -> Next {
-        let clock = self.door.desk.clock;
+        let (clock, start) = (self.door.desk.clock, Instant::now());
         let (mut came, mut leave_given, mut buffer) = (clock.now(), false, [0; 4096]);
+        let mut until = start + if self.fresh { WITHIN } else { KEPT };
+        let door = self.door;
+        let mut stay = Some(door.stay(self.source, !self.fresh));
         loop {
             match self.inbox.take() {
                 Ok(Some(request)) => return Next::Request(request, came),
@@ -80,14 +92,19 @@
             let begun = self.inbox.held() > 0;
             let read = async { Some(read(&self.stream, &mut buffer).await) };
             let ended = async {
-                if begun {
-                    Timer::after(SLOWEST).await;
-                } else {
-                    self.door.told_to_close().await;
-                    // Guards against losing a request on its way from a caller let in at the last moment.
-                    if self.fresh && self.door.closing() {
-                        Timer::after(LINGER).await;
+                let late = async {
+                    Timer::at(until).await;
+                    false
+                };
+                let told = async {
+                    match &stay {
+                        Some(stay) => stay.told_to_close().await,
+                        None => future::pending().await,
                     }
+                    true
+                };
+                if future::or(late, told).await {
+                    stay = None;
                 }
                 None
             };
@@ -95,29 +112,42 @@
                 Some(Some(count)) => {
                     if !begun {
                         came = clock.now();
+                        // The time of a fresh one runs from its coming: silence first wins it nothing.
+                        until = if self.fresh { until } else { Instant::now() + WITHIN };
                     }
                     self.inbox.push(&buffer[..count]);
                 }
-                None if begun => {
+                Some(None) => return Next::Nothing,
+                // The program is leaving: what has begun is waited for, and one let in at the last moment has a little
+                // time to begin.
+                None if stay.is_none()
+                    && door.closing()
+                    && until > Instant::now()
+                    && (begun || self.fresh) =>
+                {
+                    if !begun {
+                        until = until.min(Instant::now() + LINGER);
+                    }
+                }
+                None if stay.is_some() && begun => {
                     return Next::Fault(Fault { status: 408, why: "the request came too slowly" })
                 }
-                _ => return Next::Nothing,
+                None => return Next::Nothing,
             }
         }
     }
 
     /// The answer to a request; none if the caller left before it.
-    async fn answer(&mut self, request: Message, came: Micros) -> Option<Answer> {
+    async fn answer(&mut self, request: Message, came: Micros) -> Result<Option<Answer>, Fault> {
         if asks_if_ready(&request) {
-            return Some(Answer::ready(self.door.ready()));
+            return Ok(Some(Answer::ready(self.door.ready())));
         }
-        let ask = self.read_call(&request, came);
-        let asked = ask.and_then(|ask| Ok((ask, Outgoing::new(request)?)));
-        let (ask, content) = match asked {
-            Ok(asked) => asked,
-            Err(fault) => return Some(fault.into()),
-        };
-        let (call, verdict) = self.door.desk.take(ask, content).await;
+        let ask = self.read_call(&request, came)?;
+        // Guards against a stranger's request under the id of one that is open: servers tell the two apart by nothing.
+        let door = self.door;
+        let id = request.head.only("Request-Id")?.unwrap_or_default();
+        let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
+        let (call, verdict) = door.desk.take(ask, Outgoing::new(request)?).await;
         let answered = async { verdict.recv().await.ok() };
         let (stream, inbox) = (&self.stream, &mut self.inbox);
         let gone = async {
@@ -132,9 +162,9 @@
         };
         let verdict: Option<Verdict<Message>> = future::or(answered, gone).await;
         if verdict.is_none() {
-            self.door.desk.tell(Note::Withdrawn(call)).await;
+            door.desk.tell(Note::Withdrawn(call)).await;
         }
-        verdict.map(Answer::from)
+        Ok(verdict.map(Answer::from))
     }
 
     /// What the decisions need of a request.
@@ -147,14 +177,24 @@
         }
         head.only("Host")?.ok_or(fault(400, "Host is missing"))?;
         head.only("Request-Id")?.filter(|id| !id.is_empty()).ok_or(fault(400, "Request-Id is missing"))?;
-        head.only("Idempotency-Key")?;
         let path = target.split('?').next().unwrap_or_default();
-        let name = head.only("Request-Class")?.or(path.split('/').nth(1)).unwrap_or_default();
+        let first = path.split('/').nth(1).unwrap_or_default();
+        let name = head.only("Request-Class")?.unwrap_or(first);
+        if name != first {
+            return Err(fault(400, "Request-Class and path name two workloads"));
+        }
         let workload = names.workloads.iter().position(|workload| workload.name == name);
         let workload = workload.ok_or(fault(404, "no such workload"))?;
-        let longest = names.workloads[workload].abandon;
-        let told = head.only(TIMEOUT)?.map(str::parse::<u64>).transpose();
-        let told = told.map_err(|_| fault(400, "Request-Timeout-Ms is no whole number"))?;
+        let Named { abandon: longest, tagged, .. } = names.workloads[workload];
+        // Guards against sending twice what no server could tell for a repeat.
+        if head.only("Idempotency-Key")?.is_none_or(str::is_empty) && tagged {
+            return Err(fault(400, "Idempotency-Key is missing"));
+        }
+        let number = |text: &str| text.parse::<u64>().ok().filter(|_| !text.starts_with('+'));
+        let told = head
+            .only(TIMEOUT)?
+            .map(|text| number(text).ok_or(fault(400, "Request-Timeout-Ms is no whole number")));
+        let told = told.transpose()?;
         // Compared in its own unit: guards against a time so long that it wraps to a short one in microseconds.
         let left = told.filter(|&told| told < longest.0 / 1000).map_or(longest, Micros::millis);
         let customer = head.only("Tenant")?;
@@ -174,8 +214,11 @@
             return;
         }
         let drained = async {
-            let mut buffer = [0; 1024];
-            while read(&self.stream, &mut buffer).await.is_some() {}
+            let (mut buffer, mut drained) = ([0; 4096], 0);
+            while let Some(count) = read(&self.stream, &mut buffer).await.filter(|_| drained < 4 * MOST_AHEAD)
+            {
+                drained += count;
+            }
         };
         let late = async { _ = Timer::after(LINGER).await };
         future::or(drained, late).await;
@@ -185,7 +228,7 @@
     async fn write(&self, bytes: &[u8]) -> bool {
         let written = async { (&self.stream).write_all(bytes).await.is_ok() };
         let late = async {
-            Timer::after(SLOWEST).await;
+            Timer::after(WITHIN).await;
             false
         };
         future::or(written, late).await
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -1,25 +1,72 @@
-//! The door for callers: takes connections in, holds no more than it may, and closes those that stand idle when
+//! The door for callers: takes connections in, holds no more than it may, and closes those with no request open when
 //! room is wanted or the program leaves.
 use super::callers::Caller;
 use super::{Desk, Names};
 use crate::tasks::Tasks;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
+use futures_lite::future;
 use oakhollow::types::Micros;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::net::{TcpListener, TcpStream};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// After a failed accept: what made it fail, such as a lack of descriptors, does not pass in an instant.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// One stay of a connection among the idle ones; the longer ago it began, the lower.
+/// How long one that has never sent a whole request is left alone, however many others wait.
+const YOUTH: Duration = Duration::from_millis(250);
+
+/// One stay of a connection among those with no request open; the longer ago it began, the lower.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct StayId(u64);
 
+/// A connection with no request open; dropping it closes the connection.
+struct Stay {
+    source: IpAddr,
+    /// It has had an answer before.
+    known: bool,
+    since: Instant,
+    _told: Sender<()>,
+}
+
+/// Where a connection comes from.
+pub struct Source {
+    door: Rc<Door>,
+    at: IpAddr,
+}
+
+impl Drop for Source {
+    fn drop(&mut self) {
+        let mut sources = self.door.sources.borrow_mut();
+        // Guards against one entry for every address that ever came.
+        if let Some(count) = sources.get_mut(&self.at).filter(|count| **count > 1) {
+            *count -= 1;
+        } else {
+            sources.remove(&self.at);
+        }
+        drop(sources);
+        self.door.open.set(self.door.open.get() - 1);
+        self.door.stir();
+    }
+}
+
+/// The id of a request that is open; given up when it is answered.
+pub struct OpenId<'a> {
+    door: &'a Door,
+    id: String,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.door.ids.borrow_mut().remove(&self.id);
+    }
+}
+
 /// What the connections of callers share.
 pub struct Door {
     pub desk: Rc<Desk>,
@@ -30,8 +77,10 @@
     most: usize,
     open: Cell<usize>,
     stays: Cell<StayId>,
-    /// Those between requests; dropping a sender closes its connection.
-    idle: RefCell<BTreeMap<StayId, Sender<()>>>,
+    idle: RefCell<BTreeMap<StayId, Stay>>,
+    /// How many connections each address has.
+    sources: RefCell<HashMap<IpAddr, usize>>,
+    ids: RefCell<HashSet<String>>,
     stirred: (Sender<()>, Receiver<()>),
     /// Others wait to be taken in.
     crowded: Cell<bool>,
@@ -51,6 +100,8 @@
             open: Cell::new(0),
             stays: Cell::default(),
             idle: RefCell::default(),
+            sources: RefCell::default(),
+            ids: RefCell::default(),
             stirred: bounded(1),
             crowded: Cell::new(false),
             able: Cell::new(false),
@@ -102,10 +153,10 @@
         let mut failures = 0_u32;
         loop {
             while self.open.get() >= self.most {
-                // Guards against kept connections shutting out new clients: the longest idle makes room.
                 self.crowded.set(true);
-                drop(self.idle.borrow_mut().pop_first());
-                let _ = self.stirred.1.recv().await;
+                self.make_room();
+                let stirred = async { _ = self.stirred.1.recv().await };
+                future::or(stirred, async { _ = Timer::after(PAUSE).await }).await;
             }
             self.crowded.set(false);
             match listener.accept().await {
@@ -121,7 +172,7 @@
                     if failures == 1 {
                         warn!(self.log, "cannot take connections in, {} open: {}", self.open.get(), fault);
                     }
-                    drop(self.idle.borrow_mut().pop_first());
+                    self.make_room();
                     Timer::after(PAUSE).await;
                 }
             }
@@ -139,40 +190,70 @@
 
     fn take_in(self: &Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
+        // One that has gone already has no address, and nothing to say.
+        let Ok(peer) = stream.get_ref().peer_addr() else { return };
         self.open.set(self.open.get() + 1);
-        let door = self.clone();
-        self.tasks.run(async move {
-            Caller::new(&door, stream).serve().await;
-            door.open.set(door.open.get() - 1);
-            let _ = door.stirred.0.try_send(());
-        });
+        *self.sources.borrow_mut().entry(peer.ip()).or_default() += 1;
+        let source = Source { door: self.clone(), at: peer.ip() };
+        self.tasks.run(async move { Caller::new(&source.door, stream, source.at).serve().await });
     }
 
-    /// Comes to an end when a connection that is idle from now on should be closed.
-    pub async fn told_to_close(&self) {
-        if self.closing.get() {
-            return;
-        }
-        let stay = self.stays.replace(StayId(self.stays.get().0 + 1));
-        let (sender, told) = bounded::<()>(1);
-        self.idle.borrow_mut().insert(stay, sender);
-        let _entry = Entry { idle: &self.idle, stay };
+    /// Closes one connection with no request open. Guards against kept connections shutting out new clients, and
+    /// against one source, or many that say nothing, taking what the usual callers need: those that never sent a
+    /// whole request go first, then who has the most connections, then the longest idle.
+    fn make_room(&self) {
+        let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
+        let none_new = idle.values().all(|stay| stay.known);
+        let due = |stay: &Stay| none_new || !stay.known && stay.since.elapsed() >= YOUTH;
+        let count = |stay: &Stay| Reverse(sources.get(&stay.source).copied().unwrap_or(0));
+        let first = idle.iter().filter(|(_, stay)| due(stay)).min_by_key(|(_, stay)| count(stay));
+        let first = first.map(|(id, _)| *id);
+        drop(first.and_then(|id| idle.remove(&id)));
+    }
+
+    /// Has room looked for again, where others wait for it.
+    fn stir(&self) {
         if self.crowded.get() {
-            // Guards against waiting for room for ever where all were busy, or not yet idle, when it was looked for.
             let _ = self.stirred.0.try_send(());
         }
-        let _ = told.recv().await;
+    }
+
+    /// Counts an id among the open ones; none if it is there already.
+    pub fn open_id(&self, id: &str) -> Option<OpenId<'_>> {
+        let fresh = self.ids.borrow_mut().insert(id.to_string());
+        fresh.then(|| OpenId { door: self, id: id.to_string() })
+    }
+
+    /// A connection has no request open from now on, until what this returns is dropped. It tells by its end that
+    /// the connection should be closed.
+    pub fn stay(&self, source: IpAddr, known: bool) -> Staying<'_> {
+        let id = self.stays.replace(StayId(self.stays.get().0 + 1));
+        let (sender, told) = bounded::<()>(1);
+        if !self.closing.get() {
+            let stay = Stay { source, known, since: Instant::now(), _told: sender };
+            self.idle.borrow_mut().insert(id, stay);
+            self.stir();
+        }
+        Staying { door: self, id, told }
     }
 }
 
-/// A connection's place among the idle; given up when it is idle no more.
-struct Entry<'a> {
-    idle: &'a RefCell<BTreeMap<StayId, Sender<()>>>,
-    stay: StayId,
+/// A connection's place among those with no request open; given up when it has one.
+pub struct Staying<'a> {
+    door: &'a Door,
+    id: StayId,
+    told: Receiver<()>,
+}
+
+impl Staying<'_> {
+    pub async fn told_to_close(&self) {
+        let _ = self.told.recv().await;
+    }
 }
 
-impl Drop for Entry<'_> {
+impl Drop for Staying<'_> {
     fn drop(&mut self) {
-        self.idle.borrow_mut().remove(&self.stay);
+        self.door.idle.borrow_mut().remove(&self.id);
+        self.door.stir();
     }
 }
--- a/sidecar/src/http1/head.rs
+++ b/sidecar/src/http1/head.rs
@@ -39,7 +39,7 @@
     UntilClose,
 }
 
-fn token(byte: u8) -> bool {
+pub fn token(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
--- a/sidecar/src/http1/messages.rs
+++ b/sidecar/src/http1/messages.rs
@@ -9,7 +9,10 @@
 //! assert_eq!(inbox.take().unwrap().unwrap().body, b"oakhollow");
 //! ```
 use super::chunks::Chunks;
-use super::head::{bad, Fault, Framing, Head, MOST_BODY};
+use super::head::{bad, find, token, Fault, Framing, Head, MOST_BODY, MOST_HEAD};
+
+/// Interim answers that are skipped ahead of one answer.
+const MOST_INTERIM: usize = 16;
 
 /// A request or an answer with all of its body.
 #[derive(Clone, Debug)]
@@ -31,6 +34,10 @@
 pub struct Assembler {
     side: Side,
     bytes: Vec<u8>,
+    /// How many of them have been looked through for the end of a head.
+    searched: usize,
+    /// Interim answers ahead of the one that is waited for.
+    interim: usize,
     part: Option<Part>,
 }
 
@@ -44,7 +51,7 @@
 
 impl Assembler {
     pub fn new(side: Side) -> Assembler {
-        Assembler { side, bytes: Vec::new(), part: None }
+        Assembler { side, bytes: Vec::new(), searched: 0, interim: 0, part: None }
     }
 
     pub fn push(&mut self, bytes: &[u8]) {
@@ -62,6 +69,25 @@
         self.part.as_ref().filter(bodiless).is_some_and(|part| part.head.lists("Expect", "100-continue"))
     }
 
+    /// Whether a whole head is there, or what can be none. Looks at each byte once: guards against heads that come
+    /// in drips; and at the first ones at once: noise may never hold what ends a head.
+    fn head_ends(&mut self) -> Result<bool, Fault> {
+        let from = self.searched.saturating_sub(3);
+        self.searched = self.bytes.len();
+        let start = &self.bytes[..self.bytes.len().min(7)];
+        let known = match self.side {
+            Side::Answers => b"HTTP/1.".starts_with(start),
+            Side::Requests => start
+                .split(|&byte| byte == b' ')
+                .next()
+                .is_some_and(|word| word.iter().all(|&byte| token(byte))),
+        };
+        if !known {
+            return Err(bad("the start line is malformed"));
+        }
+        Ok(find(&self.bytes[from..], b"\r\n\r\n").is_some() || self.bytes.len() >= MOST_HEAD)
+    }
+
     /// The next whole message, if it is all there.
     pub fn take(&mut self) -> Result<Option<Message>, Fault> {
         while self.part.is_none() {
@@ -70,8 +96,12 @@
                 let blank = self.bytes.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
                 self.bytes.drain(..blank);
             }
+            if !self.head_ends()? {
+                return Ok(None);
+            }
             let Some((head, taken)) = Head::parse(&self.bytes)? else { return Ok(None) };
             self.bytes.drain(..taken);
+            self.searched = 0;
             let framing = match self.side {
                 Side::Requests => head.request().and_then(|_| head.request_framing())?,
                 Side::Answers => head.answer_framing()?,
@@ -79,7 +109,8 @@
             // An interim answer is no answer, and leave to speak another protocol was never asked for.
             match self.side {
                 Side::Answers if head.status()? == 101 => return Err(bad("another protocol")),
-                Side::Answers if head.status()? < 200 => continue,
+                Side::Answers if head.status()? < 200 && self.interim < MOST_INTERIM => self.interim += 1,
+                Side::Answers if head.status()? < 200 => return Err(bad("too many interim answers")),
                 _ => self.part = Some(Part { head, framing, chunks: Chunks::default(), body: Vec::new() }),
             }
         }
@@ -119,6 +150,11 @@
     fn give(&mut self, lasts: bool) -> Option<Message> {
         let Part { head, body, .. } = self.part.take()?;
         let lasts = lasts && head.lasts();
+        self.interim = 0;
+        if self.bytes.is_empty() {
+            // Guards against every connection keeping the room that its longest message took.
+            self.bytes = Vec::new();
+        }
         Some(Message { head, body, lasts })
     }
 }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -34,8 +34,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// Descriptors that are neither a caller's connection nor a server's.
 const OWN_SOCKETS: usize = 24;
-/// What one connection may take of the memory at worst, of its bodies, heads and buffers.
-const CONNECTION_KB: f64 = 160.0;
+/// What one connection may take of the memory at worst: a head, a body and buffers. Copies of these are short-lived.
+const CONNECTION_KB: f64 = 96.0;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Phase {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -19,7 +19,7 @@
 //!   least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP
-//! - `before LENGTH`: no more than that has passed since the last `stop`
+//! - `before LENGTH`: no more than that has passed since the last `stop` or `mark`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
 #[path = "../../tests/runner/mod.rs"]
@@ -188,7 +188,7 @@
     clients: BTreeMap<String, TcpStream>,
     idle: Vec<TcpStream>,
     started: Option<Instant>,
-    stopped: Option<Instant>,
+    marked: Option<Instant>,
     calls: u32,
     file: PathBuf,
     told: String,
@@ -462,10 +462,11 @@
             ["wait", time] => thread::sleep(Duration::from_micros(runner::length_us(time))),
             ["stop"] => {
                 self.signal("TERM");
-                self.stopped = Some(Instant::now());
+                self.marked = Some(Instant::now());
             }
+            ["mark"] => self.marked = Some(Instant::now()),
             ["before", time] => {
-                let passed = self.stopped.expect("a stop").elapsed();
+                let passed = self.marked.expect("a mark").elapsed();
                 assert!(passed < Duration::from_micros(runner::length_us(time)), "{passed:?}");
             }
             ["moves"] => {
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -41,6 +41,8 @@
     pub name: String,
     /// The longest that a client waits.
     pub abandon: Micros,
+    /// Calls of it carry a key of their own.
+    pub tagged: bool,
 }
 
 /// Seconds as the settings have them.
@@ -183,7 +185,11 @@
             let (quoted, payoff) = (micros(class.quoted_time_s), class.payoff);
             kinds.push(Workload { kind, quoted, payoff, late_payoff: class.overdue_payoff });
         }
-        let named = |class: &Class| Named { name: class.name.clone(), abandon: micros(class.abandon_time_s) };
+        let named = |class: &Class| Named {
+            name: class.name.clone(),
+            abandon: micros(class.abandon_time_s),
+            tagged: matches!(class.semantics, Semantics::IdempotencyKey),
+        };
         Ok(Place {
             terms: Terms {
                 sidecars: told.balancers,
