--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -9,8 +9,11 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 pub const TIMEOUT: &str = "Request-Timeout-Ms";
+/// How long the rest of an answer may take once its first byte has come.
+const REST_WITHIN: Duration = Duration::from_secs(1);
 
 /// A request as it goes out, but for the time that is left at each hop.
 pub struct Outgoing {
@@ -64,23 +67,38 @@
     written.set(true);
     // From here on it may have run, whatever breaks.
     let mut inbox = Assembler::new(Side::Answers);
-    let answer = read(&link, &mut inbox).await.ok_or(Outcome::Broken)?;
+    let answer = read(&link, &mut inbox).await?;
+    // Bytes behind a whole answer are nobody's: what comes next on that connection could be taken for an answer.
     if answer.lasts && inbox.held() == 0 {
         pool.park(to, link);
     }
     Ok(answer)
 }
 
-async fn read(link: &Link, inbox: &mut Assembler) -> Option<Message> {
+/// Reads one answer. What can't be read has run all the same; only an end that the server made is a break.
+async fn read(link: &Link, inbox: &mut Assembler) -> Result<Message, Outcome> {
     let mut buffer = [0; 4096];
+    let mut until = None;
     loop {
-        let count = (&link.stream).read(&mut buffer).await.ok()?;
+        let read = async { Some((&link.stream).read(&mut buffer).await) };
+        let late = async {
+            match until {
+                Some(until) => _ = Timer::at(until).await,
+                None => future::pending().await,
+            }
+            None
+        };
+        // Guards against waiting out the call's time for the end of an answer that has none.
+        let count = future::or(read, late).await.ok_or(Outcome::Errored)?.map_err(|_| Outcome::Broken)?;
         if count == 0 {
-            return inbox.ended();
+            return inbox.ended().ok_or(Outcome::Broken);
         }
         inbox.push(&buffer[..count]);
-        if let Some(answer) = inbox.take().ok()? {
-            return Some(answer);
+        if let Some(answer) = inbox.take().map_err(|_| Outcome::Errored)? {
+            return Ok(answer);
+        }
+        if inbox.held() > 0 {
+            until = until.or(Some(Instant::now() + REST_WITHIN));
         }
     }
 }
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -16,6 +16,8 @@
 pub struct Link {
     pub stream: Async<TcpStream>,
     _counted: Counted,
+    /// Whether connections of that time to that address are still to be kept.
+    wanted: Rc<Cell<bool>>,
 }
 
 /// One of the connections that are open or on their way.
@@ -53,10 +55,22 @@
     guard: Option<Task<()>>,
 }
 
+/// The connections to one address, since it was last retired.
+struct Shelf {
+    idle: Vec<Idle>,
+    wanted: Rc<Cell<bool>>,
+}
+
+impl Default for Shelf {
+    fn default() -> Shelf {
+        Shelf { idle: Vec::new(), wanted: Rc::new(Cell::new(true)) }
+    }
+}
+
 pub struct Pool {
     me: Weak<Pool>,
     tasks: Tasks,
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    shelves: RefCell<HashMap<SocketAddr, Shelf>>,
     open: Rc<Cell<usize>>,
     parked: Cell<LinkId>,
     most: usize,
@@ -70,7 +84,7 @@
         Rc::new_cyclic(|me| Pool {
             me: me.clone(),
             tasks,
-            idle: RefCell::default(),
+            shelves: RefCell::default(),
             open: Rc::default(),
             parked: Cell::default(),
             most,
@@ -83,7 +97,7 @@
     /// A connection that was used before, if one is free.
     pub fn idle(&self, to: SocketAddr) -> Option<Rc<Link>> {
         loop {
-            let taken = self.idle.borrow_mut().get_mut(&to)?.pop()?;
+            let taken = self.shelves.borrow_mut().get_mut(&to)?.idle.pop()?;
             if taken.link.quiet() {
                 return Some(taken.link);
             }
@@ -98,6 +112,12 @@
         if self.open.get() >= self.most {
             return Err(Outcome::NotSent);
         }
+        let wanted = {
+            let mut shelves = self.shelves.borrow_mut();
+            // Guards against a shelf kept for every address that ever was.
+            shelves.retain(|_, shelf| !shelf.idle.is_empty() || Rc::strong_count(&shelf.wanted) > 1);
+            shelves.entry(to).or_default().wanted.clone()
+        };
         // Before the first wait, so that connections on their way keep to the bound too.
         let counted = Counted::among(&self.open);
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
@@ -108,7 +128,7 @@
         match future::or(connected, late).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                Ok(Rc::new(Link { stream, _counted: counted }))
+                Ok(Rc::new(Link { stream, _counted: counted, wanted }))
             }
             // Our own lack of descriptors says nothing of the server.
             Some(Err(fault)) if out_of_descriptors(&fault) => Err(Outcome::NotSent),
@@ -118,6 +138,10 @@
 
     /// Keeps a connection whose answer has come whole.
     pub fn park(&self, to: SocketAddr, link: Rc<Link>) {
+        // Guards against keeping one whose server has been replaced at that address, or has left, meanwhile.
+        if !link.wanted.get() {
+            return;
+        }
         let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
         let (pool, keep, watched) = (self.me.clone(), duration(self.keep), link.clone());
         let guard = self.tasks.spawn(async move {
@@ -125,18 +149,21 @@
             let old = async { _ = Timer::after(keep).await };
             future::or(stirred, old).await;
             if let Some(pool) = pool.upgrade() {
-                let mut idle = pool.idle.borrow_mut();
-                if let Some(links) = idle.get_mut(&to) {
-                    links.retain(|idle| idle.id != id);
+                if let Some(shelf) = pool.shelves.borrow_mut().get_mut(&to) {
+                    shelf.idle.retain(|idle| idle.id != id);
                 }
             }
         });
-        self.idle.borrow_mut().entry(to).or_default().push(Idle { link, id, guard });
+        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&to) {
+            shelf.idle.push(Idle { link, id, guard });
+        }
     }
 
-    /// Closes what stands idle to a server that wants nothing new.
+    /// Closes what stands idle to a server that wants nothing new, and keeps none of the connections it still uses.
     pub fn retire(&self, at: SocketAddr) {
-        self.idle.borrow_mut().remove(&at);
+        if let Some(shelf) = self.shelves.borrow_mut().remove(&at) {
+            shelf.wanted.set(false);
+        }
     }
 
     async fn drop_oldest(&self) {
@@ -149,9 +176,9 @@
     }
 
     fn take_oldest(&self) -> Option<Idle> {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(at, links)| Some((links.first()?.id, *at))).min();
-        oldest.and_then(|(_, at)| Some(idle.get_mut(&at)?.remove(0)))
+        let mut shelves = self.shelves.borrow_mut();
+        let oldest = shelves.iter().filter_map(|(at, shelf)| Some((shelf.idle.first()?.id, *at))).min();
+        oldest.and_then(|(_, at)| Some(shelves.get_mut(&at)?.idle.remove(0)))
     }
 }
 
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -15,7 +15,6 @@
 
 /// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come.
 const SILENCE: Duration = Duration::from_millis(5_000);
-const MOST_LINE: usize = 4 * 1024 * 1024;
 
 pub struct Watch {
     discovery: SocketAddr,
@@ -27,6 +26,8 @@
     /// Where discovery is from now on.
     moves: Receiver<SocketAddr>,
     log: Logger,
+    /// The longest line that is taken, in bytes.
+    most_line: usize,
 }
 
 /// Why a watch is begun, or no more.
@@ -48,10 +49,10 @@
 impl Watch {
     pub fn new(
         discovery: SocketAddr, told: Version, desk: Rc<Desk>, words: (Receiver<()>, Receiver<SocketAddr>),
-        log: Logger,
+        log: Logger, most_line: usize,
     ) -> Watch {
         let (asks, moves) = words;
-        Watch { discovery, told, desk, asks, moves, log }
+        Watch { discovery, told, desk, asks, moves, log, most_line }
     }
 
     pub async fn run(mut self) {
@@ -113,7 +114,7 @@
             }
             match framing {
                 Some(Framing::Chunked) => {
-                    let fed = chunks.feed(&bytes, &mut lines, MOST_LINE).map_err(|fault| fault.why)?;
+                    let fed = chunks.feed(&bytes, &mut lines, self.most_line).map_err(|fault| fault.why)?;
                     bytes.drain(..fed);
                 }
                 _ => lines.append(&mut bytes),
@@ -125,7 +126,7 @@
             if chunks.done() {
                 return Err("discovery ended the watch".into());
             }
-            if lines.len() > MOST_LINE {
+            if lines.len() > self.most_line {
                 return Err("a line without an end".into());
             }
         }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -36,6 +36,8 @@
 const OWN_SOCKETS: usize = 24;
 /// What one connection may take of the memory at worst: a head, a body and buffers. Copies of these are short-lived.
 const CONNECTION_KB: f64 = 96.0;
+/// The part of the memory that one line of the list may take: it is held as bytes, as text and as entries.
+const LINE_PART: f64 = 1.0 / 32.0;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Phase {
@@ -165,7 +167,9 @@
         let pool = Pool::new(tasks.clone(), most, place.connect_within, place.idle_close);
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
-        let watch = Watch::new(start.discovery, known.index, desk.clone(), (asks, moved), log.clone());
+        let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
+        let words = (asks, moved);
+        let watch = Watch::new(start.discovery, known.index, desk.clone(), words, log.clone(), most_line);
         let parts = Parts {
             protocol: Rc::new(Http1 { pool }),
             desk: desk.clone(),
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -15,7 +15,13 @@
 struct Known {
     name: String,
     address: SocketAddr,
-    ready: bool,
+    listing: Listing,
+}
+
+impl Known {
+    fn ready(&self) -> bool {
+        self.listing.standing == Standing::Ready
+    }
 }
 
 /// What a list comes down to.
@@ -38,8 +44,10 @@
             let missing: Vec<ServerId> = self.known.keys().copied().filter(|id| !there(id)).collect();
             retired.extend(missing.into_iter().filter_map(|id| self.forget(id)));
         }
-        let entries: Vec<Listing> =
-            list.endpoints.iter().map(|entry| self.enter(entry, &mut retired)).collect();
+        let mut entries = Vec::new();
+        for entry in &list.endpoints {
+            self.enter(entry, &mut entries, &mut retired);
+        }
         // Guards against names piling up through many deploys; one that comes back gets a new number.
         for entry in entries.iter().filter(|entry| entry.standing == Standing::Gone) {
             self.forget(entry.server);
@@ -47,19 +55,38 @@
         Told { entries, retired }
     }
 
-    fn enter(&mut self, entry: &Entry, retired: &mut Vec<SocketAddr>) -> Listing {
+    fn enter(&mut self, entry: &Entry, entries: &mut Vec<Listing>, retired: &mut Vec<SocketAddr>) {
         let server = *self.numbers.entry(entry.name.clone()).or_insert_with(|| {
             self.given += 1;
             ServerId(self.given)
         });
-        let listing = entry.listing(server, &self.zones);
-        let (name, address, ready) = (entry.name.clone(), entry.address, listing.standing == Standing::Ready);
-        let before = self.known.insert(server, Known { name, address, ready });
-        retired.extend(before.map(|known| known.address).filter(|before| *before != address));
-        if !ready {
-            retired.push(entry.address);
+        let (address, mut listing) = (entry.address, entry.listing(server, &self.zones));
+        let same = self.known.iter().find(|(id, known)| **id != server && known.address == address);
+        // Guards against sending to a server that is not there any more what another at its address would run: of
+        // two at one address the one that started last is there.
+        if let Some((_, other)) = same.filter(|_| listing.standing == Standing::Ready) {
+            if other.ready() && other.listing.started > listing.started {
+                listing.standing = Standing::Gone;
+            } else {
+                let gone = Listing { standing: Standing::Gone, ..other.listing.clone() };
+                self.forget(gone.server);
+                entries.push(gone);
+            }
+        }
+        let known = Known { name: entry.name.clone(), address, listing: listing.clone() };
+        match self.known.insert(server, known) {
+            // Moved, or started again: what is open to it leads elsewhere, or to nobody.
+            Some(before) if before.address != address || before.listing.started != listing.started => {
+                retired.extend([before.address, address]);
+            }
+            Some(_) => {}
+            // Guards against requests that go to the server which had this address before, and may be silent.
+            None => retired.push(address),
+        }
+        if listing.standing != Standing::Ready {
+            retired.push(address);
         }
-        listing
+        entries.push(listing);
     }
 
     fn forget(&mut self, server: ServerId) -> Option<SocketAddr> {
@@ -69,7 +96,7 @@
     }
 
     pub fn any_ready(&self) -> bool {
-        self.known.values().any(|known| known.ready)
+        self.known.values().any(Known::ready)
     }
 
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -3,7 +3,8 @@
 //!
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
-//!   breaks, garbled, silent, absent (nobody listens); said again, it changes a server;
+//!   breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
+//!   once more), silent, absent (nobody listens), OTHER's-address; said again, it changes a server;
 //!   `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
@@ -130,6 +131,10 @@
             "busy" => empty("503 Service Unavailable"),
             "turns-away" => empty("503 Service Unavailable\r\nNot-Started: 1"),
             "garbled" => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc".into(),
+            "noise" => "\u{1}\u{2}noise".into(),
+            "hints" => "HTTP/1.1 102 Processing\r\n\r\n".repeat(99),
+            "stalls" => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{say}", say.len() + 9),
+            "twice" => format!("{whole}{whole}"),
             "breaks" => return,
             "silent" => {
                 let gone = stream.read(&mut [0]).is_ok_and(|count| count == 0);
@@ -355,6 +360,9 @@
             if how == "absent" {
                 server.address = listen().1; // free again at once
             }
+            if let Some(other) = how.strip_suffix("'s-address") {
+                server.address = self.find(other).address;
+            }
             self.servers.push(server);
         }
         let mut seen = self.find(name).seen.lock().expect("seen");
