Callers that come by hundreds wait in the machine's queue; silent ones go after 0.1 s

Lines at fault: phases.rs bound with the standard library's queue of 128, which 180 connections held back by YOUTH (0.25 s, door.rs) let fill. A usual caller sends as it connects: 0.1 s is ample. The queue is 4096 long, and costs no descriptor of ours.

--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -19,7 +19,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// How long one that has never sent a whole request is left alone, however many others wait.
-const YOUTH: Duration = Duration::from_millis(250);
+const YOUTH: Duration = Duration::from_millis(100);
 
 /// One stay of a connection among those with no request open; the longer ago it began, the lower.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -13,6 +13,7 @@
 use futures_lite::{future, Stream, StreamExt};
 use oakhollow::types::Micros;
 use oakhollow_terms::Start;
+use rustix::net;
 use slog::{info, warn, Logger};
 use std::io::{ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener};
@@ -30,6 +31,8 @@
 const MARGIN: Micros = Micros::millis(150);
 /// How long a taken address is tried again.
 const REBIND: Duration = Duration::from_secs(2);
+/// How many connections may wait in the machine's queue; they take none of our descriptors.
+const QUEUE: i32 = 4096;
 /// How often it is looked whether all have left.
 const LOOK: Duration = Duration::from_millis(10);
 /// Descriptors that are neither a caller's connection nor a server's.
@@ -151,7 +154,9 @@
             Err(fault) if fault.kind() == ErrorKind::AddrInUse && first.elapsed() < REBIND => {
                 Timer::after(REBIND / 20).await;
             }
-            bound => return bound,
+            // Guards against callers that are not even let wait, and are lost for a second, when many come at once.
+            Ok(listener) => return net::listen(&listener, QUEUE).map(|()| listener).map_err(Into::into),
+            Err(fault) => return Err(fault),
         }
     }
 }
