--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -47,11 +47,10 @@
     /// Bound, and nobody sent here yet.
     Starting,
     Serving,
-    /// Told to stop: `/ready` says no, whoever still comes is served.
+    /// Told to stop: `/ready` says no, whoever still comes or stays is served. Guards against a gap where another
+    /// sidecar leaves soon after: its callers may have nobody else.
     Leaving,
-    /// Nobody new is taken in; connections that are there are served on, and kept.
-    Staying,
-    /// What was taken is finished, each answer ends its connection.
+    /// Nobody new is taken in; what was taken is finished, each answer ends its connection.
     Finishing,
     Over,
 }
@@ -62,8 +61,7 @@
     Told,
     /// The file is to be read again.
     Changed,
-    Noticed,
-    /// Half of the time before the program may be killed is gone.
+    /// Those who send clients here have noticed, and half of the time before the program may be killed is gone.
     Spent,
     Empty,
     Overdue,
@@ -75,7 +73,6 @@
     SayNo,
     Reread,
     Shut,
-    Close,
     Nothing,
 }
 
@@ -85,10 +82,7 @@
     (Phase::Serving, Sign::Told, Phase::Leaving, Effect::SayNo),
     (Phase::Serving, Sign::Changed, Phase::Serving, Effect::Reread),
     (Phase::Leaving, Sign::Changed, Phase::Leaving, Effect::Reread),
-    (Phase::Leaving, Sign::Noticed, Phase::Staying, Effect::Shut),
-    (Phase::Staying, Sign::Changed, Phase::Staying, Effect::Reread),
-    (Phase::Staying, Sign::Spent, Phase::Finishing, Effect::Close),
-    (Phase::Staying, Sign::Empty, Phase::Over, Effect::Nothing),
+    (Phase::Leaving, Sign::Spent, Phase::Finishing, Effect::Shut),
     (Phase::Finishing, Sign::Empty, Phase::Over, Effect::Nothing),
     (Phase::Finishing, Sign::Overdue, Phase::Over, Effect::Nothing),
 ];
@@ -109,7 +103,6 @@
     longest: Duration,
     /// How long after the word to stop the program is sure to live.
     grace: Micros,
-    told: Instant,
     /// Where the list is watched from now on.
     moves: Sender<SocketAddr>,
 }
@@ -195,7 +188,6 @@
             welcome: None,
             longest: duration(longest),
             grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
-            told: Instant::now(),
             moves,
             desk,
             log,
@@ -219,21 +211,13 @@
                 Phase::Starting => Sign::Bound,
                 Phase::Serving => word.await,
                 Phase::Leaving => {
-                    let noticed = async {
-                        Timer::at(self.since + NOTICE).await;
-                        Sign::Noticed
+                    let spent = async {
+                        Timer::at(self.since + NOTICE.max(duration(self.grace.times(0.5)))).await;
+                        Sign::Spent
                     };
-                    future::or(noticed, word).await
+                    future::or(spent, word).await
                 }
-                Phase::Staying | Phase::Finishing if self.door.open() == 0 => Sign::Empty,
-                Phase::Staying if self.told.elapsed() >= duration(self.grace.times(0.5)) => Sign::Spent,
-                Phase::Staying => match future::poll_once(word).await {
-                    Some(sign) => sign,
-                    None => {
-                        Timer::after(LOOK).await;
-                        continue;
-                    }
-                },
+                Phase::Finishing if self.door.open() == 0 => Sign::Empty,
                 Phase::Finishing if self.since.elapsed() > self.longest => Sign::Overdue,
                 Phase::Finishing | Phase::Over => {
                     Timer::after(LOOK).await;
@@ -254,7 +238,6 @@
                 self.door.set_able(true);
             }
             Effect::SayNo => {
-                self.told = Instant::now();
                 self.door.set_able(false);
                 // Guards against a kill that finds an API call without its answer.
                 self.door.answer_by(self.desk.clock.now() + (self.grace - MARGIN));
@@ -263,12 +246,12 @@
                 if let Some(welcome) = self.welcome.take() {
                     welcome.cancel().await;
                 }
+                self.door.close();
                 // Dropped at once after: a listener left open would go on accepting for nobody.
                 if let Some(listener) = self.listener.take() {
                     self.door.take_rest(&listener);
                 }
             }
-            Effect::Close => self.door.close(),
             Effect::Reread => match reread() {
                 Ok(start) => {
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
