--- a/src/records.rs
+++ b/src/records.rs
@@ -52,7 +52,6 @@
 pub struct Server {
     pub listing: Listing,
     pub out: u32,
-    pub late: u32, // of those, the hops that have outlived the usual
     pub answered: bool,
     pub trust: Trust,
     pub until: Micros,
@@ -68,7 +67,6 @@
         Server {
             listing: listing.clone(),
             out,
-            late: 0,
             answered: false,
             trust: Trust::Fit,
             until: Micros(0),
@@ -85,12 +83,7 @@
         self.listing.size.max(0.01) * self.ease
     }
 
-    /// Takes the end of a hop that was neither cancelled nor over before.
-    pub fn hear(&mut self, outcome: Outcome, slow: bool) {
-        self.unreached = outcome.proves_not_run();
-        if outcome != Outcome::Succeeded {
-            return;
-        }
+    pub fn answer(&mut self, slow: bool) {
         self.answered = true;
         self.ease = if slow { (self.ease * 0.93).max(0.3) } else { (self.ease + 0.03).min(1.0) };
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,6 @@
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
 const CROWDED: f64 = 1.65; // latency over its uncrowded level that counts as crowding
-const SLOW_ALONE: f64 = 0.7; // a server's ease against the easiest one's that counts as slow
 const EASED: f64 = 1.45; // and the one below which it is over
 const PATIENCE: f64 = 0.6; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.1; // a client's repeat against a first try
@@ -217,13 +216,10 @@
         self.step(id, if room { Room } else { Crowd }, out);
     }
 
-    /// Hops stuck at servers set aside don't count, nor late ones at a server slow against the others: guards
-    /// against a width full of silence. A part of a call is rounded by chance, lest all round up.
+    /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
+    /// of a call is rounded by chance where sidecars outnumber servers: guards against all rounding up.
     fn has_width(&self) -> bool {
-        let easiest = self.around().map(|server| server.ease).fold(0.0, f64::max);
-        let late = |server: &Server| if server.ease < SLOW_ALONE * easiest { server.late } else { 0 };
-        let stuck = |server: &Server| if server.trust == Trust::Fit { late(server) } else { server.out };
-        let stuck = self.around().map(stuck);
+        let stuck = self.around().filter(|server| server.trust != Trust::Fit).map(|server| server.out);
         let width = (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither;
         f64::from(self.out - stuck.sum::<u32>()) + 1.0 <= width
     }
@@ -344,7 +340,6 @@
         }
         let server = hop.server;
         if !std::mem::replace(&mut hop.outlived, true) {
-            self.servers.entry(server).and_modify(|server| server.late += 1);
             self.judge(server, false, out);
         }
         // Guards against copying nearly everything when all servers slow together: the slice's threshold is
@@ -369,7 +364,7 @@
         let open = call.hops.iter().any(Hop::open);
         self.out -= 1;
         if let Some(known) = self.servers.get_mut(&server) {
-            (known.out, known.late) = (known.out - 1, known.late.saturating_sub(u32::from(outlived)));
+            known.out -= 1;
             if known.out == 0 && known.listing.standing == Standing::Gone {
                 self.servers.remove(&server);
             }
@@ -505,7 +500,12 @@
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
         let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
-        self.servers.entry(id).and_modify(|server| server.hear(outcome, slow));
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.unreached = outcome.proves_not_run();
+            if good {
+                server.answer(slow);
+            }
+        }
         if good {
             self.slices.add(self.now, waited);
             self.weigh_width(waited, out);
