--- /dev/null
+++ b/sidecar/benches/loopback/main.rs
@@ -0,0 +1,225 @@
+//! Calls a second through the program against calls straight to a stand-in, in one run, by the number of servers and
+//! of workers:
+//!
+//!     cargo bench --bench loopback -- --build now=target/release/oakhollow --servers 4,1000,10000
+//!
+//! `--build NAME=PATH` may stand several times: builds are played in turn, in an order that is reversed each round, so
+//! that a drift of the machine meets all alike. Figures are medians over the rounds.
+mod callers;
+mod stand;
+
+use callers::{await_ready, call, Seen};
+use clap::Parser;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Parser)]
+struct Args {
+    /// A build to measure.
+    #[arg(long, value_parser = build, required = true)]
+    build: Vec<(String, PathBuf)>,
+    /// Servers in the list.
+    #[arg(long, value_delimiter = ',', default_values_t = [4, 1000])]
+    servers: Vec<usize>,
+    /// Workers of each sidecar; 1 is not written into its file, so that builds that know no workers can be paired.
+    #[arg(long, value_delimiter = ',', default_values_t = [1])]
+    workers: Vec<usize>,
+    #[arg(long, default_value_t = 64)]
+    callers: usize,
+    #[arg(long, default_value_t = 2)]
+    caller_threads: usize,
+    #[arg(long, default_value_t = 2)]
+    server_threads: usize,
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+    /// Seconds that count in each run.
+    #[arg(long, default_value_t = 3.0)]
+    seconds: f64,
+    /// Seconds before these.
+    #[arg(long, default_value_t = 2.0)]
+    warm: f64,
+    /// Changes of the list a second while calls flow.
+    #[arg(long, default_value_t = 0)]
+    changes: u64,
+    /// Bounds the sidecar to these processors, as `taskset` words them.
+    #[arg(long)]
+    cpus: Option<String>,
+    /// Keeps the program's log lines on standard error.
+    #[arg(long)]
+    logs: bool,
+    /// Cargo adds it.
+    #[arg(long, hide = true)]
+    bench: bool,
+}
+
+fn build(text: &str) -> Result<(String, PathBuf), String> {
+    let (name, path) = text.split_once('=').ok_or("NAME=PATH is wanted")?;
+    let path = PathBuf::from(path);
+    // Cargo runs a bench in its package's folder.
+    let path = if path.is_relative() { PathBuf::from("..").join(path) } else { path };
+    path.is_file().then_some((name.to_string(), path.clone())).ok_or(format!("{} is no file", path.display()))
+}
+
+/// A running sidecar, ended with this.
+struct Running {
+    child: Child,
+    listen: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Running {
+    fn start(args: &Args, path: &PathBuf, discovery: SocketAddr, workers: usize) -> std::io::Result<Running> {
+        let free = TcpListener::bind("127.0.0.1:0")?;
+        let listen = free.local_addr()?;
+        drop(free);
+        let folder =
+            std::env::temp_dir().join(format!("oakhollow-loopback-{}-{}", std::process::id(), listen.port()));
+        std::fs::create_dir_all(&folder)?;
+        let file = folder.join("sidecar.json");
+        let json = format!(
+            r#"{{"name":"bench","listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"memory_mb":8192,"sockets":18000}},
+  "settings":{{"me":0,"balancers":1,"bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.5,"idle_close_s":60.0,
+  "retry_after":true,"max_retry_after_s":2.0}},"rules":{{"ask_within_s":10.0,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8.0}},
+  "zones":["here"],"workloads":[{{"name":"view","semantics":"read_like","quoted_time_s":1.0,"abandon_time_s":3.0,"payoff":1.0}}]}}}}"#
+        );
+        std::fs::write(&file, json)?;
+        let mut command = match &args.cpus {
+            Some(cpus) => {
+                let mut command = Command::new("taskset");
+                command.args(["-c", cpus]).arg(path);
+                command
+            }
+            None => Command::new(path),
+        };
+        command.arg(&file).stdout(Stdio::null());
+        if !args.logs {
+            command.stderr(Stdio::null());
+        }
+        if workers > 1 {
+            let operator = folder.join("oakhollow.toml");
+            std::fs::write(&operator, format!("workers = {workers}\n"))?;
+            command.arg("--operator").arg(operator);
+        }
+        let running = Running { child: command.spawn()?, listen, folder };
+        match await_ready(listen) {
+            true => Ok(running),
+            false => Err(std::io::Error::other("the sidecar is not ready within 10 s")),
+        }
+    }
+
+    /// Processor seconds so far, and resident MB.
+    fn spent(&self) -> (f64, f64) {
+        let read = |name: &str| {
+            std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).unwrap_or_default()
+        };
+        let stat = read("stat");
+        let after = stat.rsplit(')').next().unwrap_or_default();
+        let ticks: f64 =
+            after.split_whitespace().skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum();
+        let status = read("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks / 100.0, kb / 1024.0)
+    }
+}
+
+struct Row {
+    what: String,
+    a_second: f64,
+    p50: f64,
+    p99: f64,
+    most: f64,
+    not_served: u64,
+    cpu_us: f64,
+    mb: f64,
+}
+
+impl Row {
+    fn of(what: String, seen: &Seen, cpu_us: f64, mb: f64) -> Row {
+        let at = |quantile| seen.latency.value_at_quantile(quantile) as f64;
+        let (p50, p99, most) = (at(0.5), at(0.99), seen.latency.max() as f64);
+        Row { what, a_second: seen.a_second(), p50, p99, most, not_served: seen.not_served, cpu_us, mb }
+    }
+}
+
+fn median(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures[figures.len() / 2]
+}
+
+fn main() -> std::io::Result<()> {
+    let args = Args::parse();
+    let (warm, length) = (Duration::from_secs_f64(args.warm), Duration::from_secs_f64(args.seconds));
+    let most = args.servers.iter().copied().max().unwrap_or(1);
+    let servers = stand::servers(most, args.server_threads)?;
+    let mut rows: Vec<Row> = Vec::new();
+    for round in 0..args.rounds {
+        let direct = call(servers[0], args.callers, args.caller_threads, Duration::from_millis(300), length)?;
+        rows.push(Row::of("direct".into(), &direct, 0.0, 0.0));
+        let mut arms = Vec::new();
+        for &count in &args.servers {
+            for &workers in &args.workers {
+                arms.extend(args.build.iter().map(|(name, path)| (count, workers, name, path)));
+            }
+        }
+        if round % 2 == 1 {
+            arms.reverse();
+        }
+        for (count, workers, name, path) in arms {
+            let churn = Arc::new(stand::Churn::default());
+            churn.on.store(args.changes > 0, Ordering::Relaxed);
+            let discovery = stand::discovery(servers[..count].to_vec(), churn.clone(), args.changes.max(1))?;
+            let running = Running::start(&args, path, discovery, workers)?;
+            call(running.listen, args.callers, args.caller_threads, Duration::ZERO, warm)?;
+            let (before, _) = running.spent();
+            let seen = call(running.listen, args.callers, args.caller_threads, Duration::ZERO, length)?;
+            let (after, mb) = running.spent();
+            let cpu_us = (after - before) * 1e6 / seen.calls.max(1) as f64;
+            rows.push(Row::of(format!("{name}, {count} servers, {workers} workers"), &seen, cpu_us, mb));
+        }
+    }
+    let mut names: Vec<&str> = Vec::new();
+    for row in &rows {
+        if !names.contains(&row.what.as_str()) {
+            names.push(&row.what);
+        }
+    }
+    println!(
+        "{} callers, {} rounds of {} s, {} list changes a second",
+        args.callers, args.rounds, args.seconds, args.changes
+    );
+    println!(
+        "| arm | calls/s | part of direct | p50 us | p99 us | most us | not served | cpu us/call | RSS MB |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    let pick = |name: &str, figure: fn(&Row) -> f64| {
+        median(rows.iter().filter(|row| row.what == name).map(figure).collect())
+    };
+    let direct = pick("direct", |row| row.a_second);
+    for name in names {
+        println!(
+            "| {name} | {:.0} | {:.4} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
+            pick(name, |row| row.a_second),
+            pick(name, |row| row.a_second) / direct,
+            pick(name, |row| row.p50),
+            pick(name, |row| row.p99),
+            pick(name, |row| row.most),
+            pick(name, |row| row.not_served as f64),
+            pick(name, |row| row.cpu_us),
+            pick(name, |row| row.mb),
+        );
+    }
+    Ok(())
+}
