A decision that costs the same before 10 servers and before 10,000

Need: pick, width, judging and the list walked every server several times an event: 1 ms a call at 1,000 servers. Cold servers with their part spent, and those set aside, rest until a time that is never told too late. The pick draws from a stream of its own.

--- a/benches/events.rs
+++ b/benches/events.rs
@@ -85,7 +85,7 @@
         let entries: Vec<Listing> =
             (0..size).map(|at| listing(at, world.started(at), Standing::Ready)).collect();
         world.tell(Event::Listed { kind: ListKind::Whole, entries: &entries });
-        for _ in 0..2_000u32 {
+        for _ in 0..(4 * size).max(20_000) {
             world.turn();
         }
         world
@@ -144,7 +144,7 @@
         let arrivals = if self.day == Day::Troubled { 2 } else { 1 };
         for _ in 0..arrivals {
             self.calls = (self.calls + 1) & 0x00FF_FFFF;
-            let (call, workload) = (CallId(self.calls), WorkloadId((self.calls % 4 == 0) as usize));
+            let (call, workload) = (CallId(self.calls), WorkloadId((self.calls.is_multiple_of(4)) as usize));
             let (left, customer) = (Micros::millis(1_000), CustomerId(0));
             self.tell(Event::Arrived(Arrival { call, workload, left, customer, repeat: false }));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //! [`rules::Sidecar::on`] and carries out the actions that come back. See `docs/design.md`.
 //!
 //! Beside the interface types ([`types`]) this file holds the measures that the rules read.
-mod records;
+pub mod fleet;
+pub mod records;
 pub mod rules;
 pub mod types;
 
@@ -142,7 +143,7 @@
 }
 
 /// Good and bad, in two bins.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct Tally {
     pub good: f64,
     pub bad: f64,
--- a/src/records.rs
+++ b/src/records.rs
@@ -54,6 +54,8 @@
     pub out: u32,
     pub answered: bool,
     pub trust: Trust,
+    /// Until then it may not be sent to: set aside, or cold with its part spent.
+    pub rest: Micros,
     pub until: Micros,
     pub asides: u32,
     pub record: Tally,
@@ -69,6 +71,7 @@
             out,
             answered: false,
             trust: Trust::Fit,
+            rest: Micros(0),
             until: Micros(0),
             asides: 0,
             record: Tally::default(),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,9 +2,11 @@
 //! hand each event to [`Sidecar::on`] with the present time, and carry out, in order, the actions that it
 //! appends. It reads no clock and shares nothing. The interface is in `types.rs`, the measures in `lib.rs`,
 //! and `docs/design.md` says what is kept of the design and when each departure acts.
+use crate::fleet::{Class, Fleet};
 use crate::records::*;
 use crate::types::*;
 use crate::{Allowance, Chance, Pace, Slices, Tally};
+use fnv::FnvHashMap;
 use std::collections::BTreeMap;
 use Effect::*;
 use Input::*;
@@ -69,19 +71,24 @@
     (Trust::Trial, Sign::Bad, Trust::Aside),
 ];
 
+/// Which servers are drawn from first, second and last. Those never answered count at the others' mean: where
+/// that is half a call or more, they stand among the busy ones.
+const RANKS_CALM: [&[Class]; 3] =
+    [&[Class::IdleNear, Class::NewNear], &[Class::IdleFar, Class::NewFar], &[Class::Busy]];
+const RANKS_HELD: [&[Class]; 3] =
+    [&[Class::IdleNear], &[Class::IdleFar], &[Class::Busy, Class::NewNear, Class::NewFar]];
+
 /// One instance of the decisions.
 #[derive(Default)]
 pub struct Sidecar {
     now: Micros,
     figures: Figures,
     chance: Chance,
-    servers: BTreeMap<ServerId, Server>,
-    ring: Vec<ServerId>,   // the ready ones, in an order that all sidecars share
-    circle: Vec<ServerId>, // our part of the ring: the pick looks nowhere else
-    fit: (f64, f64),       // how many are ready and fit, and their size together, which is never 0
-    dither: f64,           // which way a part of a call is rounded, for this beat
-    peak: f64,             // the most of our calls in flight of late
-    calls: BTreeMap<CallId, Call>,
+    lots: Chance, // for the pick alone, which draws as often as it must
+    fleet: Fleet,
+    dither: f64, // which way a part of a call is rounded, for this beat
+    peak: f64,   // the most of our calls in flight of late
+    calls: FnvHashMap<CallId, Call>,
     queue: BTreeMap<(u32, u64), CallId>,
     arrivals: u64,
     out: u32,
@@ -115,6 +122,8 @@
         let mut sidecar = Sidecar {
             now,
             chance: Chance::new(seed),
+            lots: Chance::new(!seed),
+            fleet: Fleet::new(terms.near),
             purses: figures.shares.iter().map(|share| Allowance { left: 2.0 * share, seen: now }).collect(),
             figures,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
@@ -219,9 +228,8 @@
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
     /// of a call is rounded by chance where sidecars outnumber servers: guards against all rounding up.
     fn has_width(&self) -> bool {
-        let stuck = self.around().filter(|server| server.trust != Trust::Fit).map(|server| server.out);
         let width = (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither;
-        f64::from(self.out - stuck.sum::<u32>()) + 1.0 <= width
+        f64::from(self.out - self.fleet.stuck()) + 1.0 <= width
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -229,28 +237,35 @@
     fn send(&mut self, id: CallId, copy: bool, out: &mut Vec<Action>) -> Option<Input> {
         let Some(server) = self.pick(id) else {
             // Guards against parking a call that no server may take any more: it is answered at once.
-            let waits = self.around().any(|server| self.open_to(&self.calls[&id], server));
+            let call = &self.calls[&id];
+            let waits = match self.bound_to(call) {
+                Some(cell) => self.fleet.cell(cell).any(|server| self.open_to(call, server)),
+                None => self.fleet.around().any(|server| self.open_to(call, server)),
+            };
             return Some(if waits { Crowd } else { LostAll }).filter(|_| !copy).or(Some(LostOne));
         };
         let now = self.now;
-        let cold = self.figures.cold_share(&self.servers[&server], now).map(|share| self.cold_pace(share));
-        let target = self.servers.get_mut(&server)?;
+        let target = self.fleet.get(server)?;
+        let cold = self.figures.cold_share(target, now).map(|share| self.cold_pace(share));
+        let (place, cell, trust) = (target.listing.place, target.listing.cell, target.trust);
         let call = self.calls.get_mut(&id)?;
         let give_up = call.abandon - now;
         let extra = !call.hops.is_empty();
         self.budget = if extra { self.budget - 1.0 } else { (self.budget + BUDGET_SHARE).min(BUDGET_DEPTH) };
-        let (place, cell) = (target.listing.place, target.listing.cell);
         call.hops.push(Hop { server, place, cell, sent: now, ended: None, outlived: false, copy });
         out.push(Action::Send { call: id, server, give_up });
         self.out += 1;
         self.peak = self.peak.max(f64::from(self.out));
         self.sends.seen += 1.0;
-        target.out += 1;
+        self.fleet.change(server, |target| {
+            target.out += 1;
+            cold.map(|(rate, burst)| target.cold.take(rate, burst, now))
+        });
         match cold {
-            Some((rate, burst)) => _ = target.cold.take(rate, burst, now),
+            Some(_) => self.settle(server),
             None => self.warm_sends.seen += 1.0,
         }
-        if target.trust == Trust::Aside {
+        if trust == Trust::Aside {
             self.sign(server, Sign::Due, "its time aside is over".into(), out);
         }
         if !copy {
@@ -344,7 +359,7 @@
         }
         // Guards against copying nearly everything when all servers slow together: the slice's threshold is
         // stale then, but the crowding measure is not. A hop at a server set aside is rescued all the same.
-        let stuck = self.servers.get(&server).is_some_and(|server| server.trust != Trust::Fit);
+        let stuck = self.fleet.get(server).is_some_and(|server| server.trust != Trust::Fit);
         let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width();
         let may = self.figures.may_race && (calm || stuck) && !self.suppressed;
         if may && self.budget >= 1.0 && self.pick(id).is_some() {
@@ -363,11 +378,10 @@
         let (server, outlived) = (hop.server, hop.outlived);
         let open = call.hops.iter().any(Hop::open);
         self.out -= 1;
-        if let Some(known) = self.servers.get_mut(&server) {
-            known.out -= 1;
-            if known.out == 0 && known.listing.standing == Standing::Gone {
-                self.servers.remove(&server);
-            }
+        self.fleet.change(server, |known| known.out -= 1);
+        let left = |known: &Server| known.out == 0 && known.listing.standing == Standing::Gone;
+        if self.fleet.get(server).is_some_and(left) {
+            self.fleet.remove(server);
         }
         // A cancelled loser, and whatever ends after the call was over, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
@@ -406,70 +420,95 @@
         standing == Standing::Ready && call.hops.iter().all(|hop| hop.server != id && harmless(hop))
     }
 
+    /// The one cell in which a tagged call may go out again, if it is bound to one.
+    fn bound_to(&self, call: &Call) -> Option<CellId> {
+        match self.figures.workloads[call.workload].kind {
+            Kind::Tagged { group: Group::Cell, .. } => call.hops.iter().find(|hop| hop.may_have_run()),
+            _ => None,
+        }
+        .map(|hop| hop.cell)
+    }
+
     /// A random server holding none of our calls, in our own place first where crossing is priced, else the
     /// lighter of two random ones. A new one counts at the others' mean until it first answers.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
-        let draws = [self.chance.draw(), self.chance.draw()];
+        while let Some(rested) = self.fleet.rouse(self.now) {
+            self.settle(rested);
+        }
         let call = self.calls.get(&id)?;
         if call.hops.len() >= self.figures.most_hops || self.now >= call.abandon {
             return None;
         }
-        let per_unit = self.per_unit();
-        let known = self.around().filter(|server| server.answered).map(|server| f64::from(server.out));
-        let mean = known.clone().sum::<f64>() / known.count().max(1) as f64;
+        let (per_unit, mean, cell) = (self.per_unit(), self.fleet.mean_out(), self.bound_to(call));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
-        let fits = |server: &&Server| self.open_to(call, server) && self.takes(server, per_unit);
-        let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
-        let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
-        let fit = |server| (rank(server), load(server), server);
-        let mut fitting: Vec<_> = self.around().filter(fits).map(fit).collect();
-        let best = fitting.iter().map(|fit| fit.0).min()?;
-        fitting.retain(|fit| fit.0 == best);
-        let (one, other) = draws.map(|draw| fitting[(draw * fitting.len() as f64) as usize]).into();
-        let heavier = (one.1 + 1.0) / one.2.weight() > (other.1 + 1.0) / other.2.weight();
-        Some(if best == 2 && heavier { other } else { one }.2.listing.server)
+        let fits = |server: &Server| self.open_to(call, server) && self.takes(server, per_unit);
+        let mut lots = self.lots.clone();
+        let mut draw = |classes| self.fleet.draw(classes, cell, &mut lots, &fits);
+        let [near, far, busy]: [&[Class]; 3] = if mean < 0.5 { RANKS_CALM } else { RANKS_HELD };
+        let found = draw(near).or_else(|| draw(far)).or_else(|| {
+            let (one, other) = (draw(busy)?, draw(busy)?);
+            let heavier = (load(one) + 1.0) / one.weight() > (load(other) + 1.0) / other.weight();
+            Some(if heavier { other } else { one })
+        });
+        debug_assert!({
+            let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
+            let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
+            let best = self.fleet.around().filter(|server| fits(server)).map(rank).min();
+            best == found.map(rank)
+        });
+        let found = found.map(|server| server.listing.server);
+        self.lots = lots;
+        found
+    }
+
+    /// When a server may be sent to again: its time aside is over, and its cold part allows a call. It may be
+    /// told too early, and is looked at anew then, but never too late.
+    fn settle(&mut self, id: ServerId) {
+        let Some(server) = self.fleet.get(id) else { return };
+        let aside = if server.trust == Trust::Aside { server.until } else { Micros(0) };
+        let due = |share| {
+            let lack = 1.0 - server.cold.left;
+            let wait = if lack > 0.0 { lack / self.cold_pace(share).0 } else { 0.0 };
+            (server.cold.seen + Micros((wait * 1e6) as u64))
+                .min(server.listing.started + self.figures.warm_within)
+        };
+        let cold = self.figures.cold_share(server, self.now).map_or(Micros(0), |share| {
+            let late = due(share).max(self.now);
+            due(self.figures.cold_share(server, late).unwrap_or(1.0))
+        });
+        self.fleet.change(id, |server| server.rest = aside.max(cold));
     }
 
     /// Our own calls that one server may hold for each unit of its weight: half more than its even part. Ease
     /// is relative, so that servers slow together lose nothing by it.
     fn per_unit(&self) -> f64 {
-        let fit = self.around().filter(|server| server.usable());
-        let (easiest, size) =
-            fit.fold((0.3, 0.01), |all, server| (server.ease.max(all.0), all.1 + server.listing.size));
-        1.5 * self.crowd.width * self.left_of_fleet() / size / easiest
+        let fleet = &self.fleet;
+        1.5 * self.crowd.width * self.left_of_fleet() / fleet.size_around() / fleet.easiest()
     }
 
     /// The part of the fleet of the last while that is still ready and fit. The fleet's size fades slowly:
     /// guards against pouring the width of many servers into the few that are left.
     fn left_of_fleet(&self) -> f64 {
-        self.fit.1 / self.crowd.fleet.max(self.fit.1)
-    }
-
-    fn around(&self) -> impl Iterator<Item = &Server> + Clone {
-        self.circle.iter().filter_map(|id| self.servers.get(id))
+        let fit = self.fleet.usable_size();
+        fit / self.crowd.fleet.max(fit)
     }
 
     /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from all to
     /// all, and against knowing next to nothing of each server. Nearly a server for each of our calls at the
-    /// peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet.
-    fn draw_circle(&mut self) {
-        let (all, part) = (self.ring.len(), self.figures.my_part);
+    /// peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet. Drawn anew at
+    /// each beat, and fitted to what has `changed` between.
+    fn draw_circle(&mut self, changed: Option<&[ServerId]>) {
+        let (all, part, figures, now) = (self.fleet.ready(), self.figures.my_part, &self.figures, self.now);
         let wanted = (0.8 * self.peak).max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
-        let start = (all as f64 * part * self.figures.my_number) as usize;
-        let (mut room, mut circle) = (0.0, Vec::new());
-        for id in self.ring.iter().cycle().skip(start).take(all) {
-            let server = &self.servers[id];
-            if room >= wanted {
-                break;
-            }
-            if server.trust == Trust::Fit {
-                room += self.figures.cold_share(server, self.now).unwrap_or(1.0);
-            }
-            circle.push(*id);
+        let start = (all as f64 * part * figures.my_number) as usize;
+        let room = |server: &Server| match server.trust {
+            Trust::Fit => figures.cold_share(server, now).unwrap_or(1.0),
+            _ => 0.0,
+        };
+        match changed {
+            Some(changed) => self.fleet.refit(start, wanted, changed, room),
+            None => self.fleet.redraw(start, wanted, room),
         }
-        self.circle = circle;
-        let fit = self.servers.values().filter(|server| server.usable());
-        self.fit = fit.fold((0.0, 0.01), |sum, server| (sum.0 + 1.0, sum.1 + server.listing.size));
     }
 
     fn takes(&self, server: &Server, per_unit: f64) -> bool {
@@ -500,12 +539,12 @@
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
         let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
-        if let Some(server) = self.servers.get_mut(&id) {
+        self.fleet.change(id, |server| {
             server.unreached = outcome.proves_not_run();
             if good {
                 server.answer(slow);
             }
-        }
+        });
         if good {
             self.slices.add(self.now, waited);
             self.weigh_width(waited, out);
@@ -532,7 +571,7 @@
     /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level,
     /// more only wait in servers, and tip them into the slow state. Never under what our usual rate needs.
     fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
-        let ((usable, _), left) = (self.fit, self.left_of_fleet());
+        let (usable, left) = (self.fleet.usable(), self.left_of_fleet());
         let crowd = &mut self.crowd;
         let Some((median, level)) = crowd.measure(waited) else { return };
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
@@ -556,19 +595,21 @@
 
     /// Health is relative: a server is condemned by its own record against the others', never more than half.
     fn judge(&mut self, id: ServerId, good: bool, out: &mut Vec<Action>) {
-        let peers = self.around().filter(|server| server.listing.server != id);
-        let peers: Tally = peers.map(|server| server.record).sum();
-        let ready = self.ring.len() as f64;
-        let aside = ready - self.fit.0;
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.record.add(good);
-        let (rate, others) = (server.record.rate(), peers.rate());
-        let worse = server.record.bad >= 3.0 && rate > 0.6 && rate > 3.0 * others;
-        if server.record.total() > 16.0 {
-            server.record.fade(0.5);
-        }
-        let condemned = (worse || server.unreached) && 2.0 * (aside + 1.0) <= ready;
-        let sign = match (server.trust, good) {
+        let others = self.fleet.peers(id).rate();
+        let ready = self.fleet.ready() as f64;
+        let aside = ready - self.fleet.usable();
+        let judged = self.fleet.change(id, |server| {
+            server.record.add(good);
+            let rate = server.record.rate();
+            let worse = server.record.bad >= 3.0 && rate > 0.6 && rate > 3.0 * others;
+            if server.record.total() > 16.0 {
+                server.record.fade(0.5);
+            }
+            (rate, worse || server.unreached, server.trust)
+        });
+        let Some((rate, bad, trust)) = judged else { return };
+        let condemned = bad && 2.0 * (aside + 1.0) <= ready;
+        let sign = match (trust, good) {
             (Trust::Fit, false) if condemned => Sign::Condemned,
             (Trust::Trial, true) => Sign::Good,
             (Trust::Trial, false) => Sign::Bad,
@@ -578,20 +619,25 @@
     }
 
     fn sign(&mut self, id: ServerId, sign: Sign, why: String, out: &mut Vec<Action>) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        let row = SERVERS.iter().find(|(trust, given, _)| *trust == server.trust && *given == sign);
-        let Some(&(_, _, trust)) = row else { return };
-        server.trust = trust;
-        if trust == Trust::Aside {
-            // Guards against knocking again and again where others hold all connections.
-            let doubled = server.asides.min(3) + if server.answered { 0 } else { 3 };
-            server.until = self.now + ASIDE.times(f64::from(1 << doubled));
-            server.asides += 1;
-        } else if trust == Trust::Fit {
-            (server.record, server.asides) = (Tally { good: 1.0, bad: 0.0 }, 0);
-        }
+        let now = self.now;
+        let step = |server: &mut Server| {
+            let row = SERVERS.iter().find(|(trust, given, _)| *trust == server.trust && *given == sign);
+            let &(_, _, trust) = row?;
+            server.trust = trust;
+            if trust == Trust::Aside {
+                // Guards against knocking again and again where others hold all connections.
+                let doubled = server.asides.min(3) + if server.answered { 0 } else { 3 };
+                server.until = now + ASIDE.times(f64::from(1 << doubled));
+                server.asides += 1;
+            } else if trust == Trust::Fit {
+                (server.record, server.asides) = (Tally { good: 1.0, bad: 0.0 }, 0);
+            }
+            Some(trust)
+        };
+        let Some(trust) = self.fleet.change(id, step).flatten() else { return };
+        self.settle(id);
         out.push(Action::Log { text: format!("server {trust:?}: {why}"), server: Some(id) });
-        self.draw_circle();
+        self.draw_circle(Some(&[id]));
     }
 
     // ---- the list ----
@@ -617,42 +663,34 @@
         if kind != ListKind::Cached {
             (self.subscribed, self.failed_asks) = (true, 0);
         }
-        if kind != ListKind::Changes {
-            self.servers.values_mut().for_each(|server| server.listing.standing = Standing::Gone);
-        }
-        for entry in entries {
-            // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
-            let cold = Allowance { left: 1.0 - self.chance.draw(), seen: self.now };
-            let known = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, 0, cold));
-            if entry.started > known.listing.started {
-                *known = Server::new(entry, known.out, cold);
-            }
-            known.listing = entry.clone();
-        }
-        self.servers.retain(|_, server| server.listing.standing != Standing::Gone || server.out > 0);
-        let ready = self.servers.values().filter(|server| server.listing.standing == Standing::Ready);
-        // Cells stay together, so that a tagged call finds its group; both orders are the same everywhere.
-        let mut ring: Vec<_> = ready.map(|server| (server.listing.turn(), server.listing.server)).collect();
-        ring.sort_unstable();
-        self.ring = ring.into_iter().map(|(_, id)| id).collect();
-        self.draw_circle();
-        self.crowd.fleet = self.crowd.fleet.max(self.fit.1);
+        // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
+        let cold = || Allowance { left: 1.0 - self.chance.draw(), seen: self.now };
+        let whole = kind != ListKind::Changes;
+        self.fleet.list(whole, entries, cold);
+        let changed: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
+        self.draw_circle(Some(&changed).filter(|_| !whole).map(Vec::as_slice));
+        changed.into_iter().for_each(|id| self.settle(id));
+        self.crowd.fleet = self.crowd.fleet.max(self.fleet.usable_size());
         if !self.crowd.steady {
-            self.crowd.width = self.crowd.width.max(4.0 * self.fit.0 * self.figures.my_part).max(2.0);
+            self.crowd.width =
+                self.crowd.width.max(4.0 * self.fleet.usable() * self.figures.my_part).max(2.0);
         }
     }
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         self.peak *= 0.98;
-        let to_two_servers = 0.5 / self.figures.my_part / self.fit.0.max(1.0);
+        let to_two_servers = 0.5 / self.figures.my_part / self.fleet.usable().max(1.0);
         self.dither = 0.999 - self.chance.draw() * to_two_servers.min(1.0);
-        self.draw_circle();
+        self.draw_circle(None);
         let warm = |server: &&Server| server.usable() && self.figures.cold_share(server, self.now).is_none();
-        let warm = self.around().filter(warm).count() as f64;
+        let warm = self.fleet.around().filter(warm).count() as f64;
         if warm > 0.0 {
             self.warm_sends.seen /= warm;
             self.warm_sends.beat(BEAT, 0.25);
         }
+        let cold = |server: &&Server| self.figures.cold_share(server, self.now).is_some();
+        let cold: Vec<_> = self.fleet.all().filter(cold).map(|server| server.listing.server).collect();
+        cold.into_iter().for_each(|id| self.settle(id));
         // Guards against a spiral: what a crowd lets through must not become the measure of what is usual.
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
--- a/src/types.rs
+++ b/src/types.rs
@@ -138,7 +138,12 @@
 impl Listing {
     /// Where it stands in the order that all sidecars share: cells spread evenly however many there are.
     pub fn turn(&self) -> (u64, u64) {
-        (u64::from(self.cell.0).wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15), self.mark)
+        (Self::cell_turn(self.cell), self.mark)
+    }
+
+    /// Where a cell stands in that order.
+    pub fn cell_turn(cell: CellId) -> u64 {
+        u64::from(cell.0).wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
     }
 }
 
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,324 @@
+//! Random days on the module: lists that churn, servers that fail in every way, calls of every kind, hosts that fall
+//! silent for seconds. A judge that knows nothing of the module's inside holds each action against the four rules. In this
+//! build the module itself holds every pick against a plain walk over all servers.
+use oakhollow::rules::Sidecar;
+use oakhollow::types::*;
+use oakhollow::Chance;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const MEMORY: Micros = Micros::millis(400);
+const LEFT: Micros = Micros::millis(900);
+const MOST_HOPS: usize = 4;
+const KINDS: [Kind; 5] = [
+    Kind::Repeatable,
+    Kind::OnceOnly,
+    Kind::Tagged { group: Group::All, memory: MEMORY },
+    Kind::Tagged { group: Group::Place, memory: MEMORY },
+    Kind::Tagged { group: Group::Cell, memory: MEMORY },
+];
+
+struct Hop {
+    to: Listing,
+    sent: Micros,
+    ended: Option<Outcome>,
+}
+
+struct Call {
+    kind: Kind,
+    abandon: Micros,
+    hops: Vec<Hop>,
+    answers: u32,
+    left: bool,
+}
+
+impl Call {
+    fn over(&self) -> bool {
+        self.answers > 0 || self.left
+    }
+
+    fn harmless(&self) -> bool {
+        let unsure = self.hops.iter().any(|hop| !hop.ended.is_some_and(Outcome::proves_not_run));
+        !unsure || matches!(self.kind, Kind::Repeatable | Kind::Tagged { group: Group::All, .. })
+    }
+}
+
+/// Host, servers and judge.
+struct Day {
+    now: Micros,
+    sidecar: Sidecar,
+    listed: BTreeMap<ServerId, Listing>,
+    calls: BTreeMap<CallId, Call>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Token)>>,
+    due: BinaryHeap<Reverse<(Micros, u64, CallId, usize)>>,
+    set: u64,
+    world: Chance,
+}
+
+#[derive(Clone, Debug)]
+struct Shape {
+    servers: u32,
+    sidecars: u32,
+    near: bool,
+    /// Hops of a hundred that go wrong, and changes of the list a second.
+    wrong: u32,
+    churn: u32,
+    calls: u32,
+}
+
+impl Day {
+    fn new(shape: &Shape, seed: u64) -> Day {
+        let workload = |kind| Workload { kind, quoted: Micros::millis(500), payoff: 1.0, late_payoff: 0.0 };
+        let terms = Terms {
+            sidecars: shape.sidecars,
+            number: shape.sidecars / 2,
+            near: shape.near.then_some(PlaceId(1)),
+            workloads: KINDS.into_iter().map(workload).collect(),
+            customers: vec![1e6],
+            beyond_share: 0.5,
+            worst_workload: 0.2,
+            most_hops: MOST_HOPS as u32,
+            may_cancel: true,
+            may_race: true,
+            cool_down: Micros::millis(500),
+            must_ask: false,
+            ask_within: Micros::millis(10_000),
+            cold_from: 0.2,
+            warm_within: Micros::millis(4_000),
+            fall_span: Micros::millis(1_000),
+        };
+        let (now, mut actions) = (Micros::millis(1_000_000), Vec::new());
+        let sidecar = Sidecar::new(&terms, seed, now, &mut actions);
+        let mut day = Day {
+            now,
+            sidecar,
+            listed: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            due: BinaryHeap::new(),
+            set: 0,
+            world: Chance::new(seed ^ 0xDA7),
+        };
+        day.carry_out(actions, shape);
+        let entries: Vec<Listing> =
+            (0..shape.servers).map(|id| day.entry(id, Standing::Ready, Micros(0))).collect();
+        day.list(ListKind::Whole, &entries, shape);
+        day
+    }
+
+    fn entry(&self, id: u32, standing: Standing, started: Micros) -> Listing {
+        Listing {
+            server: ServerId(id),
+            place: PlaceId(id % 2),
+            cell: CellId(id / 4),
+            standing,
+            size: [1.0, 2.0, 0.5][id as usize % 3],
+            mark: u64::from(id).wrapping_mul(0x2545_F491_4F6C_DD1D),
+            started,
+        }
+    }
+
+    fn tell(&mut self, event: Event, shape: &Shape) {
+        let mut actions = Vec::new();
+        self.sidecar.on(self.now, event, &mut actions);
+        self.carry_out(actions, shape);
+    }
+
+    fn list(&mut self, kind: ListKind, entries: &[Listing], shape: &Shape) {
+        if kind == ListKind::Whole {
+            self.listed.clear();
+        }
+        self.listed.extend(entries.iter().map(|entry| (entry.server, entry.clone())));
+        self.tell(Event::Listed { kind, entries }, shape);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>, shape: &Shape) {
+        for action in actions {
+            self.set += 1;
+            match action {
+                Action::Send { call, server, give_up } => self.judge_send(call, server, give_up),
+                Action::Cancel { call, hop } => self.end(call, hop.0 as usize, Outcome::Cancelled, shape),
+                Action::Dismiss { call, .. } => {
+                    let known = self.calls.get_mut(&call).expect("a call that was taken");
+                    assert!(known.harmless(), "dismissed though a hop may have run");
+                    assert!(self.now <= known.abandon && !known.over(), "dismissed late, or once more");
+                    known.answers += 1;
+                }
+                Action::Fail { call } => {
+                    let known = self.calls.get_mut(&call).expect("a call that was taken");
+                    assert!(self.now <= known.abandon && !known.over(), "failed late, or once more");
+                    known.answers += 1;
+                }
+                Action::Wake { after, token } => {
+                    self.timers.push(Reverse((self.now + after, self.set, token)))
+                }
+                Action::Subscribe | Action::Log { .. } => {}
+            }
+        }
+    }
+
+    fn judge_send(&mut self, id: CallId, server: ServerId, give_up: Micros) {
+        let to = self.listed.get(&server).expect("a server that is listed").clone();
+        let call = self.calls.get_mut(&id).expect("a call that was taken");
+        assert!(to.standing == Standing::Ready, "sent to a server that is {:?}", to.standing);
+        assert!(!call.over() && self.now < call.abandon, "sent after its answer or its time");
+        assert!(self.now + give_up <= call.abandon, "a hop that outlives its call");
+        assert!(call.hops.len() < MOST_HOPS, "too many hops");
+        assert!(call.hops.iter().all(|hop| hop.to.server != server), "twice to one server");
+        for hop in call.hops.iter().filter(|hop| !hop.ended.is_some_and(Outcome::proves_not_run)) {
+            let fresh = self.now < hop.sent + MEMORY;
+            let may = match call.kind {
+                Kind::Repeatable => true,
+                Kind::OnceOnly => false,
+                Kind::Tagged { group: Group::All, .. } => fresh,
+                Kind::Tagged { group: Group::Place, .. } => fresh && hop.to.place == to.place,
+                Kind::Tagged { group: Group::Cell, .. } => fresh && hop.to.cell == to.cell,
+            };
+            assert!(may, "{:?} sent again where it may take effect twice", call.kind);
+        }
+        call.hops.push(Hop { to, sent: self.now, ended: None });
+        let hop = call.hops.len() - 1;
+        let took = Micros(1_000 + self.world.below(60_000) as u64);
+        let took = if self.world.draw() < 0.05 { took.times(15.0) } else { took };
+        self.due.push(Reverse((self.now + took.min(give_up), self.set, id, hop)));
+    }
+
+    fn end(&mut self, id: CallId, hop: usize, outcome: Outcome, shape: &Shape) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.hops[hop].ended.is_some() {
+            return;
+        }
+        call.hops[hop].ended = Some(outcome);
+        if outcome == Outcome::Succeeded && !call.over() {
+            call.answers += 1;
+        }
+        let (waited, closed) = (now - call.hops[hop].sent, call.over());
+        let ending = Ending { call: id, hop: HopNo(hop as u32), outcome, waited, closed };
+        self.tell(Event::Ended(ending), shape);
+    }
+
+    fn outcome(&mut self, shape: &Shape) -> Outcome {
+        let wrong = (self.world.below(100) as u32) < shape.wrong;
+        let ways =
+            [Outcome::Errored, Outcome::Full, Outcome::NoConnection, Outcome::Broken, Outcome::TimedOut];
+        if wrong {
+            ways[self.world.below(ways.len())]
+        } else {
+            Outcome::Succeeded
+        }
+    }
+
+    fn pass(&mut self, until: Micros, shape: &Shape) {
+        loop {
+            let timer = self.timers.peek().map(|Reverse((at, ..))| *at).filter(|at| *at <= until);
+            let due = self.due.peek().map(|Reverse((at, ..))| *at).filter(|at| *at <= until);
+            match (timer, due) {
+                (None, None) => break,
+                (Some(at), due) if due.is_none_or(|due| at <= due) => {
+                    if let Some(Reverse((_, _, token))) = self.timers.pop() {
+                        self.now = self.now.max(at);
+                        self.tell(Event::Woke(token), shape);
+                    }
+                }
+                (_, due) => {
+                    if let Some(Reverse((_, _, call, hop))) = self.due.pop() {
+                        self.now = self.now.max(due.unwrap_or_default());
+                        let outcome = self.outcome(shape);
+                        self.end(call, hop, outcome, shape);
+                    }
+                }
+            }
+            self.abandon();
+        }
+        self.now = until;
+        self.abandon();
+    }
+
+    /// Every call has its answer before its time is over.
+    fn abandon(&mut self) {
+        let late = self.calls.values().find(|call| !call.over() && self.now > call.abandon);
+        assert!(late.is_none(), "a call without an answer at its abandon time");
+    }
+
+    fn arrive(&mut self, number: u32, shape: &Shape) {
+        let (call, workload) = (CallId(number), self.world.below(KINDS.len()));
+        let abandon = self.now + LEFT;
+        let known = Call { kind: KINDS[workload], abandon, hops: Vec::new(), answers: 0, left: false };
+        self.calls.insert(call, known);
+        let (workload, customer, repeat) = (WorkloadId(workload), CustomerId(0), self.world.draw() < 0.1);
+        let arrival = Arrival { call, workload, left: LEFT, customer, repeat };
+        self.tell(Event::Arrived(arrival), shape);
+        // A client that leaves at once, now and then.
+        let known = self.calls.get_mut(&call).expect("just taken");
+        if self.world.draw() < 0.03 && !known.over() {
+            known.left = true;
+            self.tell(Event::Withdrawn { call }, shape);
+        }
+    }
+
+    fn change_list(&mut self, shape: &Shape) {
+        let id = self.world.below(shape.servers as usize) as u32;
+        let started = match self.world.below(4) {
+            0 => self.now,
+            _ => self.listed.get(&ServerId(id)).map_or(self.now, |entry| entry.started),
+        };
+        let standing =
+            [Standing::Ready, Standing::Ready, Standing::Draining, Standing::Gone][self.world.below(4)];
+        if self.world.draw() < 0.02 {
+            // All but a few are gone, or the whole list is told anew.
+            let least = self.world.below(shape.servers as usize) as u32;
+            let ids: Vec<u32> = (least..shape.servers).collect();
+            let entries: Vec<Listing> =
+                ids.into_iter().map(|id| self.entry(id, Standing::Ready, Micros(0))).collect();
+            self.list(ListKind::Whole, &entries, shape);
+        } else {
+            let entry = self.entry(id, standing, started);
+            self.list(ListKind::Changes, &[entry], shape);
+        }
+    }
+}
+
+fn shape() -> impl Strategy<Value = Shape> {
+    (1..60_u32, 1..20_u32, any::<bool>(), 0..90_u32, 0..60_u32, 20..300_u32).prop_map(
+        |(servers, sidecars, near, wrong, churn, calls)| Shape {
+            servers,
+            sidecars,
+            near,
+            wrong,
+            churn,
+            calls,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(14), max_shrink_iters: 200, ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_four_rules_hold(shape in shape(), seed in any::<u64>()) {
+        let mut day = Day::new(&shape, seed);
+        for number in 0..shape.calls {
+            day.arrive(number, &shape);
+            // Mostly calm, in part a crowd within a millisecond, now and then silence.
+            let gap = match day.world.below(20) {
+                0 => Micros::millis(1_500),
+                1..8 => Micros(day.world.below(1_000) as u64),
+                _ => Micros(day.world.below(20_000) as u64),
+            };
+            let changes = gap.secs() * f64::from(shape.churn) + day.world.draw();
+            for _ in 0..changes as u32 {
+                day.change_list(&shape);
+            }
+            day.pass(day.now + gap, &shape);
+        }
+        day.pass(day.now + LEFT + Micros::millis(2_000), &shape);
+        for (id, call) in &day.calls {
+            assert!(call.answers == 1 || call.left, "{id:?}: {} answers", call.answers);
+        }
+    }
+}
