--- /dev/null
+++ b/sidecar/src/bounds.rs
@@ -0,0 +1,131 @@
+//! One bound shared out among workers: a floor that is each one's own, and a common rest that goes to whoever needs it. So
+//! a worker on which most callers land may take nearly all, and can't leave another with nothing; the sum keeps the bound.
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicIsize, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// What is held somewhere, for others to read.
+#[derive(Clone, Default, Debug)]
+pub struct Gauge(Arc<AtomicUsize>);
+
+impl Gauge {
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+
+    pub fn up(&self) {
+        self.0.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub fn down(&self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// The bound, before it is handed to workers.
+#[derive(Clone, Debug)]
+pub struct Bound {
+    floor: usize,
+    common: Arc<AtomicIsize>,
+}
+
+impl Bound {
+    /// Half of `most` goes to the floors of `sharers`, all of it if there is only one.
+    pub fn new(most: usize, sharers: usize) -> Bound {
+        let floor = if sharers == 1 { most } else { most / 2 / sharers };
+        Bound { floor, common: Arc::new(AtomicIsize::new((most - floor * sharers) as isize)) }
+    }
+}
+
+/// One worker's part of a bound.
+#[derive(Debug)]
+pub struct Share {
+    bound: Bound,
+    held: Cell<usize>,
+}
+
+impl Share {
+    pub fn of(bound: Bound) -> Rc<Share> {
+        Rc::new(Share { bound, held: Cell::new(0) })
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    /// One place, if there is any; given up when it is dropped.
+    pub fn take(self: &Rc<Share>) -> Option<Place> {
+        if self.held.get() >= self.bound.floor {
+            let common = &self.bound.common;
+            common
+                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| (left > 0).then(|| left - 1))
+                .ok()?;
+        }
+        Some(self.place())
+    }
+
+    /// One place whether there is any or not: for what is here already and can't be sent away.
+    pub fn take_anyway(self: &Rc<Share>) -> Place {
+        if self.held.get() >= self.bound.floor {
+            self.bound.common.fetch_sub(1, Ordering::AcqRel);
+        }
+        self.place()
+    }
+
+    fn place(self: &Rc<Share>) -> Place {
+        self.held.set(self.held.get() + 1);
+        Place(self.clone())
+    }
+}
+
+/// One of what a bound allows.
+#[derive(Debug)]
+pub struct Place(Rc<Share>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let share = &self.0;
+        if share.held.get() > share.bound.floor {
+            share.bound.common.fetch_add(1, Ordering::AcqRel);
+        }
+        share.held.set(share.held.get() - 1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_may_take_all_but_the_others_floors() {
+        let bound = Bound::new(40, 4);
+        let shares: Vec<_> = (0..4).map(|_| Share::of(bound.clone())).collect();
+        let greedy: Vec<Place> = std::iter::from_fn(|| shares[0].take()).collect();
+        assert_eq!(greedy.len(), 25);
+        let others: Vec<Place> =
+            shares[1..].iter().flat_map(|share| std::iter::from_fn(|| share.take())).collect();
+        assert_eq!(others.len(), 15);
+        // What is given back by whoever holds more than its floor is anybody's.
+        drop(greedy);
+        let rest: Vec<Place> = std::iter::from_fn(|| shares[1].take()).collect();
+        assert_eq!(rest.len(), 20);
+    }
+
+    #[test]
+    fn what_is_taken_anyway_is_given_back_before_others_take() {
+        let bound = Bound::new(8, 2);
+        let (one, other) = (Share::of(bound.clone()), Share::of(bound));
+        let mut held: Vec<Place> = std::iter::from_fn(|| one.take()).collect();
+        held.push(one.take_anyway());
+        assert_eq!((held.len(), one.held()), (7, 7));
+        let floor: Vec<Place> = std::iter::from_fn(|| other.take()).collect();
+        assert_eq!(floor.len(), 2);
+        held.pop();
+        assert!(other.take().is_none());
+        held.pop();
+        assert!(other.take().is_some());
+        drop(held);
+        assert_eq!(one.held(), 0);
+    }
+}
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -1,6 +1,7 @@
 //! The one task that owns the module. All else reaches it through a bounded queue of notes; it hands each to the
 //! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
 //! knows no protocol but through [`Protocol`].
+use crate::bounds::Gauge;
 use crate::roster::Roster;
 use crate::tasks::Tasks;
 use crate::timers::{Clock, Timers};
@@ -16,6 +17,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// What the module's task needs of a protocol.
 pub trait Protocol: 'static {
@@ -60,7 +62,7 @@
     Taken(Taken<P>),
     Withdrawn(CallId),
     Ended { call: CallId, hop: HopNo, outcome: Outcome, answer: Option<P::Answer> },
-    Listed(ListKind, List),
+    Listed(ListKind, Arc<List>),
 }
 
 /// How all else reaches the module.
@@ -69,7 +71,7 @@
     pub clock: Clock,
     calls: Cell<u32>,
     /// API calls taken and not yet answered.
-    pub held: Cell<usize>,
+    pub held: Gauge,
     /// Whether the list names a server that may be sent to.
     pub listed: Cell<bool>,
 }
@@ -78,9 +80,10 @@
 const MOST_NOTES: usize = 256;
 
 impl<P: Protocol> Desk<P> {
-    pub fn new(clock: Clock) -> (Rc<Desk<P>>, Receiver<Note<P>>) {
+    /// `held` is where the calls taken and not yet answered are counted.
+    pub fn new(clock: Clock, held: Gauge) -> (Rc<Desk<P>>, Receiver<Note<P>>) {
         let (notes, inbox) = bounded(MOST_NOTES);
-        let (calls, held, listed) = (Cell::new(0), Cell::new(0), Cell::new(false));
+        let (calls, listed) = (Cell::new(0), Cell::new(false));
         (Rc::new(Desk { notes, clock, calls, held, listed }), inbox)
     }
 
@@ -93,7 +96,7 @@
     pub async fn take(&self, ask: Ask, content: P::Content) -> (CallId, Receiver<Verdict<P::Answer>>) {
         let (verdict, answer) = bounded(1);
         let call = CallId(self.calls.replace(self.calls.get().wrapping_add(1)));
-        self.held.set(self.held.get() + 1);
+        self.held.up();
         self.tell(Note::Taken(Taken { call, ask, content: Rc::new(content), verdict })).await;
         (call, answer)
     }
@@ -184,7 +187,7 @@
             }
             Note::Withdrawn(call) => {
                 if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
-                    self.desk.held.set(self.desk.held.get() - 1);
+                    self.desk.held.down();
                     self.on(Event::Withdrawn { call });
                     self.clear(call);
                 }
@@ -246,7 +249,7 @@
     fn answer(&mut self, call: CallId, verdict: Verdict<P::Answer>) {
         let Some(known) = self.calls.get_mut(&call) else { return };
         if let Some(client) = known.verdict.take() {
-            self.desk.held.set(self.desk.held.get() - 1);
+            self.desk.held.down();
             // There is room for the one verdict; a client that has gone says so by a note of its own.
             let _ = client.try_send(verdict);
         }
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -6,7 +6,7 @@
 use super::messages::{Assembler, Message, Side};
 use super::Note;
 use crate::decider::{Ask, Verdict};
-use async_io::{Async, Timer};
+use crate::reactor::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::*;
 use oakhollow_terms::Named;
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -2,17 +2,21 @@
 //! room is wanted or the program leaves.
 use super::callers::Caller;
 use super::{Desk, Names};
+use crate::bounds::{Gauge, Place, Share};
+use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use async_channel::{bounded, Receiver, Sender};
-use async_io::{Async, Timer};
 use futures_lite::future;
 use oakhollow::types::Micros;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
+use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::BuildHasher;
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// After a failed accept: what made it fail, such as a lack of descriptors, does not pass in an instant.
@@ -38,6 +42,7 @@
 pub struct Source {
     door: Rc<Door>,
     at: IpAddr,
+    place: Option<Place>,
 }
 
 impl Drop for Source {
@@ -50,7 +55,8 @@
             sources.remove(&self.at);
         }
         drop(sources);
-        self.door.open.set(self.door.open.get() - 1);
+        drop(self.place.take());
+        self.door.connections.down();
         self.door.stir();
     }
 }
@@ -63,7 +69,30 @@
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
-        self.door.ids.borrow_mut().remove(&self.id);
+        self.door.ids.shut(&self.id);
+    }
+}
+
+/// The ids of all open requests, of all workers: parted, so that workers seldom meet.
+#[derive(Default)]
+pub struct Ids {
+    parts: [Mutex<HashSet<Box<str>>>; 16],
+    hash: RandomState,
+}
+
+impl Ids {
+    fn part(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
+        let part = &self.parts[self.hash.hash_one(id) as usize % self.parts.len()];
+        part.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// False if it is open already.
+    fn open(&self, id: &str) -> bool {
+        self.part(id).insert(id.into())
+    }
+
+    fn shut(&self, id: &str) {
+        self.part(id).remove(id);
     }
 }
 
@@ -73,14 +102,14 @@
     pub names: Names,
     tasks: Tasks,
     log: Logger,
-    /// Connections held at a time.
-    most: usize,
-    open: Cell<usize>,
+    /// Places for connections, and how many connections there are.
+    open: Rc<Share>,
+    connections: Gauge,
     stays: Cell<StayId>,
     idle: RefCell<BTreeMap<StayId, Stay>>,
     /// How many connections each address has.
     sources: RefCell<HashMap<IpAddr, usize>>,
-    ids: RefCell<HashSet<String>>,
+    ids: Arc<Ids>,
     stirred: (Sender<()>, Receiver<()>),
     /// Others wait to be taken in.
     crowded: Cell<bool>,
@@ -90,18 +119,21 @@
 }
 
 impl Door {
-    pub fn new(desk: Rc<Desk>, names: Names, tasks: Tasks, log: Logger, most: usize) -> Rc<Door> {
+    pub fn new(
+        desk: Rc<Desk>, names: Names, tasks: Tasks, log: Logger, open: (Rc<Share>, Gauge), ids: Arc<Ids>,
+    ) -> Rc<Door> {
+        let (open, connections) = open;
         Rc::new(Door {
             desk,
             names,
             tasks,
             log,
-            most,
-            open: Cell::new(0),
+            open,
+            connections,
             stays: Cell::default(),
             idle: RefCell::default(),
             sources: RefCell::default(),
-            ids: RefCell::default(),
+            ids,
             stirred: bounded(1),
             crowded: Cell::new(false),
             able: Cell::new(false),
@@ -144,33 +176,33 @@
         self.closing.get()
     }
 
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-
     /// Takes connections in until dropped.
     pub async fn welcome(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
         let mut failures = 0_u32;
         loop {
-            while self.open.get() >= self.most {
+            let place = loop {
+                if let Some(place) = self.open.take() {
+                    break place;
+                }
                 self.crowded.set(true);
                 self.make_room();
                 let stirred = async { _ = self.stirred.1.recv().await };
                 future::or(stirred, async { _ = Timer::after(PAUSE).await }).await;
-            }
+            };
             self.crowded.set(false);
             match listener.accept().await {
                 Ok((stream, _)) => {
                     if std::mem::take(&mut failures) > 0 {
-                        info!(self.log, "connections are taken in again, {} open", self.open.get());
+                        info!(self.log, "connections are taken in again, {} open", self.open.held());
                     }
-                    self.take_in(stream);
+                    self.take_in(stream, place);
                 }
                 Err(fault) => {
                     // Guards against spinning: the connection that can't be taken in stays readable.
                     failures += 1;
+                    drop(place);
                     if failures == 1 {
-                        warn!(self.log, "cannot take connections in, {} open: {}", self.open.get(), fault);
+                        warn!(self.log, "cannot take connections in, {} open: {}", self.open.held(), fault);
                     }
                     self.make_room();
                     Timer::after(PAUSE).await;
@@ -182,19 +214,19 @@
     /// Takes in what the machine has accepted already: those clients may have written their requests.
     pub fn take_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
         while let Ok((stream, _)) = listener.get_ref().accept() {
-            if let Ok(stream) = Async::new(stream) {
-                self.take_in(stream);
+            if let Ok(stream) = Async::connected(stream) {
+                self.take_in(stream, self.open.take_anyway());
             }
         }
     }
 
-    fn take_in(self: &Rc<Self>, stream: Async<TcpStream>) {
+    fn take_in(self: &Rc<Self>, stream: Async<TcpStream>, place: Place) {
         let _ = stream.get_ref().set_nodelay(true);
         // One that has gone already has no address, and nothing to say.
         let Ok(peer) = stream.get_ref().peer_addr() else { return };
-        self.open.set(self.open.get() + 1);
+        self.connections.up();
         *self.sources.borrow_mut().entry(peer.ip()).or_default() += 1;
-        let source = Source { door: self.clone(), at: peer.ip() };
+        let source = Source { door: self.clone(), at: peer.ip(), place: Some(place) };
         self.tasks.run(async move { Caller::new(&source.door, stream, source.at).serve().await });
     }
 
@@ -220,8 +252,7 @@
 
     /// Counts an id among the open ones; none if it is there already.
     pub fn open_id(&self, id: &str) -> Option<OpenId<'_>> {
-        let fresh = self.ids.borrow_mut().insert(id.to_string());
-        fresh.then(|| OpenId { door: self, id: id.to_string() })
+        self.ids.open(id).then(|| OpenId { door: self, id: id.to_string() })
     }
 
     /// A connection has no request open from now on, until what this returns is dropped. It tells by its end that
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -2,8 +2,8 @@
 use super::head::{Fault, Head};
 use super::messages::{Assembler, Message, Side};
 use super::pool::{Link, Pool};
+use crate::reactor::Timer;
 use crate::timers::duration;
-use async_io::Timer;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::{Micros, Outcome};
 use std::cell::Cell;
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -1,9 +1,10 @@
 //! Connections to servers: opened when none is free, kept while idle, bounded all together. One carries one
 //! request at a time.
+use crate::bounds::{Place, Share};
+use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use crate::timers::duration;
 use async_executor::Task;
-use async_io::{Async, Timer};
 use futures_lite::future;
 use oakhollow::types::{Micros, Outcome};
 use std::cell::{Cell, RefCell};
@@ -15,27 +16,11 @@
 /// One open connection; dropping it closes it.
 pub struct Link {
     pub stream: Async<TcpStream>,
-    _counted: Counted,
+    _place: Place,
     /// Whether connections of that time to that address are still to be kept.
     wanted: Rc<Cell<bool>>,
 }
 
-/// One of the connections that are open or on their way.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn among(open: &Rc<Cell<usize>>) -> Counted {
-        open.set(open.get() + 1);
-        Counted(open.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl Link {
     /// Nothing has come and the other side has not closed: between requests anything else means the end.
     fn quiet(&self) -> bool {
@@ -71,23 +56,22 @@
     me: Weak<Pool>,
     tasks: Tasks,
     shelves: RefCell<HashMap<SocketAddr, Shelf>>,
-    open: Rc<Cell<usize>>,
+    /// Connections that are open or on their way.
+    open: Rc<Share>,
     parked: Cell<LinkId>,
-    most: usize,
     connect_within: Micros,
     keep: Micros,
 }
 
 impl Pool {
-    /// `most` connections at a time; `idle_close` is when the servers close one that has stood idle.
-    pub fn new(tasks: Tasks, most: usize, connect_within: Micros, idle_close: Micros) -> Rc<Pool> {
+    /// As many connections as `open` has places; `idle_close` is when the servers close one that has stood idle.
+    pub fn new(tasks: Tasks, open: Rc<Share>, connect_within: Micros, idle_close: Micros) -> Rc<Pool> {
         Rc::new_cyclic(|me| Pool {
             me: me.clone(),
             tasks,
             shelves: RefCell::default(),
-            open: Rc::default(),
+            open,
             parked: Cell::default(),
-            most,
             connect_within,
             // Guards against writing a request to a connection that the server is about to close.
             keep: idle_close.times(0.5),
@@ -106,20 +90,20 @@
 
     /// Opens a connection. The outcome of a failure proves that nothing ran.
     pub async fn connect(&self, to: SocketAddr) -> Result<Rc<Link>, Outcome> {
-        if self.open.get() >= self.most {
-            self.drop_oldest().await;
-        }
-        if self.open.get() >= self.most {
-            return Err(Outcome::NotSent);
-        }
+        // Before the first wait, so that connections on their way keep to the bound too.
+        let place = match self.open.take() {
+            Some(place) => place,
+            None => {
+                self.drop_oldest().await;
+                self.open.take().ok_or(Outcome::NotSent)?
+            }
+        };
         let wanted = {
             let mut shelves = self.shelves.borrow_mut();
             // Guards against a shelf kept for every address that ever was.
             shelves.retain(|_, shelf| !shelf.idle.is_empty() || Rc::strong_count(&shelf.wanted) > 1);
             shelves.entry(to).or_default().wanted.clone()
         };
-        // Before the first wait, so that connections on their way keep to the bound too.
-        let counted = Counted::among(&self.open);
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
         let late = async {
             Timer::after(duration(self.connect_within)).await;
@@ -128,7 +112,7 @@
         match future::or(connected, late).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                Ok(Rc::new(Link { stream, _counted: counted, wanted }))
+                Ok(Rc::new(Link { stream, _place: place, wanted }))
             }
             // Our own lack of descriptors says nothing of the server.
             Some(Err(fault)) if out_of_descriptors(&fault) => Err(Outcome::NotSent),
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,8 +1,8 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
-use super::{Desk, Note};
-use async_channel::Receiver;
+use crate::workers::Order;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::ListKind;
@@ -10,7 +10,7 @@
 use slog::{info, Logger};
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come.
@@ -20,7 +20,8 @@
     discovery: SocketAddr,
     /// The version of the list that was told last.
     told: Version,
-    desk: Rc<Desk>,
+    /// All workers.
+    told_to: Vec<Sender<Order>>,
     /// One for each time that the module asks.
     asks: Receiver<()>,
     /// Where discovery is from now on.
@@ -48,11 +49,11 @@
 
 impl Watch {
     pub fn new(
-        discovery: SocketAddr, told: Version, desk: Rc<Desk>, words: (Receiver<()>, Receiver<SocketAddr>),
-        log: Logger, most_line: usize,
+        discovery: SocketAddr, told: Version, told_to: Vec<Sender<Order>>,
+        words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
     ) -> Watch {
         let (asks, moves) = words;
-        Watch { discovery, told, desk, asks, moves, log, most_line }
+        Watch { discovery, told, told_to, asks, moves, log, most_line }
     }
 
     pub async fn run(mut self) {
@@ -71,7 +72,7 @@
                 Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
                 Turn::Ended(why) => {
                     info!(self.log, "watch of the list ended: {}", why);
-                    self.desk.tell(Note::Listed(ListKind::Failed, List::default())).await;
+                    self.pass_on(ListKind::Failed, List::default()).await;
                     turn = word().await;
                     continue;
                 }
@@ -147,7 +148,16 @@
         })?;
         self.told = list.index;
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
-        self.desk.tell(Note::Listed(kind, list)).await;
+        self.pass_on(kind, list).await;
         Ok(())
     }
+
+    /// Guards against one worker that is busy for a moment keeping the others from a drain: each has a queue.
+    async fn pass_on(&self, kind: ListKind, list: List) {
+        let list = Arc::new(list);
+        for worker in &self.told_to {
+            // One that has ended is told of elsewhere.
+            let _ = worker.send(Order::Listed(kind, list.clone())).await;
+        }
+    }
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -1,12 +1,16 @@
 //! The oakhollow sidecar on sockets. [`run`] is one sidecar from its start to its end; the program `oakhollow`
 //! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`decider`])
-//! owns them, and the protocol ([`http1`]) reaches it through a queue.
+//! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`phases`]; calls are
+//! carried by [`workers`], each a thread of its own.
+pub mod bounds;
 pub mod decider;
 pub mod http1;
 pub mod logging;
 pub mod phases;
+pub mod reactor;
 pub mod roster;
 pub mod tasks;
 pub mod timers;
+pub mod workers;
 
 pub use phases::{run, signals, Word};
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,23 +1,22 @@
 //! The program's life from start to exit, as named phases of one object.
-use crate::decider::Parts;
-use crate::http1::door::Door;
-use crate::http1::pool::Pool;
+use crate::bounds::Bound;
 use crate::http1::watch::Watch;
-use crate::http1::{Decider, Desk, Http1, Names};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
+use crate::workers::{carry, Crew, Kit, Lost, Order};
 use async_channel::{bounded, Sender};
-use async_executor::{LocalExecutor, Task};
-use async_io::{block_on, Async, Timer};
+use async_executor::LocalExecutor;
+use async_io::{block_on, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
 use oakhollow::types::Micros;
-use oakhollow_terms::Start;
-use rustix::net;
+use oakhollow_terms::{Operator, Start};
+use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use slog::{info, warn, Logger};
 use std::io::{ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How long new connections are still taken in after the word to stop: those who send clients here take a
@@ -35,8 +34,9 @@
 const QUEUE: i32 = 4096;
 /// How often it is looked whether all have left.
 const LOOK: Duration = Duration::from_millis(10);
-/// Descriptors that are neither a caller's connection nor a server's.
+/// Descriptors that are neither a caller's connection nor a server's, and those of each further worker.
 const OWN_SOCKETS: usize = 24;
+const WORKER_SOCKETS: usize = 4;
 /// What one connection may take of the memory at worst: a head, a body and buffers. Copies of these are short-lived.
 const CONNECTION_KB: f64 = 96.0;
 /// The part of the memory that one line of the list may take: it is held as bytes, as text and as entries.
@@ -65,6 +65,8 @@
     Spent,
     Empty,
     Overdue,
+    /// A worker has ended unasked.
+    Lost,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -85,6 +87,10 @@
     (Phase::Leaving, Sign::Spent, Phase::Finishing, Effect::Shut),
     (Phase::Finishing, Sign::Empty, Phase::Over, Effect::Nothing),
     (Phase::Finishing, Sign::Overdue, Phase::Over, Effect::Nothing),
+    // Guards against a program that is half alive: whoever watches over it can only mend one that has ended.
+    (Phase::Serving, Sign::Lost, Phase::Over, Effect::Nothing),
+    (Phase::Leaving, Sign::Lost, Phase::Over, Effect::Nothing),
+    (Phase::Finishing, Sign::Lost, Phase::Over, Effect::Nothing),
 ];
 
 /// One sidecar from its start to its end.
@@ -93,18 +99,15 @@
     /// When the phase began.
     since: Instant,
     log: Logger,
-    tasks: Tasks,
-    /// Given up when nobody new is taken in any more.
-    listener: Option<Rc<Async<TcpListener>>>,
-    welcome: Option<Task<()>>,
-    door: Rc<Door>,
-    desk: Rc<Desk>,
+    crew: Crew,
+    clock: Clock,
     /// The longest that any API call may take.
     longest: Duration,
     /// How long after the word to stop the program is sure to live.
     grace: Micros,
     /// Where the list is watched from now on.
     moves: Sender<SocketAddr>,
+    lost: Option<Lost>,
 }
 
 /// What a running sidecar may be told from outside.
@@ -125,79 +128,116 @@
 }
 
 /// Runs one sidecar until `words` say stop, or end, and then as long as it takes to part in good order. `reread`
-/// gives what it is to be started with by now.
+/// gives what it is to be started with by now. A fault is one line.
 pub fn run(
-    start: Start, reread: impl Fn() -> std::result::Result<Start, String>, log: Logger,
+    start: Start, operator: Operator, reread: impl Fn() -> std::result::Result<Start, String>, log: Logger,
     words: impl Stream<Item = Word>,
-) -> Result<()> {
+) -> std::result::Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
     block_on(executor.run(async {
-        let listener = bind(start.listen).await?;
-        Program::build(start, log, tasks, listener)?.live(reread, words).await;
-        Ok(())
+        let address = start.listen;
+        let bound = bind(address, operator.workers).await;
+        let listeners = bound.map_err(|fault| format!("listen: {address}: {fault}"))?;
+        let program = Program::build(start, operator, log, tasks, listeners);
+        program.map_err(|fault| format!("cannot start: {fault}"))?.live(reread, words).await
     }))
 }
 
 /// Guards against failing a quick restart: the program before this one may hold the address for a moment more.
-async fn bind(listen: SocketAddr) -> Result<Async<TcpListener>> {
+async fn bind(listen: SocketAddr, workers: usize) -> Result<Vec<TcpListener>> {
     let first = Instant::now();
     loop {
-        match Async::<TcpListener>::bind(listen) {
+        match bind_all(listen, workers) {
             Err(fault) if fault.kind() == ErrorKind::AddrInUse && first.elapsed() < REBIND => {
                 Timer::after(REBIND / 20).await;
             }
-            // Guards against callers that are not even let wait, and are lost for a second, when many come at once.
-            Ok(listener) => return net::listen(&listener, QUEUE).map(|()| listener).map_err(Into::into),
-            Err(fault) => return Err(fault),
+            bound => return bound,
         }
     }
 }
 
+/// A listener for each worker, among which the machine deals out connections.
+fn bind_all(mut listen: SocketAddr, workers: usize) -> Result<Vec<TcpListener>> {
+    let bind_one = |to: SocketAddr, shared: bool| -> Result<TcpListener> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let socket = net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+        sockopt::set_socket_reuseaddr(&socket, true)?;
+        if shared {
+            sockopt::set_socket_reuseport(&socket, true)?;
+        }
+        net::bind(&socket, &to)?;
+        Ok(TcpListener::from(socket))
+    };
+    let mut listeners = Vec::new();
+    if workers == 1 {
+        listeners.push(bind_one(listen, false)?);
+    } else {
+        // Guards against sharing the address with another program of this user: alone it must be free.
+        listen = bind_one(listen, false)?.local_addr()?;
+        for _ in 0..workers {
+            listeners.push(bind_one(listen, true)?);
+        }
+    }
+    for listener in &listeners {
+        // Guards against callers that are not even let wait, and are lost for a second, when many come at once.
+        net::listen(listener, QUEUE)?;
+    }
+    Ok(listeners)
+}
+
 impl Program {
-    fn build(start: Start, log: Logger, tasks: Tasks, listener: Async<TcpListener>) -> Result<Program> {
+    fn build(
+        start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: Vec<TcpListener>,
+    ) -> Result<Program> {
         let Start { place, limits, known, .. } = start;
-        info!(log, "listening on {}", listener.get_ref().local_addr()?; "tier" => &place.tier);
-        let (desk, notes) = Desk::new(Clock::start());
+        let workers = operator.workers;
+        info!(log, "listening on {}", listeners[0].local_addr()?; "tier" => &place.tier, "workers" => workers);
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
         let by_memory = (limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
-        let most = (limits.sockets - OWN_SOCKETS).min(by_memory) / 2;
-        let pool = Pool::new(tasks.clone(), most, place.connect_within, place.idle_close);
+        let own = OWN_SOCKETS + WORKER_SOCKETS * (workers - 1);
+        let most = limits.sockets.saturating_sub(own).min(by_memory) / 2;
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
-        let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
-        let words = (asks, moved);
-        let watch = Watch::new(start.discovery, known.index, desk.clone(), words, log.clone(), most_line);
-        let parts = Parts {
-            protocol: Rc::new(Http1 { pool }),
-            desk: desk.clone(),
-            tasks: tasks.clone(),
+        let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
+        let (clock, told) = (Clock::start(), known.index);
+        let kit = Kit {
+            place,
+            seed: start.seed,
+            known: Arc::new(known),
+            workers,
+            callers: Bound::new(most, workers),
+            links: Bound::new(most, workers),
+            clock,
             log: log.clone(),
             ask,
+            ids: Arc::default(),
         };
-        let decider = Decider::new(&place, start.seed, &known, parts);
+        let listeners = Arc::new(Mutex::new(listeners));
+        let crew = Crew::hire(workers, move |hand| {
+            // Each worker takes one; none has been there before.
+            let listener = listeners.lock().ok().and_then(|mut listeners| listeners.pop());
+            carry(kit.clone(), hand, listener.ok_or(ErrorKind::AddrNotAvailable)?)
+        })?;
+        let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
+        let watch = Watch::new(start.discovery, told, crew.orders(), (asks, moved), log.clone(), most_line);
         tasks.run(watch.run());
-        tasks.run(decider.run(notes));
-        let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
-        let names = Names { workloads: place.workloads, customers: place.customers };
         Ok(Program {
             phase: Phase::Starting,
             since: Instant::now(),
-            door: Door::new(desk.clone(), names, tasks.clone(), log.clone(), most),
-            listener: Some(Rc::new(listener)),
-            welcome: None,
+            crew,
+            clock,
             longest: duration(longest),
             grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
             moves,
-            desk,
+            lost: None,
             log,
-            tasks,
         })
     }
 
     async fn live(
         mut self, reread: impl Fn() -> std::result::Result<Start, String>, words: impl Stream<Item = Word>,
-    ) {
+    ) -> std::result::Result<(), String> {
         // Held until the end: a word that is late by a phase is heard by nobody, and ends nothing.
         let mut words = Box::pin(words);
         while self.phase != Phase::Over {
@@ -207,50 +247,52 @@
                     Some(Word::Stop) | None => Sign::Told,
                 }
             };
-            let sign = match self.phase {
-                Phase::Starting => Sign::Bound,
-                Phase::Serving => word.await,
-                Phase::Leaving => {
-                    let spent = async {
-                        Timer::at(self.since + NOTICE.max(duration(self.grace.times(0.5)))).await;
-                        Sign::Spent
-                    };
-                    future::or(spent, word).await
+            let usual = async {
+                match self.phase {
+                    Phase::Starting => Sign::Bound,
+                    Phase::Serving => word.await,
+                    Phase::Leaving => {
+                        let spent = async {
+                            Timer::at(self.since + NOTICE.max(duration(self.grace.times(0.5)))).await;
+                            Sign::Spent
+                        };
+                        future::or(spent, word).await
+                    }
+                    Phase::Finishing | Phase::Over => loop {
+                        if self.crew.connections() == 0 {
+                            break Sign::Empty;
+                        }
+                        if self.since.elapsed() > self.longest {
+                            break Sign::Overdue;
+                        }
+                        Timer::after(LOOK).await;
+                    },
                 }
-                Phase::Finishing if self.door.open() == 0 => Sign::Empty,
-                Phase::Finishing if self.since.elapsed() > self.longest => Sign::Overdue,
-                Phase::Finishing | Phase::Over => {
-                    Timer::after(LOOK).await;
-                    continue;
+            };
+            let died = async { Err(self.crew.lost().await) };
+            let sign = match future::or(died, async { Ok(usual.await) }).await {
+                Ok(sign) => sign,
+                Err(lost) => {
+                    self.lost = Some(lost);
+                    Sign::Lost
                 }
             };
             self.step(sign, &reread).await;
         }
+        self.lost.take().map_or(Ok(()), |Lost(why)| Err(why))
     }
 
     async fn step(&mut self, sign: Sign, reread: &impl Fn() -> std::result::Result<Start, String>) {
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
-            Effect::Open => {
-                let welcome = self.listener.clone().map(|listener| self.door.clone().welcome(listener));
-                self.welcome = welcome.and_then(|welcome| self.tasks.spawn(welcome));
-                self.door.set_able(true);
-            }
-            Effect::SayNo => {
-                self.door.set_able(false);
-                // Guards against a kill that finds an API call without its answer.
-                self.door.answer_by(self.desk.clock.now() + (self.grace - MARGIN));
-            }
+            Effect::Open => self.crew.tell(Order::Open).await,
+            Effect::SayNo => self.crew.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await,
             Effect::Shut => {
-                if let Some(welcome) = self.welcome.take() {
-                    welcome.cancel().await;
-                }
-                self.door.close();
-                // Dropped at once after: a listener left open would go on accepting for nobody.
-                if let Some(listener) = self.listener.take() {
-                    self.door.take_rest(&listener);
-                }
+                let (done, all) = bounded(1);
+                self.crew.tell(Order::Shut(done)).await;
+                // Ends when the last worker has done so, or has ended.
+                let _ = all.recv().await;
             }
             Effect::Reread => match reread() {
                 Ok(start) => {
@@ -265,7 +307,8 @@
         if phase == self.phase {
             return;
         }
-        let (held, open, after) = (self.desk.held.get(), self.door.open(), self.since.elapsed().as_millis());
+        let (held, open) = (self.crew.calls(), self.crew.connections());
+        let after = self.since.elapsed().as_millis();
         info!(
             self.log,
             "{:?}: {:?} after {} ms, {} calls held, {} connections", phase, sign, after, held, open
--- /dev/null
+++ b/sidecar/src/reactor.rs
@@ -0,0 +1,499 @@
+//! Sockets and timers of one thread, for that thread alone: each socket is registered once, edge by edge, and wakes whoever
+//! waits for it without a lock or another thread. It stands beside async-io, whose one reactor is shared by all threads and
+//! registers a socket anew for each wait; `docs/scale.md` has the measured difference. Where the names are async-io's they
+//! mean the same.
+use futures_lite::{AsyncRead, AsyncWrite};
+use rustix::event::epoll::{self, EventData, EventFlags};
+use rustix::event::{eventfd, EventfdFlags, Timespec};
+use rustix::fd::{AsFd, OwnedFd};
+use rustix::io::Errno;
+use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::{poll_fn, Future};
+use std::io::{ErrorKind, Read, Result, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll, Wake, Waker};
+use std::time::{Duration, Instant};
+
+/// Events taken from the machine at a time.
+const BATCH: usize = 256;
+/// Marks the bell among the registered.
+const BELL: u64 = u64::MAX;
+
+thread_local! {
+    static REACTOR: RefCell<Option<Rc<Reactor>>> = const { RefCell::new(None) };
+}
+
+struct Reactor {
+    epoll: OwnedFd,
+    sources: RefCell<Slab<Rc<Source>>>,
+    timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
+    /// Numbers given to sources and timers, so that none is taken for another.
+    given: Cell<u64>,
+    bell: Arc<Bell>,
+}
+
+/// Wakes the thread, also from another one.
+struct Bell {
+    rung: AtomicBool,
+    asleep: AtomicBool,
+    fd: OwnedFd,
+}
+
+impl Wake for Bell {
+    fn wake(self: Arc<Self>) {
+        self.wake_by_ref();
+    }
+
+    fn wake_by_ref(self: &Arc<Self>) {
+        // Only one who sleeps in the machine needs more than the mark.
+        if !self.rung.swap(true, Ordering::SeqCst) && self.asleep.load(Ordering::SeqCst) {
+            let _ = rustix::io::write(&self.fd, &1_u64.to_ne_bytes());
+        }
+    }
+}
+
+/// What is known of one socket's readiness, and who waits for more.
+struct Source {
+    slot: Cell<usize>,
+    number: u64,
+    readable: Cell<bool>,
+    writable: Cell<bool>,
+    /// The other side has ended its sending, or the connection is broken: reads tell at once, from now on.
+    ended: Cell<bool>,
+    reader: Cell<Option<Waker>>,
+    writer: Cell<Option<Waker>>,
+}
+
+fn wait_in(place: &Cell<Option<Waker>>, context: &Context) {
+    let waker = match place.take() {
+        Some(waker) if waker.will_wake(context.waker()) => waker,
+        _ => context.waker().clone(),
+    };
+    place.set(Some(waker));
+}
+
+impl Reactor {
+    fn here() -> Result<Rc<Reactor>> {
+        REACTOR.with_borrow_mut(|reactor| match reactor {
+            Some(reactor) => Ok(reactor.clone()),
+            None => {
+                let made = Rc::new(Reactor::new()?);
+                *reactor = Some(made.clone());
+                Ok(made)
+            }
+        })
+    }
+
+    fn new() -> Result<Reactor> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let fd = eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?;
+        epoll::add(&epoll, &fd, EventData::new_u64(BELL), EventFlags::IN)?;
+        let bell = Bell { rung: AtomicBool::new(false), asleep: AtomicBool::new(false), fd };
+        Ok(Reactor {
+            epoll,
+            sources: RefCell::default(),
+            timers: RefCell::default(),
+            given: Cell::new(0),
+            bell: Arc::new(bell),
+        })
+    }
+
+    fn number(&self) -> u64 {
+        self.given.replace(self.given.get() + 1)
+    }
+
+    fn register(&self, fd: impl AsFd, writable: bool) -> Result<Rc<Source>> {
+        let source = Rc::new(Source {
+            slot: Cell::new(0),
+            number: self.number() & 0xFFFF_FFFF,
+            readable: Cell::new(true),
+            writable: Cell::new(writable),
+            ended: Cell::new(false),
+            reader: Cell::default(),
+            writer: Cell::default(),
+        });
+        let slot = self.sources.borrow_mut().insert(source.clone());
+        source.slot.set(slot);
+        let data = EventData::new_u64(source.number << 32 | slot as u64);
+        let flags = EventFlags::IN | EventFlags::OUT | EventFlags::RDHUP | EventFlags::ET;
+        if let Err(fault) = epoll::add(&self.epoll, fd, data, flags) {
+            self.sources.borrow_mut().remove(slot);
+            return Err(fault.into());
+        }
+        Ok(source)
+    }
+
+    /// Takes what the machine has to tell, waiting for it until the next timer if `wait`, and wakes those concerned.
+    fn turn(&self, wait: bool) -> Result<()> {
+        let next = self.timers.borrow().first_key_value().map(|((at, _), _)| *at);
+        let timeout = if wait {
+            next.map(|at| at.saturating_duration_since(Instant::now()))
+        } else {
+            Some(Duration::ZERO)
+        };
+        let timeout = timeout
+            .map(|length| Timespec { tv_sec: length.as_secs() as _, tv_nsec: length.subsec_nanos() as _ });
+        let mut events = [const { std::mem::MaybeUninit::uninit() }; BATCH];
+        let told = match epoll::wait(&self.epoll, &mut events, timeout.as_ref()) {
+            Ok((told, _)) => told,
+            Err(Errno::INTR) => return Ok(()),
+            Err(fault) => return Err(fault.into()),
+        };
+        for event in told {
+            let (flags, data) = (event.flags, event.data.u64());
+            if data == BELL {
+                let _ = rustix::io::read(&self.bell.fd, &mut [0; 8]);
+                continue;
+            }
+            // Guards against waking one that took the place of another which is closed by now.
+            let source = self.sources.borrow().get(data as u32 as usize).cloned();
+            if let Some(source) = source.filter(|source| source.number == data >> 32) {
+                source.told(flags);
+            }
+        }
+        self.ring_due();
+        Ok(())
+    }
+
+    fn ring_due(&self) {
+        if self.timers.borrow().is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        loop {
+            let due = {
+                let mut timers = self.timers.borrow_mut();
+                let first = timers.first_entry().filter(|first| first.key().0 <= now);
+                first.map(|first| first.remove())
+            };
+            match due {
+                Some(waker) => waker.wake(),
+                None => return,
+            }
+        }
+    }
+}
+
+impl Source {
+    fn told(&self, flags: EventFlags) {
+        if flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+            self.ended.set(true);
+        }
+        if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+            self.readable.set(true);
+            if let Some(waker) = self.reader.take() {
+                waker.wake();
+            }
+        }
+        if flags.intersects(EventFlags::OUT | EventFlags::HUP | EventFlags::ERR) {
+            self.writable.set(true);
+            if let Some(waker) = self.writer.take() {
+                waker.wake();
+            }
+        }
+    }
+}
+
+/// A socket of this thread.
+pub struct Async<T> {
+    inner: T,
+    source: Rc<Source>,
+    reactor: Rc<Reactor>,
+}
+
+impl<T> Drop for Async<T> {
+    fn drop(&mut self) {
+        // The close, which follows, ends its registration.
+        self.reactor.sources.borrow_mut().try_remove(self.source.slot.get());
+    }
+}
+
+impl<T: AsFd> Async<T> {
+    fn registered(inner: T, writable: bool) -> Result<Async<T>> {
+        let reactor = Reactor::here()?;
+        let source = reactor.register(&inner, writable)?;
+        Ok(Async { inner, source, reactor })
+    }
+
+    pub fn get_ref(&self) -> &T {
+        &self.inner
+    }
+
+    /// Tries `work` until it does not block any more, waiting to be readable between.
+    fn poll_reading<R>(&self, context: &Context, mut work: impl FnMut(&T) -> Result<R>) -> Poll<Result<R>> {
+        loop {
+            if !self.source.readable.get() {
+                wait_in(&self.source.reader, context);
+                return Poll::Pending;
+            }
+            match work(&self.inner) {
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => self.source.readable.set(false),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn poll_writing<R>(&self, context: &Context, mut work: impl FnMut(&T) -> Result<R>) -> Poll<Result<R>> {
+        loop {
+            if !self.source.writable.get() {
+                wait_in(&self.source.writer, context);
+                return Poll::Pending;
+            }
+            match work(&self.inner) {
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => self.source.writable.set(false),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+}
+
+impl Async<TcpListener> {
+    pub fn listening(listener: TcpListener) -> Result<Async<TcpListener>> {
+        listener.set_nonblocking(true)?;
+        Async::registered(listener, false)
+    }
+
+    pub async fn accept(&self) -> Result<(Async<TcpStream>, SocketAddr)> {
+        let (stream, peer) = poll_fn(|context| self.poll_reading(context, TcpListener::accept)).await?;
+        Ok((Async::connected(stream)?, peer))
+    }
+}
+
+impl Async<TcpStream> {
+    pub fn connected(stream: TcpStream) -> Result<Async<TcpStream>> {
+        stream.set_nonblocking(true)?;
+        Async::registered(stream, true)
+    }
+
+    pub async fn connect(to: SocketAddr) -> Result<Async<TcpStream>> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+        let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+        let under_way = match rustix::net::connect(&socket, &to) {
+            Ok(()) => false,
+            Err(Errno::INPROGRESS) => true,
+            Err(fault) => return Err(fault.into()),
+        };
+        let stream = Async::registered(TcpStream::from(socket), !under_way)?;
+        if under_way {
+            // Writable once it is up, or broken.
+            poll_fn(|context| stream.poll_writing(context, |_| Ok(()))).await?;
+            sockopt::socket_error(&stream.inner)??;
+        }
+        Ok(stream)
+    }
+
+    /// Waits until there is something to read, an end or a fault included.
+    pub async fn readable(&self) -> Result<()> {
+        poll_fn(|context| self.poll_reading(context, |stream| stream.peek(&mut [0]).map(drop))).await
+    }
+}
+
+impl AsyncRead for &Async<TcpStream> {
+    fn poll_read(self: Pin<&mut Self>, context: &mut Context, buffer: &mut [u8]) -> Poll<Result<usize>> {
+        let room = buffer.len();
+        let read = self.poll_reading(context, |mut stream| stream.read(buffer));
+        // A read that leaves room has taken all there was: what comes after it is told anew. After an end nothing is.
+        if matches!(read, Poll::Ready(Ok(count)) if count > 0 && count < room) && !self.source.ended.get() {
+            self.source.readable.set(false);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for &Async<TcpStream> {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
+        self.poll_writing(context, |mut stream| stream.write(bytes))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context) -> Poll<Result<()>> {
+        Poll::Ready(self.inner.shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// A point in time to wait for, on this thread. The machine rounds up to whole milliseconds.
+pub struct Timer {
+    at: Option<Instant>,
+    set: Option<(Instant, u64)>,
+    reactor: Option<Rc<Reactor>>,
+}
+
+impl Timer {
+    pub fn never() -> Timer {
+        Timer { at: None, set: None, reactor: None }
+    }
+
+    pub fn at(at: Instant) -> Timer {
+        Timer { at: Some(at), set: None, reactor: None }
+    }
+
+    pub fn after(length: Duration) -> Timer {
+        Timer { at: Instant::now().checked_add(length), set: None, reactor: None }
+    }
+
+    pub fn set_at(&mut self, at: Instant) {
+        if self.at != Some(at) {
+            self.unset();
+            self.at = Some(at);
+        }
+    }
+
+    fn unset(&mut self) {
+        if let (Some(key), Some(reactor)) = (self.set.take(), &self.reactor) {
+            reactor.timers.borrow_mut().remove(&key);
+        }
+    }
+}
+
+impl Drop for Timer {
+    fn drop(&mut self) {
+        self.unset();
+    }
+}
+
+impl Future for Timer {
+    type Output = Instant;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Instant> {
+        let Some(at) = self.at else { return Poll::Pending };
+        let now = Instant::now();
+        if now >= at {
+            self.unset();
+            return Poll::Ready(now);
+        }
+        if self.reactor.is_none() {
+            // A thread without a reactor can't wait at all: its first socket has failed already.
+            self.reactor = Reactor::here().ok();
+        }
+        let Some(reactor) = self.reactor.clone() else { return Poll::Pending };
+        let key = *self.set.get_or_insert_with(|| (at, reactor.number()));
+        let mut timers = reactor.timers.borrow_mut();
+        match timers.get(&key) {
+            Some(waker) if waker.will_wake(context.waker()) => {}
+            _ => _ = timers.insert(key, context.waker().clone()),
+        }
+        Poll::Pending
+    }
+}
+
+/// Runs a future to its end on this thread, with its sockets and timers.
+pub fn block_on<T>(future: impl Future<Output = T>) -> Result<T> {
+    let reactor = Reactor::here()?;
+    let bell = reactor.bell.clone();
+    let waker = Waker::from(bell.clone());
+    let mut context = Context::from_waker(&waker);
+    let mut future = pin!(future);
+    loop {
+        bell.rung.store(false, Ordering::SeqCst);
+        if let Poll::Ready(done) = future.as_mut().poll(&mut context) {
+            return Ok(done);
+        }
+        // Guards against a sleep that misses a ring: who rings from now on sees that the thread sleeps.
+        bell.asleep.store(true, Ordering::SeqCst);
+        let wait = !bell.rung.load(Ordering::SeqCst);
+        let turned = reactor.turn(wait);
+        bell.asleep.store(false, Ordering::SeqCst);
+        turned?;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+
+    fn pair() -> (Async<TcpStream>, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let one = TcpStream::connect(listener.local_addr().expect("bound")).expect("connects");
+        (Async::connected(listener.accept().expect("accepted").0).expect("registered"), one)
+    }
+
+    #[test]
+    fn an_end_behind_bytes_is_told() {
+        let (here, mut there) = pair();
+        there.write_all(b"abc").expect("written");
+        there.shutdown(std::net::Shutdown::Write).expect("shut");
+        let read = block_on(async {
+            let (mut buffer, mut counts) = ([0; 64], Vec::new());
+            while counts.last() != Some(&0) {
+                counts.push((&here).read(&mut buffer).await.expect("read"));
+            }
+            counts
+        });
+        assert_eq!(read.expect("a reactor"), [3, 0]);
+    }
+
+    #[test]
+    fn more_than_the_buffer_and_more_than_the_machine_holds_goes_through() {
+        let (here, mut there) = pair();
+        let sent: Vec<u8> = (0..8_000_000_u32).map(|at| at as u8).collect();
+        let echo = std::thread::spawn(move || {
+            let (mut got, mut buffer) = (Vec::new(), [0; 5000]);
+            while got.len() < 8_000_000 {
+                let count = there.read(&mut buffer).expect("read");
+                got.extend_from_slice(&buffer[..count]);
+            }
+            there.write_all(&got).expect("written");
+            got
+        });
+        let back = block_on(async {
+            (&here).write_all(&sent).await.expect("written");
+            let (mut got, mut buffer) = (Vec::new(), [0; 4096]);
+            while got.len() < sent.len() {
+                let count = (&here).read(&mut buffer).await.expect("read");
+                got.extend_from_slice(&buffer[..count]);
+            }
+            got
+        });
+        assert!(back.expect("a reactor") == sent && echo.join().expect("ended") == sent);
+    }
+
+    #[test]
+    fn a_timer_that_is_dropped_or_moved_rings_no_more() {
+        let begun = Instant::now();
+        let order = block_on(async {
+            let mut moved = Timer::after(Duration::from_millis(5));
+            let first = future::or(async { _ = (&mut moved).await }, future::ready(())).await;
+            moved.set_at(begun + Duration::from_millis(60));
+            let late = moved;
+            let lost = async { Timer::after(Duration::from_secs(60)).await };
+            (first, future::or(async { _ = late.await }, lost).await)
+        });
+        let _ = order.expect("a reactor");
+        assert!(begun.elapsed() >= Duration::from_millis(60) && begun.elapsed() < Duration::from_secs(30));
+        let left = Reactor::here().expect("a reactor").timers.borrow().len();
+        assert_eq!(left, 0);
+    }
+
+    #[test]
+    fn another_thread_wakes_one_that_sleeps() {
+        let (sender, told) = async_channel::bounded(1);
+        let other = std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(30));
+            sender.send_blocking(7).expect("heard");
+        });
+        assert_eq!(block_on(told.recv()).expect("a reactor"), Ok(7));
+        other.join().expect("ended");
+    }
+
+    #[test]
+    fn nobody_there_is_told() {
+        let free =
+            TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
+        let fault = block_on(Async::<TcpStream>::connect(free)).expect("a reactor").err();
+        assert_eq!(fault.expect("nobody listens").kind(), ErrorKind::ConnectionRefused);
+    }
+}
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -1,7 +1,7 @@
 //! Which number and address each server of the list has at this sidecar.
 use oakhollow::types::*;
 use oakhollow_terms::{Entry, List};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 #[derive(Default)]
@@ -9,6 +9,9 @@
     zones: Vec<String>,
     numbers: HashMap<String, ServerId>,
     known: HashMap<ServerId, Known>,
+    /// Who is at an address.
+    at: HashMap<SocketAddr, ServerId>,
+    ready: usize,
     given: u32,
 }
 
@@ -39,9 +42,10 @@
     pub fn take(&mut self, list: &List) -> Told {
         let mut retired = Vec::new();
         if list.snapshot {
-            let there =
-                |id: &ServerId| list.endpoints.iter().any(|entry| self.numbers.get(&entry.name) == Some(id));
-            let missing: Vec<ServerId> = self.known.keys().copied().filter(|id| !there(id)).collect();
+            let named = list.endpoints.iter().filter_map(|entry| self.numbers.get(&entry.name));
+            let there: HashSet<ServerId> = named.copied().collect();
+            let missing: Vec<ServerId> =
+                self.known.keys().copied().filter(|id| !there.contains(id)).collect();
             retired.extend(missing.into_iter().filter_map(|id| self.forget(id)));
         }
         let mut entries = Vec::new();
@@ -61,7 +65,8 @@
             ServerId(self.given)
         });
         let (address, mut listing) = (entry.address, entry.listing(server, &self.zones));
-        let same = self.known.iter().find(|(id, known)| **id != server && known.address == address);
+        let same = self.at.get(&address).filter(|id| **id != server);
+        let same = same.and_then(|id| Some((id, self.known.get(id)?)));
         // Guards against sending to a server that is not there any more what another at its address would run: of
         // two at one address the one that started last is there.
         if let Some((_, other)) = same.filter(|_| listing.standing == Standing::Ready) {
@@ -74,7 +79,14 @@
             }
         }
         let known = Known { name: entry.name.clone(), address, listing: listing.clone() };
-        match self.known.insert(server, known) {
+        let before = self.drop_known(server);
+        self.ready += usize::from(known.ready());
+        // Of two at one address, one that is there no more must not take the other's place.
+        if known.listing.standing != Standing::Gone {
+            self.at.insert(address, server);
+        }
+        self.known.insert(server, known);
+        match before {
             // Moved, or started again: what is open to it leads elsewhere, or to nobody.
             Some(before) if before.address != address || before.listing.started != listing.started => {
                 retired.extend([before.address, address]);
@@ -90,13 +102,22 @@
     }
 
     fn forget(&mut self, server: ServerId) -> Option<SocketAddr> {
-        let known = self.known.remove(&server)?;
+        let known = self.drop_known(server)?;
         self.numbers.remove(&known.name);
         Some(known.address)
     }
 
+    fn drop_known(&mut self, server: ServerId) -> Option<Known> {
+        let known = self.known.remove(&server)?;
+        self.ready -= usize::from(known.ready());
+        if self.at.get(&known.address) == Some(&server) {
+            self.at.remove(&known.address);
+        }
+        Some(known)
+    }
+
     pub fn any_ready(&self) -> bool {
-        self.known.values().any(Known::ready)
+        self.ready > 0
     }
 
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
--- a/sidecar/src/timers.rs
+++ b/sidecar/src/timers.rs
@@ -1,5 +1,5 @@
 //! The one clock, and the module's timers as a stream of the tokens that fall due.
-use async_io::Timer;
+use crate::reactor::Timer;
 use futures_lite::Stream;
 use oakhollow::types::{Micros, Token};
 use std::cmp::Reverse;
--- /dev/null
+++ b/sidecar/src/workers.rs
@@ -0,0 +1,223 @@
+//! The threads that carry the calls. Each worker has an executor, a listener and an instance of the decisions of its own,
+//! and counts as one of the sidecars in all that is shared out among them; nothing of a call ever crosses from one to
+//! another. Phases, reloads and the watch of the list are the program's, which tells its workers by orders.
+use crate::bounds::{Bound, Gauge, Share};
+use crate::decider::Parts;
+use crate::http1::door::{Door, Ids};
+use crate::http1::pool::Pool;
+use crate::http1::{Decider, Desk, Http1, Names, Note};
+use crate::reactor::{self, Async};
+use crate::tasks::Tasks;
+use crate::timers::Clock;
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::LocalExecutor;
+use oakhollow::types::{ListKind, Micros};
+use oakhollow_terms::{List, Place};
+use slog::{o, Logger};
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::{Builder, JoinHandle};
+
+/// Orders that may wait for a worker.
+const MOST_ORDERS: usize = 64;
+
+/// What the program tells its workers.
+#[derive(Clone)]
+pub enum Order {
+    Listed(ListKind, Arc<List>),
+    /// Take callers in.
+    Open,
+    /// `/ready` says no; calls that come from now on have their answers by then.
+    SayNo(Micros),
+    /// Take nobody in any more. Its sender is dropped when that holds.
+    Shut(Sender<()>),
+}
+
+/// How much a worker holds.
+#[derive(Clone, Default)]
+pub struct Gauges {
+    pub calls: Gauge,
+    pub connections: Gauge,
+}
+
+/// A worker that has ended unasked.
+pub struct Lost(pub String);
+
+/// What a worker is started with.
+pub struct Hand {
+    pub number: usize,
+    pub orders: Receiver<Order>,
+    pub gauges: Gauges,
+}
+
+struct Worker {
+    orders: Sender<Order>,
+    gauges: Gauges,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// All workers of the program. Dropping it ends them.
+pub struct Crew {
+    workers: Vec<Worker>,
+    lost: Receiver<Lost>,
+}
+
+thread_local! {
+    static PANIC: RefCell<Option<String>> = const { RefCell::new(None) };
+}
+
+/// Has panics kept for the one line in which the program says why it ends, instead of written out at once.
+pub fn keep_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let text = panic.to_string().replace('\n', " ");
+        PANIC.with_borrow_mut(|kept| *kept = Some(text));
+    }));
+}
+
+impl Crew {
+    /// Starts `count` workers; `work` is the whole life of one. A worker that ends with a fault, or panics, is told by
+    /// [`Crew::lost`].
+    pub fn hire(
+        count: usize, work: impl Fn(Hand) -> std::io::Result<()> + Clone + Send + 'static,
+    ) -> std::io::Result<Crew> {
+        let (tell, lost) = bounded(count);
+        let mut workers = Vec::new();
+        for number in 0..count {
+            let ((sender, orders), gauges) = (bounded(MOST_ORDERS), Gauges::default());
+            let hand = Hand { number, orders, gauges: gauges.clone() };
+            let (work, tell) = (work.clone(), tell.clone());
+            let life = move || {
+                let why = match catch_unwind(AssertUnwindSafe(|| work(hand))) {
+                    Ok(Ok(())) => return,
+                    Ok(Err(fault)) => fault.to_string(),
+                    Err(_) => PANIC.take().unwrap_or_else(|| "panicked".into()),
+                };
+                let _ = tell.try_send(Lost(format!("worker {number} ended: {why}")));
+            };
+            let thread = Builder::new().name(format!("worker {number}")).spawn(life)?;
+            workers.push(Worker { orders: sender, gauges, thread: Some(thread) });
+        }
+        Ok(Crew { workers, lost })
+    }
+
+    /// Tells all; waits for those whose queue is full. One that has ended is told of elsewhere.
+    pub async fn tell(&self, order: Order) {
+        for worker in &self.workers {
+            let _ = worker.orders.send(order.clone()).await;
+        }
+    }
+
+    /// For who tells them the list.
+    pub fn orders(&self) -> Vec<Sender<Order>> {
+        self.workers.iter().map(|worker| worker.orders.clone()).collect()
+    }
+
+    pub async fn lost(&self) -> Lost {
+        self.lost.recv().await.unwrap_or_else(|_| Lost("all workers ended".into()))
+    }
+
+    pub fn calls(&self) -> usize {
+        self.workers.iter().map(|worker| worker.gauges.calls.get()).sum()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.workers.iter().map(|worker| worker.gauges.connections.get()).sum()
+    }
+}
+
+impl Drop for Crew {
+    fn drop(&mut self) {
+        self.workers.iter().for_each(|worker| _ = worker.orders.close());
+        for worker in &mut self.workers {
+            if let Some(thread) = worker.thread.take() {
+                let _ = thread.join();
+            }
+        }
+    }
+}
+
+/// What all workers carry calls by.
+#[derive(Clone)]
+pub struct Kit {
+    pub place: Place,
+    pub seed: u64,
+    pub known: Arc<List>,
+    pub workers: usize,
+    pub callers: Bound,
+    pub links: Bound,
+    pub clock: Clock,
+    pub log: Logger,
+    /// Asks for a subscription to the list.
+    pub ask: Sender<()>,
+    pub ids: Arc<Ids>,
+}
+
+/// The whole life of a worker that carries calls.
+pub fn carry(kit: Kit, hand: Hand, listener: TcpListener) -> std::io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let tasks = Tasks::of(&executor);
+    reactor::block_on(executor.run(obey(kit, hand, listener, tasks)))?
+}
+
+/// What this worker is among all workers of all sidecars.
+fn placed(mut place: Place, number: usize, workers: usize) -> Place {
+    place.terms.number = place.terms.number.saturating_mul(workers as u32).saturating_add(number as u32);
+    place.terms.sidecars = place.terms.sidecars.saturating_mul(workers as u32);
+    place
+}
+
+async fn obey(kit: Kit, hand: Hand, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
+    let Hand { number, orders, gauges } = hand;
+    let place = placed(kit.place, number, kit.workers);
+    let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
+    let (desk, notes) = Desk::new(kit.clock, gauges.calls);
+    let links = Share::of(kit.links);
+    let pool = Pool::new(tasks.clone(), links, place.connect_within, place.idle_close);
+    // One watch feeds all: the first asks for all of them, and they hear the same.
+    let ask = if number == 0 { kit.ask } else { bounded(1).0 };
+    let parts = Parts {
+        protocol: Rc::new(Http1 { pool }),
+        desk: desk.clone(),
+        tasks: tasks.clone(),
+        log: log.clone(),
+        ask,
+    };
+    let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let decider = Decider::new(&place, seed, &kit.known, parts);
+    tasks.run(decider.run(notes));
+    let names = Names { workloads: place.workloads, customers: place.customers };
+    let callers = (Share::of(kit.callers), gauges.connections);
+    let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
+    let mut listener = Some(Rc::new(Async::listening(listener)?));
+    let mut welcome = None;
+    while let Ok(order) = orders.recv().await {
+        match order {
+            Order::Listed(kind, list) => desk.tell(Note::Listed(kind, list)).await,
+            Order::Open => {
+                let taking = listener.clone().map(|listener| door.clone().welcome(listener));
+                welcome = taking.and_then(|taking| tasks.spawn(taking));
+                door.set_able(true);
+            }
+            Order::SayNo(by) => {
+                door.set_able(false);
+                // Guards against a kill that finds an API call without its answer.
+                door.answer_by(by);
+            }
+            Order::Shut(done) => {
+                if let Some(welcome) = welcome.take() {
+                    welcome.cancel().await;
+                }
+                door.close();
+                // Dropped at once after: a listener left open would go on accepting for nobody.
+                if let Some(listener) = listener.take() {
+                    door.take_rest(&listener);
+                }
+                drop(done);
+            }
+        }
+    }
+    Ok(())
+}
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -2,10 +2,12 @@
 //! object ([`Place`]), the file of a sidecar on sockets ([`Start`]) and the list of servers ([`List`]). Whoever
 //! finds a fault is told the key, as in `settings.workloads[1].payoff: must not be negative`.
 mod list;
+mod operator;
 mod place;
 mod start;
 
 pub use list::{Entry, List, Version};
+pub use operator::Operator;
 pub use place::{micros, Named, Place};
 pub use start::{Limits, Start};
 
