--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -470,7 +470,7 @@
             moved.set_at(begun + Duration::from_millis(60));
             let late = moved;
             let lost = async { Timer::after(Duration::from_secs(60)).await };
-            (first, future::or(async { _ = late.await }, lost).await)
+            (first, future::or(async { _ = late.await }, async { _ = lost.await }).await)
         });
         let _ = order.expect("a reactor");
         assert!(begun.elapsed() >= Duration::from_millis(60) && begun.elapsed() < Duration::from_secs(30));
