Less work for a call: one read buffer a thread, timers by the millisecond, no task for an idle link

Change: reads go into one buffer of the thread (4 KB stood in each hop's and caller's task, cleared and copied with it); timers are kept by the millisecond and sorted when that comes (a heap of 20,000, most for calls that are over); idle links are swept by one task for all; a call's verdict and a caller's stay are one-value slots of one thread.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -2,6 +2,7 @@
 //! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
 //! knows no protocol but through [`Protocol`].
 use crate::bounds::Gauge;
+use crate::oneshot::{self, oneshot};
 use crate::roster::Roster;
 use crate::tasks::Tasks;
 use crate::timers::{Clock, Timers};
@@ -55,7 +56,7 @@
     pub call: CallId,
     pub ask: Ask,
     pub content: Rc<P::Content>,
-    pub verdict: Sender<Verdict<P::Answer>>,
+    pub verdict: oneshot::Sender<Verdict<P::Answer>>,
 }
 
 pub enum Note<P: Protocol> {
@@ -93,8 +94,10 @@
     }
 
     /// Takes an API call; its verdict comes from the receiver.
-    pub async fn take(&self, ask: Ask, content: P::Content) -> (CallId, Receiver<Verdict<P::Answer>>) {
-        let (verdict, answer) = bounded(1);
+    pub async fn take(
+        &self, ask: Ask, content: P::Content,
+    ) -> (CallId, oneshot::Receiver<Verdict<P::Answer>>) {
+        let (verdict, answer) = oneshot();
         let call = CallId(self.calls.replace(self.calls.get().wrapping_add(1)));
         self.held.up();
         self.tell(Note::Taken(Taken { call, ask, content: Rc::new(content), verdict })).await;
@@ -105,7 +108,7 @@
 struct Call<P: Protocol> {
     content: Rc<P::Content>,
     abandon: Micros,
-    verdict: Option<Sender<Verdict<P::Answer>>>,
+    verdict: Option<oneshot::Sender<Verdict<P::Answer>>>,
     hops: Vec<Hop>,
 }
 
@@ -250,8 +253,8 @@
         let Some(known) = self.calls.get_mut(&call) else { return };
         if let Some(client) = known.verdict.take() {
             self.desk.held.down();
-            // There is room for the one verdict; a client that has gone says so by a note of its own.
-            let _ = client.try_send(verdict);
+            // A client that has gone says so by a note of its own.
+            client.send(verdict);
         }
     }
 
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -7,7 +7,7 @@
 use super::Note;
 use crate::decider::{Ask, Verdict};
 use crate::reactor::{Async, Timer};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt};
 use oakhollow::types::*;
 use oakhollow_terms::Named;
 use std::net::{IpAddr, Shutdown, TcpStream};
@@ -73,7 +73,7 @@
     /// Waits for the next request, and for the word to close while there is none.
     async fn next(&mut self) -> Next {
         let (clock, start) = (self.door.desk.clock, Instant::now());
-        let (mut came, mut leave_given, mut buffer) = (clock.now(), false, [0; 4096]);
+        let (mut came, mut leave_given) = (clock.now(), false);
         let mut until = start + if self.fresh { WITHIN } else { KEPT };
         let door = self.door;
         let mut stay = Some(door.stay(self.source, !self.fresh));
@@ -90,7 +90,7 @@
                 }
             }
             let begun = self.inbox.held() > 0;
-            let read = async { Some(read(&self.stream, &mut buffer).await) };
+            let read = async { Some(read(&self.stream, self.inbox.end()).await) };
             let ended = async {
                 let late = async {
                     Timer::at(until).await;
@@ -109,13 +109,12 @@
                 None
             };
             match future::or(read, ended).await {
-                Some(Some(count)) => {
+                Some(Some(_)) => {
                     if !begun {
                         came = clock.now();
                         // The time of a fresh one runs from its coming: silence first wins it nothing.
                         until = if self.fresh { until } else { Instant::now() + WITHIN };
                     }
-                    self.inbox.push(&buffer[..count]);
                 }
                 Some(None) => return Next::Nothing,
                 // The program is leaving: what has begun is waited for, and one let in at the last moment has a little
@@ -148,12 +147,10 @@
         let id = request.head.only("Request-Id")?.unwrap_or_default();
         let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
         let (call, verdict) = door.desk.take(ask, Outgoing::new(request)?).await;
-        let answered = async { verdict.recv().await.ok() };
+        let answered = async { (&verdict).await };
         let (stream, inbox) = (&self.stream, &mut self.inbox);
         let gone = async {
-            let mut buffer = [0; 4096];
-            while let Some(count) = read(stream, &mut buffer).await {
-                inbox.push(&buffer[..count]);
+            while read(stream, inbox.end()).await.is_some() {
                 if inbox.held() > MOST_AHEAD {
                     return future::pending().await;
                 }
@@ -214,10 +211,11 @@
             return;
         }
         let drained = async {
-            let (mut buffer, mut drained) = ([0; 4096], 0);
-            while let Some(count) = read(&self.stream, &mut buffer).await.filter(|_| drained < 4 * MOST_AHEAD)
-            {
+            let (mut taken, mut drained) = (Vec::new(), 0);
+            while drained < 4 * MOST_AHEAD {
+                let Some(count) = read(&self.stream, &mut taken).await else { return };
                 drained += count;
+                taken.clear();
             }
         };
         let late = async { _ = Timer::after(LINGER).await };
@@ -235,8 +233,8 @@
     }
 }
 
-async fn read(mut stream: &Async<TcpStream>, buffer: &mut [u8]) -> Option<usize> {
-    stream.read(buffer).await.ok().filter(|count| *count > 0)
+async fn read(stream: &Async<TcpStream>, into: &mut Vec<u8>) -> Option<usize> {
+    stream.read_behind(into).await.ok().filter(|count| *count > 0)
 }
 
 fn asks_if_ready(request: &Message) -> bool {
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -3,6 +3,7 @@
 use super::callers::Caller;
 use super::{Desk, Names};
 use crate::bounds::{Gauge, Place, Share};
+use crate::oneshot;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use async_channel::{bounded, Receiver, Sender};
@@ -35,7 +36,7 @@
     /// It has had an answer before.
     known: bool,
     since: Instant,
-    _told: Sender<()>,
+    _told: oneshot::Sender<()>,
 }
 
 /// Where a connection comes from.
@@ -259,7 +260,7 @@
     /// the connection should be closed.
     pub fn stay(&self, source: IpAddr, known: bool) -> Staying<'_> {
         let id = self.stays.replace(StayId(self.stays.get().0 + 1));
-        let (sender, told) = bounded::<()>(1);
+        let (sender, told) = oneshot::oneshot();
         if !self.closing.get() {
             let stay = Stay { source, known, since: Instant::now(), _told: sender };
             self.idle.borrow_mut().insert(id, stay);
@@ -273,12 +274,12 @@
 pub struct Staying<'a> {
     door: &'a Door,
     id: StayId,
-    told: Receiver<()>,
+    told: oneshot::Receiver<()>,
 }
 
 impl Staying<'_> {
     pub async fn told_to_close(&self) {
-        let _ = self.told.recv().await;
+        let _ = (&self.told).await;
     }
 }
 
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -4,7 +4,7 @@
 use super::pool::{Link, Pool};
 use crate::reactor::Timer;
 use crate::timers::duration;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt};
 use oakhollow::types::{Micros, Outcome};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -77,10 +77,9 @@
 
 /// Reads one answer. What can't be read has run all the same; only an end that the server made is a break.
 async fn read(link: &Link, inbox: &mut Assembler) -> Result<Message, Outcome> {
-    let mut buffer = [0; 4096];
     let mut until = None;
     loop {
-        let read = async { Some((&link.stream).read(&mut buffer).await) };
+        let read = async { Some(link.stream.read_behind(inbox.end()).await) };
         let late = async {
             match until {
                 Some(until) => _ = Timer::at(until).await,
@@ -93,7 +92,6 @@
         if count == 0 {
             return inbox.ended().ok_or(Outcome::Broken);
         }
-        inbox.push(&buffer[..count]);
         if let Some(answer) = inbox.take().map_err(|_| Outcome::Errored)? {
             return Ok(answer);
         }
--- a/sidecar/src/http1/messages.rs
+++ b/sidecar/src/http1/messages.rs
@@ -58,6 +58,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Where what comes is put, behind what is there.
+    pub fn end(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+
     /// Bytes that came and belong to no message that was given out.
     pub fn held(&self) -> usize {
         self.bytes.len() + self.part.as_ref().map_or(0, |part| part.body.len() + 1)
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -4,7 +4,6 @@
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use crate::timers::duration;
-use async_executor::Task;
 use futures_lite::future;
 use oakhollow::types::{Micros, Outcome};
 use std::cell::{Cell, RefCell};
@@ -12,6 +11,10 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+/// How often idle connections are looked through for those that have ended or are old.
+const SWEEP: Duration = Duration::from_millis(20);
 
 /// One open connection; dropping it closes it.
 pub struct Link {
@@ -24,6 +27,10 @@
 impl Link {
     /// Nothing has come and the other side has not closed: between requests anything else means the end.
     fn quiet(&self) -> bool {
+        if self.stream.stirred() {
+            return false;
+        }
+        // What the thread has not been told of yet.
         let peeked = self.stream.get_ref().peek(&mut [0]);
         matches!(peeked, Err(fault) if fault.kind() == ErrorKind::WouldBlock)
     }
@@ -36,8 +43,7 @@
 struct Idle {
     link: Rc<Link>,
     id: LinkId,
-    /// Retires the connection by its age, or when it turns readable.
-    guard: Option<Task<()>>,
+    since: Instant,
 }
 
 /// The connections to one address, since it was last retired.
@@ -59,6 +65,8 @@
     /// Connections that are open or on their way.
     open: Rc<Share>,
     parked: Cell<LinkId>,
+    /// A task sweeps it.
+    watched: Cell<bool>,
     connect_within: Micros,
     keep: Micros,
 }
@@ -72,6 +80,7 @@
             shelves: RefCell::default(),
             open,
             parked: Cell::default(),
+            watched: Cell::default(),
             connect_within,
             // Guards against writing a request to a connection that the server is about to close.
             keep: idle_close.times(0.5),
@@ -94,7 +103,7 @@
         let place = match self.open.take() {
             Some(place) => place,
             None => {
-                self.drop_oldest().await;
+                drop(self.take_oldest());
                 self.open.take().ok_or(Outcome::NotSent)?
             }
         };
@@ -127,20 +136,23 @@
             return;
         }
         let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
-        let (pool, keep, watched) = (self.me.clone(), duration(self.keep), link.clone());
-        let guard = self.tasks.spawn(async move {
-            let stirred = async { drop(watched.stream.readable().await) };
-            let old = async { _ = Timer::after(keep).await };
-            future::or(stirred, old).await;
-            if let Some(pool) = pool.upgrade() {
-                if let Some(shelf) = pool.shelves.borrow_mut().get_mut(&to) {
-                    shelf.idle.retain(|idle| idle.id != id);
-                }
-            }
-        });
         if let Some(shelf) = self.shelves.borrow_mut().get_mut(&to) {
-            shelf.idle.push(Idle { link, id, guard });
+            shelf.idle.push(Idle { link, id, since: Instant::now() });
+        }
+        if !self.watched.replace(true) {
+            self.tasks.run(watch(self.me.clone()));
+        }
+    }
+
+    /// Closes idle connections that have turned readable or are old; false if none is idle.
+    fn sweep(&self) -> bool {
+        let (keep, now) = (duration(self.keep), Instant::now());
+        let mut any = false;
+        for shelf in self.shelves.borrow_mut().values_mut() {
+            shelf.idle.retain(|idle| !idle.link.stream.stirred() && now - idle.since < keep);
+            any |= !shelf.idle.is_empty();
         }
+        any
     }
 
     /// Closes what stands idle to a server that wants nothing new, and keeps none of the connections it still uses.
@@ -150,15 +162,6 @@
         }
     }
 
-    async fn drop_oldest(&self) {
-        let Some(Idle { link, guard, .. }) = self.take_oldest() else { return };
-        drop(link);
-        // Guards against counting the connection on: its guard holds it too, until that has come to its end.
-        if let Some(guard) = guard {
-            guard.cancel().await;
-        }
-    }
-
     fn take_oldest(&self) -> Option<Idle> {
         let mut shelves = self.shelves.borrow_mut();
         let oldest = shelves.iter().filter_map(|(at, shelf)| Some((shelf.idle.first()?.id, *at))).min();
@@ -166,6 +169,17 @@
     }
 }
 
+/// Sweeps a pool for as long as it has idle connections: one task for all of them, which the machine tells of none.
+async fn watch(pool: Weak<Pool>) {
+    while let Some(there) = pool.upgrade() {
+        if !there.sweep() {
+            return there.watched.set(false);
+        }
+        drop(there);
+        Timer::after(SWEEP).await;
+    }
+}
+
 /// EMFILE and ENFILE.
 fn out_of_descriptors(fault: &std::io::Error) -> bool {
     matches!(fault.raw_os_error(), Some(23 | 24))
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod decider;
 pub mod http1;
 pub mod logging;
+pub mod oneshot;
 pub mod phases;
 pub mod reactor;
 pub mod roster;
--- /dev/null
+++ b/sidecar/src/oneshot.rs
@@ -0,0 +1,72 @@
+//! One value from one task to another of the same thread, or the word that none will come.
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+struct Slot<T> {
+    value: Cell<Option<T>>,
+    ended: Cell<bool>,
+    waiting: Cell<Option<Waker>>,
+}
+
+impl<T> Slot<T> {
+    fn end(&self) {
+        self.ended.set(true);
+        if let Some(waker) = self.waiting.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// Dropped without a value, it says that none will come.
+pub struct Sender<T>(Rc<Slot<T>>);
+
+pub struct Receiver<T>(Rc<Slot<T>>);
+
+pub fn oneshot<T>() -> (Sender<T>, Receiver<T>) {
+    let slot = Rc::new(Slot { value: Cell::new(None), ended: Cell::new(false), waiting: Cell::new(None) });
+    (Sender(slot.clone()), Receiver(slot))
+}
+
+impl<T> Sender<T> {
+    pub fn send(self, value: T) {
+        self.0.value.set(Some(value));
+    }
+}
+
+impl<T> Drop for Sender<T> {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+impl<T> Future for &Receiver<T> {
+    type Output = Option<T>;
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context) -> Poll<Option<T>> {
+        if self.0.ended.get() {
+            return Poll::Ready(self.0.value.take());
+        }
+        self.0.waiting.set(Some(context.waker().clone()));
+        Poll::Pending
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::future;
+
+    #[test]
+    fn a_value_or_none_is_told() {
+        let (sender, receiver) = oneshot();
+        assert!(future::block_on(future::poll_once(&receiver)).is_none());
+        sender.send(5);
+        assert_eq!(future::block_on(&receiver), Some(5));
+        let (sender, receiver) = oneshot::<u8>();
+        drop(sender);
+        assert_eq!(future::block_on(&receiver), None);
+    }
+}
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -27,6 +27,7 @@
 const BELL: u64 = u64::MAX;
 
 thread_local! {
+    static BUFFER: RefCell<Box<[u8]>> = RefCell::new(vec![0; 16 * 1024].into());
     static REACTOR: RefCell<Option<Rc<Reactor>>> = const { RefCell::new(None) };
 }
 
@@ -292,9 +293,24 @@
         Ok(stream)
     }
 
-    /// Waits until there is something to read, an end or a fault included.
-    pub async fn readable(&self) -> Result<()> {
-        poll_fn(|context| self.poll_reading(context, |stream| stream.peek(&mut [0]).map(drop))).await
+    /// Reads what there is, up to the size of the thread's one buffer, behind what `into` holds. None is the end. Guards
+    /// against a buffer in each of thousands of tasks, cleared and copied with them.
+    pub async fn read_behind(&self, into: &mut Vec<u8>) -> Result<usize> {
+        poll_fn(|context| {
+            BUFFER.with_borrow_mut(|buffer| {
+                let read = pin!(self).as_mut().poll_read(context, buffer);
+                if let Poll::Ready(Ok(count)) = read {
+                    into.extend_from_slice(&buffer[..count]);
+                }
+                read
+            })
+        })
+        .await
+    }
+
+    /// Whether something has come, an end or a fault included, as far as the thread has been told.
+    pub fn stirred(&self) -> bool {
+        self.source.readable.get()
     }
 }
 
--- a/sidecar/src/timers.rs
+++ b/sidecar/src/timers.rs
@@ -2,8 +2,7 @@
 use crate::reactor::Timer;
 use futures_lite::Stream;
 use oakhollow::types::{Micros, Token};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -39,20 +38,23 @@
 
 pub struct Timers {
     clock: Clock,
-    due: BinaryHeap<Reverse<(Micros, u64, Token)>>,
+    /// By the millisecond, the latest first once that has come: guards against sorting tens of thousands of which most
+    /// concern calls that are over.
+    due: BTreeMap<u64, Vec<(Micros, u64, Token)>>,
+    now: Vec<(Micros, u64, Token)>,
     set: u64,
     bell: Timer,
 }
 
 impl Timers {
     pub fn new(clock: Clock) -> Timers {
-        Timers { clock, due: BinaryHeap::new(), set: 0, bell: Timer::never() }
+        Timers { clock, due: BTreeMap::new(), now: Vec::new(), set: 0, bell: Timer::never() }
     }
 
     /// Timers of one time fall due in the order in which they were set.
     pub fn set(&mut self, at: Micros, token: Token) {
         self.set += 1;
-        self.due.push(Reverse((at, self.set, token)));
+        self.due.entry(at.0 / 1000).or_default().push((at, self.set, token));
     }
 }
 
@@ -60,11 +62,25 @@
     type Item = Token;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Option<Token>> {
-        let Some(&Reverse((at, _, token))) = self.due.peek() else { return Poll::Pending };
-        if at <= self.clock.now() {
-            self.due.pop();
+        if let Some((_, _, token)) = self.now.pop() {
             return Poll::Ready(Some(token));
         }
+        let now = self.clock.now();
+        let Some(mut first) = self.due.first_entry() else { return Poll::Pending };
+        let millisecond = first.get_mut();
+        // Latest first, so that they are taken from the end.
+        millisecond.sort_unstable_by(|one, other| other.cmp(one));
+        let later = millisecond.partition_point(|(at, ..)| *at > now);
+        let due = millisecond.split_off(later);
+        let next = millisecond.last().map(|(at, ..)| *at);
+        if next.is_none() {
+            first.remove();
+        }
+        if !due.is_empty() {
+            self.now = due;
+            return self.poll_next(context);
+        }
+        let Some(at) = next else { return Poll::Pending };
         let at = self.clock.instant(at);
         self.bell.set_at(at);
         match Pin::new(&mut self.bell).poll(context) {
