--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -8,13 +8,14 @@
 use crate::timers::{Clock, Timers};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::Task;
+use fnv::FnvHashMap;
 use futures_lite::{future, StreamExt};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use oakhollow_terms::{List, Place};
 use slog::{info, Logger};
 use std::cell::Cell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -79,6 +80,8 @@
 
 /// Notes that may wait: socket code is held up when there are more.
 const MOST_NOTES: usize = 256;
+/// Notes taken in a row: guards against timers that wait for a queue which never empties.
+const MOST_AT_ONCE: usize = 32;
 
 impl<P: Protocol> Desk<P> {
     /// `held` is where the calls taken and not yet answered are counted.
@@ -127,7 +130,7 @@
     timers: Timers,
     most_hops: usize,
     sidecar: Sidecar,
-    calls: HashMap<CallId, Call<P>>,
+    calls: FnvHashMap<CallId, Call<P>>,
     actions: Vec<Action>,
     /// Ends of hops that carrying out an action has brought about; the module hears of them after it.
     ends: VecDeque<(CallId, HopNo, Outcome)>,
@@ -152,7 +155,7 @@
             timers: Timers::new(desk.clock),
             roster: Roster::new(&place.zones),
             most_hops: place.terms.most_hops as usize,
-            calls: HashMap::new(),
+            calls: FnvHashMap::default(),
             ends: VecDeque::new(),
             actions,
             protocol,
@@ -173,7 +176,14 @@
             let note = async { notes.recv().await.ok().map(Err) };
             match future::or(due, note).await {
                 Some(Ok(token)) => self.on(Event::Woke(token)),
-                Some(Err(note)) => self.hear(note),
+                Some(Err(note)) => {
+                    self.hear(note);
+                    // What came meanwhile, before the timers are looked at again.
+                    for _ in 0..MOST_AT_ONCE {
+                        let Ok(note) = notes.try_recv() else { break };
+                        self.hear(note);
+                    }
+                }
                 None => return,
             }
         }
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -30,6 +30,8 @@
     inbox: Assembler,
     /// Nothing has been answered on it yet.
     fresh: bool,
+    /// Rings when the time for a request is over.
+    late: Timer,
 }
 
 enum Next {
@@ -40,7 +42,14 @@
 
 impl Caller<'_> {
     pub fn new(door: &Door, stream: Async<TcpStream>, source: IpAddr) -> Caller<'_> {
-        Caller { door, stream, source, inbox: Assembler::new(Side::Requests), fresh: true }
+        Caller {
+            door,
+            stream,
+            source,
+            inbox: Assembler::new(Side::Requests),
+            fresh: true,
+            late: Timer::never(),
+        }
     }
 
     pub async fn serve(mut self) {
@@ -92,8 +101,9 @@
             let begun = self.inbox.held() > 0;
             let read = async { Some(read(&self.stream, self.inbox.end()).await) };
             let ended = async {
+                self.late.set_at(until);
                 let late = async {
-                    Timer::at(until).await;
+                    (&mut self.late).await;
                     false
                 };
                 let told = async {
--- a/sidecar/src/http1/head.rs
+++ b/sidecar/src/http1/head.rs
@@ -44,7 +44,7 @@
 }
 
 pub fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
-    bytes.windows(what.len()).position(|window| window == what)
+    memchr::memmem::find(bytes, what)
 }
 
 impl Head {
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -360,11 +360,13 @@
         Timer { at: Instant::now().checked_add(length), set: None, reactor: None }
     }
 
+    /// One moved to a later time stays registered at the earlier one, and looks again then: guards against the cost of
+    /// moving one that hardly ever rings.
     pub fn set_at(&mut self, at: Instant) {
-        if self.at != Some(at) {
+        if self.set.is_some_and(|(set, _)| set > at) {
             self.unset();
-            self.at = Some(at);
         }
+        self.at = Some(at);
     }
 
     fn unset(&mut self) {
@@ -395,6 +397,9 @@
             self.reactor = Reactor::here().ok();
         }
         let Some(reactor) = self.reactor.clone() else { return Poll::Pending };
+        if self.set.is_some_and(|(set, _)| set <= now) {
+            self.unset();
+        }
         let key = *self.set.get_or_insert_with(|| (at, reactor.number()));
         let mut timers = reactor.timers.borrow_mut();
         match timers.get(&key) {
--- a/sidecar/src/timers.rs
+++ b/sidecar/src/timers.rs
@@ -58,6 +58,16 @@
     }
 }
 
+impl Timers {
+    fn ring_at(&mut self, at: Instant, context: &mut Context) -> Poll<Option<Token>> {
+        self.bell.set_at(at);
+        if Pin::new(&mut self.bell).poll(context).is_ready() {
+            context.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
+}
+
 impl Stream for Timers {
     type Item = Token;
 
@@ -67,6 +77,11 @@
         }
         let now = self.clock.now();
         let Some(mut first) = self.due.first_entry() else { return Poll::Pending };
+        let begins = Micros(*first.key() * 1000);
+        if begins > now {
+            let at = self.clock.instant(begins);
+            return self.ring_at(at, context);
+        }
         let millisecond = first.get_mut();
         // Latest first, so that they are taken from the end.
         millisecond.sort_unstable_by(|one, other| other.cmp(one));
@@ -82,13 +97,6 @@
         }
         let Some(at) = next else { return Poll::Pending };
         let at = self.clock.instant(at);
-        self.bell.set_at(at);
-        match Pin::new(&mut self.bell).poll(context) {
-            Poll::Ready(_) => {
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-            Poll::Pending => Poll::Pending,
-        }
+        self.ring_at(at, context)
     }
 }
