--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -3,7 +3,7 @@
 use crate::http1::watch::Watch;
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
-use crate::workers::{carry, Crew, Kit, Lost, Order};
+use crate::workers::{carry, panic_kept, Crew, Kit, Lost, Order};
 use async_channel::{bounded, Sender};
 use async_executor::LocalExecutor;
 use async_io::{block_on, Timer};
@@ -99,6 +99,7 @@
     /// When the phase began.
     since: Instant,
     log: Logger,
+    tasks: Tasks,
     crew: Crew,
     clock: Clock,
     /// The longest that any API call may take.
@@ -232,6 +233,7 @@
             moves,
             lost: None,
             log,
+            tasks,
         })
     }
 
@@ -269,7 +271,11 @@
                     },
                 }
             };
-            let died = async { Err(self.crew.lost().await) };
+            let doomed = async {
+                self.tasks.doomed().await;
+                Lost(format!("the program's own thread: {}", panic_kept()))
+            };
+            let died = async { Err(future::or(doomed, self.crew.lost()).await) };
             let sign = match future::or(died, async { Ok(usual.await) }).await {
                 Ok(sign) => sign,
                 Err(lost) => {
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -11,10 +11,12 @@
 use crate::timers::Clock;
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
+use futures_lite::future;
 use oakhollow::types::{ListKind, Micros};
 use oakhollow_terms::{List, Place};
 use slog::{o, Logger};
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::TcpListener;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -93,7 +95,7 @@
                 let why = match catch_unwind(AssertUnwindSafe(|| work(hand))) {
                     Ok(Ok(())) => return,
                     Ok(Err(fault)) => fault.to_string(),
-                    Err(_) => PANIC.take().unwrap_or_else(|| "panicked".into()),
+                    Err(_) => panic_kept(),
                 };
                 let _ = tell.try_send(Lost(format!("worker {number} ended: {why}")));
             };
@@ -157,9 +159,25 @@
 
 /// The whole life of a worker that carries calls.
 pub fn carry(kit: Kit, hand: Hand, listener: TcpListener) -> std::io::Result<()> {
+    on_this_thread(|tasks| obey(kit, hand, listener, tasks))
+}
+
+/// Runs a worker's life with an executor of its own; ends when that does, or when any of its tasks panics.
+pub fn on_this_thread<F: Future<Output = std::io::Result<()>>>(
+    life: impl FnOnce(Tasks) -> F,
+) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
-    reactor::block_on(executor.run(obey(kit, hand, listener, tasks)))?
+    let doomed = async {
+        tasks.doomed().await;
+        Err(std::io::Error::other(panic_kept()))
+    };
+    reactor::block_on(executor.run(future::or(doomed, life(tasks.clone()))))?
+}
+
+/// What the last panic of this thread said.
+pub fn panic_kept() -> String {
+    PANIC.take().unwrap_or_else(|| "panicked".into())
 }
 
 /// What this worker is among all workers of all sidecars.
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -8,9 +8,9 @@
 //!   `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
-//!   (its log is closed once it serves)
+//!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
 //! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
-//!   `calls COUNT WORKLOAD LEFT`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
+//!   `calls COUNT WORKLOAD LEFT [BODY]`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
 //! - `raw ID BYTES` and `more ID BYTES`, with `\r`, `\n`, `_` for a blank and `*N` for N times an `x`
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
@@ -196,6 +196,8 @@
     marked: Option<Instant>,
     calls: u32,
     file: PathBuf,
+    /// The operator's file, if there is one.
+    operator: String,
     told: String,
 }
 
@@ -261,12 +263,14 @@
         let file = format!("oakhollow-{:?}-{}.json", thread::current().id(), std::process::id());
         (self.file, self.told) = (std::env::temp_dir().join(file), config.to_string());
         std::fs::write(&self.file, config).expect("the file");
-        Command::new("/bin/sh")
-            .args(["-c", &format!("{before} exec {}", env!("CARGO_BIN_EXE_oakhollow"))])
-            .env("RELAY_CONFIG", &self.file)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts")
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("{before} exec {}", env!("CARGO_BIN_EXE_oakhollow"))]);
+        if !self.operator.is_empty() {
+            let file = self.file.with_extension("toml");
+            std::fs::write(&file, &self.operator).expect("the operator's file");
+            command.env("OAKHOLLOW_OPERATOR", file);
+        }
+        command.env("RELAY_CONFIG", &self.file).stderr(Stdio::piped()).spawn().expect("the program starts")
     }
 
     /// A stand-in for discovery at an address of its own.
@@ -417,10 +421,10 @@
             }
             ["sidecar", ..] => self.sidecar(&words[1..]),
             ["call", id, workload, left] => self.call(id, self.connect(), workload, left),
-            ["calls", count, workload, left] => {
+            ["calls", count, workload, left, ..] => {
                 for _ in 0..count.parse().expect("a count") {
                     self.call("calls", self.connect(), workload, left);
-                    self.expect("calls", "200", "");
+                    self.expect("calls", "200", words.get(4).copied().unwrap_or_default());
                 }
             }
             ["again", id, other, workload, left] => {
@@ -504,6 +508,7 @@
                 let (ticks, lived) = (ticks.sum::<u32>(), self.started.expect("a sidecar").elapsed());
                 assert!(f64::from(ticks) / 100.0 < 0.5 * lived.as_secs_f64(), "{ticks} ticks in {lived:?}");
             }
+            ["operator", ..] => self.operator = format!("{}\n", words[1..].join(" ")),
             ["refused", from, to, ..] => {
                 let config = self.config(&[], "127.0.0.1:1");
                 assert!(config.contains(from), "{config}");
