--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -7,7 +7,7 @@
 use futures_lite::future;
 use oakhollow::types::{Micros, Outcome};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
@@ -62,6 +62,8 @@
     me: Weak<Pool>,
     tasks: Tasks,
     shelves: RefCell<HashMap<SocketAddr, Shelf>>,
+    /// The idle ones by how long they have been so.
+    ages: RefCell<BTreeMap<LinkId, SocketAddr>>,
     /// Connections that are open or on their way.
     open: Rc<Share>,
     parked: Cell<LinkId>,
@@ -78,6 +80,7 @@
             me: me.clone(),
             tasks,
             shelves: RefCell::default(),
+            ages: RefCell::default(),
             open,
             parked: Cell::default(),
             watched: Cell::default(),
@@ -91,6 +94,7 @@
     pub fn idle(&self, to: SocketAddr) -> Option<Rc<Link>> {
         loop {
             let taken = self.shelves.borrow_mut().get_mut(&to)?.idle.pop()?;
+            self.ages.borrow_mut().remove(&taken.id);
             if taken.link.quiet() {
                 return Some(taken.link);
             }
@@ -107,12 +111,8 @@
                 self.open.take().ok_or(Outcome::NotSent)?
             }
         };
-        let wanted = {
-            let mut shelves = self.shelves.borrow_mut();
-            // Guards against a shelf kept for every address that ever was.
-            shelves.retain(|_, shelf| !shelf.idle.is_empty() || Rc::strong_count(&shelf.wanted) > 1);
-            shelves.entry(to).or_default().wanted.clone()
-        };
+        let wanted = self.shelves.borrow_mut().entry(to).or_default().wanted.clone();
+        self.be_watched();
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
         let late = async {
             Timer::after(duration(self.connect_within)).await;
@@ -138,45 +138,59 @@
         let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
         if let Some(shelf) = self.shelves.borrow_mut().get_mut(&to) {
             shelf.idle.push(Idle { link, id, since: Instant::now() });
+            self.ages.borrow_mut().insert(id, to);
         }
+    }
+
+    fn be_watched(&self) {
         if !self.watched.replace(true) {
             self.tasks.run(watch(self.me.clone()));
         }
     }
 
-    /// Closes idle connections that have turned readable or are old; false if none is idle.
+    /// Closes idle connections that have turned readable or are old; false if there is none at all.
     fn sweep(&self) -> bool {
         let (keep, now) = (duration(self.keep), Instant::now());
-        let mut any = false;
-        for shelf in self.shelves.borrow_mut().values_mut() {
-            shelf.idle.retain(|idle| !idle.link.stream.stirred() && now - idle.since < keep);
-            any |= !shelf.idle.is_empty();
-        }
-        any
+        let (mut shelves, mut ages) = (self.shelves.borrow_mut(), self.ages.borrow_mut());
+        shelves.retain(|_, shelf| {
+            shelf.idle.retain(|idle| {
+                let stays = !idle.link.stream.stirred() && now - idle.since < keep;
+                if !stays {
+                    ages.remove(&idle.id);
+                }
+                stays
+            });
+            // Guards against a shelf kept for every address that ever was.
+            !shelf.idle.is_empty() || Rc::strong_count(&shelf.wanted) > 1
+        });
+        !shelves.is_empty()
     }
 
     /// Closes what stands idle to a server that wants nothing new, and keeps none of the connections it still uses.
     pub fn retire(&self, at: SocketAddr) {
         if let Some(shelf) = self.shelves.borrow_mut().remove(&at) {
             shelf.wanted.set(false);
+            let mut ages = self.ages.borrow_mut();
+            shelf.idle.iter().for_each(|idle| _ = ages.remove(&idle.id));
         }
     }
 
     fn take_oldest(&self) -> Option<Idle> {
-        let mut shelves = self.shelves.borrow_mut();
-        let oldest = shelves.iter().filter_map(|(at, shelf)| Some((shelf.idle.first()?.id, *at))).min();
-        oldest.and_then(|(_, at)| Some(shelves.get_mut(&at)?.idle.remove(0)))
+        let (_, at) = self.ages.borrow_mut().pop_first()?;
+        Some(self.shelves.borrow_mut().get_mut(&at)?.idle.remove(0))
     }
 }
 
 /// Sweeps a pool for as long as it has idle connections: one task for all of them, which the machine tells of none.
 async fn watch(pool: Weak<Pool>) {
     while let Some(there) = pool.upgrade() {
+        let begun = Instant::now();
         if !there.sweep() {
             return there.watched.set(false);
         }
         drop(there);
-        Timer::after(SWEEP).await;
+        // Guards against thousands of idle connections taking more than a hundredth of the thread.
+        Timer::after(SWEEP.max(begun.elapsed() * 100)).await;
     }
 }
 
