Headers compared by length first, and Connection looked up once a head

Need: of what a call costs, part went into comparing each header line with each name that stays behind. Change: names are compared by length first; whether a head has a Connection header is found once; room for a head's lines is made at the start.

--- a/sidecar/src/http1/head.rs
+++ b/sidecar/src/http1/head.rs
@@ -5,6 +5,8 @@
 pub const MOST_HEAD: usize = 16 * 1024;
 pub const MOST_BODY: usize = 64 * 1024;
 const MOST_LINES: usize = 100;
+/// Room made for the lines of a head to begin with.
+const USUAL_LINES: usize = 12;
 
 /// What is wrong with a message, as the status that says so to whoever sent it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -55,7 +57,7 @@
             return if long { Err(Fault { status: 431, why: "the head is too long" }) } else { Ok(None) };
         };
         let taken = end + 4;
-        let (mut at, mut start, mut lines) = (0, None, Vec::new());
+        let (mut at, mut start, mut lines) = (0, None, Vec::with_capacity(USUAL_LINES));
         while at < end + 2 {
             let length = find(&bytes[at..taken], b"\r\n").ok_or(bad("a line without an end"))?;
             let line = at..at + length;
@@ -90,7 +92,7 @@
     }
 
     fn named(&self, line: &Line, name: &str) -> bool {
-        self.text(&line.name).eq_ignore_ascii_case(name.as_bytes())
+        line.name.len() == name.len() && self.text(&line.name).eq_ignore_ascii_case(name.as_bytes())
     }
 
     pub fn all<'a, 'n: 'a>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
@@ -188,8 +190,9 @@
         Ok(if bare { Framing::Length(0) } else { framing })
     }
 
-    /// Whether a header speaks of this connection or this framing alone, and so does not go on.
-    fn stays(&self, name: &[u8]) -> bool {
+    /// Whether a header speaks of this connection or this framing alone, and so does not go on. `named`: there is a
+    /// header that may name others of the kind.
+    fn stays(&self, name: &[u8], named: bool) -> bool {
         const OWN: [&str; 9] = [
             "Connection",
             "Keep-Alive",
@@ -202,7 +205,8 @@
             "Expect",
         ];
         let name = std::str::from_utf8(name).unwrap_or_default();
-        OWN.iter().any(|own| own.eq_ignore_ascii_case(name)) || self.lists("Connection", name)
+        let own = OWN.iter().any(|own| own.len() == name.len() && own.eq_ignore_ascii_case(name));
+        own || named && self.lists("Connection", name)
     }
 
     pub fn start_bytes(&self) -> &[u8] {
@@ -211,9 +215,10 @@
 
     /// Adds to `out`, as the bytes that came, the header lines that go on to the next party, but for `without`.
     pub fn pass_on(&self, without: &str, out: &mut Vec<u8>) {
+        let named = self.all("Connection").next().is_some();
         for line in &self.lines {
             let name = self.text(&line.name);
-            if !self.stays(name) && !name.eq_ignore_ascii_case(without.as_bytes()) {
+            if !self.stays(name, named) && !name.eq_ignore_ascii_case(without.as_bytes()) {
                 out.extend_from_slice(self.text(&line.whole));
             }
         }
