One way to tell all workers, one place that the module's tests start from

Need: read again, the watch told workers by a loop that the crew had too, a cell's servers were looked up twice, and three tests and benches each spelt out the same terms. Change: workers::Orders is the one way to all workers; the fleet gives a cell's slots once; tests/place holds the terms that each test changes; the reader's word on an end is right. Behaviour as before; no assertion changed.

--- a/benches/events.rs
+++ b/benches/events.rs
@@ -4,6 +4,9 @@
 //! `quiet`: every hop succeeds. `troubled`: a tenth of the servers are not reached and so set aside, a twentieth are cold
 //! and stay so, and calls come faster than the width lets through, so that the queue is never empty. `churn`: each
 //! turn one server of the list drains, leaves or comes back.
+#[path = "../tests/place/mod.rs"]
+mod place;
+
 use divan::{black_box, Bencher};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
@@ -49,24 +52,11 @@
 
 impl World {
     fn new(day: Day, size: u32) -> World {
-        let workload = |kind| Workload { kind, quoted: Micros::millis(500), payoff: 1.0, late_payoff: 0.5 };
         let terms = Terms {
-            sidecars: 1,
-            number: 0,
-            near: None,
-            workloads: vec![workload(Kind::Repeatable), workload(Kind::OnceOnly)],
-            customers: vec![1e9],
-            beyond_share: 1.0,
-            worst_workload: 0.0,
-            most_hops: 4,
-            may_cancel: true,
-            may_race: true,
-            cool_down: Micros::millis(500),
-            must_ask: false,
-            ask_within: Micros::millis(10_000),
             cold_from: 0.1,
             warm_within: Micros::millis(3_600_000_000),
             fall_span: Micros::millis(2_000),
+            ..place::terms(&[Kind::Repeatable, Kind::OnceOnly])
         };
         let (now, mut actions) = (Micros::millis(100_000_000), Vec::new());
         let sidecar = Sidecar::new(&terms, 7, now, &mut actions);
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,8 +1,8 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
-use crate::workers::Order;
-use async_channel::{Receiver, Sender};
+use crate::workers::{Order, Orders};
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::ListKind;
@@ -21,7 +21,7 @@
     /// The version of the list that was told last.
     told: Version,
     /// All workers.
-    told_to: Vec<Sender<Order>>,
+    told_to: Orders,
     /// One for each time that the module asks.
     asks: Receiver<()>,
     /// Where discovery is from now on.
@@ -49,8 +49,8 @@
 
 impl Watch {
     pub fn new(
-        discovery: SocketAddr, told: Version, told_to: Vec<Sender<Order>>,
-        words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
+        discovery: SocketAddr, told: Version, told_to: Orders, words: (Receiver<()>, Receiver<SocketAddr>),
+        log: Logger, most_line: usize,
     ) -> Watch {
         let (asks, moves) = words;
         Watch { discovery, told, told_to, asks, moves, log, most_line }
@@ -72,7 +72,7 @@
                 Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
                 Turn::Ended(why) => {
                     info!(self.log, "watch of the list ended: {}", why);
-                    self.pass_on(ListKind::Failed, List::default()).await;
+                    self.told_to.tell(Order::Listed(ListKind::Failed, Arc::default())).await;
                     turn = word().await;
                     continue;
                 }
@@ -148,16 +148,7 @@
         })?;
         self.told = list.index;
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
-        self.pass_on(kind, list).await;
+        self.told_to.tell(Order::Listed(kind, Arc::new(list))).await;
         Ok(())
     }
-
-    /// Guards against one worker that is busy for a moment keeping the others from a drain: each has a queue.
-    async fn pass_on(&self, kind: ListKind, list: List) {
-        let list = Arc::new(list);
-        for worker in &self.told_to {
-            // One that has ended is told of elsewhere.
-            let _ = worker.send(Order::Listed(kind, list.clone())).await;
-        }
-    }
 }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -3,7 +3,7 @@
 use crate::http1::watch::Watch;
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
-use crate::workers::{carry, panic_kept, Crew, Kit, Lost, Order};
+use crate::workers::{carry, panic_kept, Crew, Kit, Lost, Order, Orders};
 use async_channel::{bounded, Sender};
 use async_executor::LocalExecutor;
 use async_io::{block_on, Timer};
@@ -101,6 +101,7 @@
     log: Logger,
     tasks: Tasks,
     crew: Crew,
+    orders: Orders,
     clock: Clock,
     /// The longest that any API call may take.
     longest: Duration,
@@ -221,12 +222,14 @@
             carry(kit.clone(), hand, listener.ok_or(ErrorKind::AddrNotAvailable)?)
         })?;
         let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
-        let watch = Watch::new(start.discovery, told, crew.orders(), (asks, moved), log.clone(), most_line);
+        let orders = crew.orders();
+        let watch = Watch::new(start.discovery, told, orders.clone(), (asks, moved), log.clone(), most_line);
         tasks.run(watch.run());
         Ok(Program {
             phase: Phase::Starting,
             since: Instant::now(),
             crew,
+            orders,
             clock,
             longest: duration(longest),
             grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
@@ -292,11 +295,11 @@
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
-            Effect::Open => self.crew.tell(Order::Open).await,
-            Effect::SayNo => self.crew.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await,
+            Effect::Open => self.orders.tell(Order::Open).await,
+            Effect::SayNo => self.orders.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await,
             Effect::Shut => {
                 let (done, all) = bounded(1);
-                self.crew.tell(Order::Shut(done)).await;
+                self.orders.tell(Order::Shut(done)).await;
                 // Ends when the last worker has done so, or has ended.
                 let _ = all.recv().await;
             }
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -293,7 +293,7 @@
         Ok(stream)
     }
 
-    /// Reads what there is, up to the size of the thread's one buffer, behind what `into` holds. None is the end. Guards
+    /// Reads what there is, up to the size of the thread's one buffer, behind what `into` holds. Nothing is the end. Guards
     /// against a buffer in each of thousands of tasks, cleared and copied with them.
     pub async fn read_behind(&self, into: &mut Vec<u8>) -> Result<usize> {
         poll_fn(|context| {
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -38,6 +38,20 @@
     Shut(Sender<()>),
 }
 
+/// The way to all workers, each with a queue of its own: guards against one that is busy for a moment keeping the others
+/// from a drain.
+#[derive(Clone)]
+pub struct Orders(Vec<Sender<Order>>);
+
+impl Orders {
+    /// Waits for those whose queue is full. One that has ended is told of elsewhere.
+    pub async fn tell(&self, order: Order) {
+        for worker in &self.0 {
+            let _ = worker.send(order.clone()).await;
+        }
+    }
+}
+
 /// How much a worker holds.
 #[derive(Clone, Default)]
 pub struct Gauges {
@@ -105,16 +119,8 @@
         Ok(Crew { workers, lost })
     }
 
-    /// Tells all; waits for those whose queue is full. One that has ended is told of elsewhere.
-    pub async fn tell(&self, order: Order) {
-        for worker in &self.workers {
-            let _ = worker.orders.send(order.clone()).await;
-        }
-    }
-
-    /// For who tells them the list.
-    pub fn orders(&self) -> Vec<Sender<Order>> {
-        self.workers.iter().map(|worker| worker.orders.clone()).collect()
+    pub fn orders(&self) -> Orders {
+        Orders(self.workers.iter().map(|worker| worker.orders.clone()).collect())
     }
 
     pub async fn lost(&self) -> Lost {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -100,10 +100,14 @@
 
     /// Those of a cell in our part of the ring, where cells stand together.
     pub fn cell(&self, cell: CellId) -> impl Iterator<Item = &Server> {
+        self.cell_slots(cell).map(|slot| &self.slots[slot].server)
+    }
+
+    fn cell_slots(&self, cell: CellId) -> impl Iterator<Item = usize> + '_ {
         let turn = Listing::cell_turn(cell);
         let from = self.ring.partition_point(|((at, _), _)| at.0 < turn);
         let there = self.ring[from..].iter().take_while(move |((at, _), _)| at.0 == turn);
-        there.map(|(_, slot)| &self.slots[*slot]).filter(|entry| entry.around).map(|entry| &entry.server)
+        there.map(|(_, slot)| *slot).filter(|slot| self.slots[*slot].around)
     }
 
     pub fn ready(&self) -> usize {
@@ -157,10 +161,9 @@
         };
         let fit = |slot: &usize| fits(&self.slots[*slot].server);
         if let Some(cell) = cell {
-            let slots = self.cell(cell).map(|server| self.numbers[&server.listing.server]);
             let of_class =
                 |slot: &usize| self.slots[*slot].class.is_some_and(|(class, _)| classes.contains(&class));
-            return even(slots.filter(of_class).filter(fit).collect(), lots);
+            return even(self.cell_slots(cell).filter(of_class).filter(fit).collect(), lots);
         }
         let sets = || classes.iter().map(|class| &self.classes[*class as usize]);
         let all: usize = sets().map(Vec::len).sum();
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,6 +1,8 @@
 //! Random days on the module: lists that churn, servers that fail in every way, calls of every kind, hosts that fall
 //! silent for seconds. A judge that knows nothing of the module's inside holds each action against the four rules. In this
 //! build the module itself holds every pick against a plain walk over all servers.
+mod place;
+
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use oakhollow::Chance;
@@ -70,7 +72,7 @@
 
 impl Day {
     fn new(shape: &Shape, seed: u64) -> Day {
-        let workload = |kind| Workload { kind, quoted: Micros::millis(500), payoff: 1.0, late_payoff: 0.0 };
+        let workload = |kind| Workload { late_payoff: 0.0, ..place::workload(kind) };
         let terms = Terms {
             sidecars: shape.sidecars,
             number: shape.sidecars / 2,
@@ -80,14 +82,8 @@
             beyond_share: 0.5,
             worst_workload: 0.2,
             most_hops: MOST_HOPS as u32,
-            may_cancel: true,
-            may_race: true,
-            cool_down: Micros::millis(500),
-            must_ask: false,
-            ask_within: Micros::millis(10_000),
-            cold_from: 0.2,
             warm_within: Micros::millis(4_000),
-            fall_span: Micros::millis(1_000),
+            ..place::terms(&[])
         };
         let (now, mut actions) = (Micros::millis(1_000_000), Vec::new());
         let sidecar = Sidecar::new(&terms, seed, now, &mut actions);
--- a/tests/sum.rs
+++ b/tests/sum.rs
@@ -1,5 +1,7 @@
 //! Several instances before the same servers, as the workers of one program are: what a cold server gets from all of them
 //! together, also while one of them gets most of the calls.
+mod place;
+
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use std::cmp::Reverse;
@@ -45,28 +47,14 @@
 impl World {
     fn new() -> World {
         let now = Micros::millis(1_000_000);
+        let workload = Workload { quoted: Micros::millis(1_000), ..place::workload(Kind::Repeatable) };
         let terms = |number| Terms {
             sidecars: INSTANCES,
             number,
-            near: None,
-            workloads: vec![Workload {
-                kind: Kind::Repeatable,
-                quoted: Micros::millis(1_000),
-                payoff: 1.0,
-                late_payoff: 0.5,
-            }],
-            customers: vec![1e9],
-            beyond_share: 1.0,
-            worst_workload: 0.0,
-            most_hops: 4,
-            may_cancel: true,
-            may_race: true,
-            cool_down: Micros::millis(500),
-            must_ask: false,
-            ask_within: Micros::millis(10_000),
+            workloads: vec![workload.clone()],
             cold_from: COLD_FROM,
             warm_within: WARM_WITHIN,
-            fall_span: Micros::millis(1_000),
+            ..place::terms(&[])
         };
         let (instances, due, sends) = (Vec::new(), BinaryHeap::new(), HashMap::new());
         let mut world = World { now, instances, due, set: 0, sends };
