A ring of our own place first, homes for keys, strain from reports, cold calls that lapse

Change: where crossing is priced the ring is in an order of our own (weighted by place); reports become a server's strain, which the lighter of two reads; a key's calls go to the lighter of two homes that the place's sidecars share; the cold allowance counts served calls and a saved-up call lapses; the floor of the width has the scatter of small counts where load is told.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -137,7 +137,7 @@
                 let entries = instance.listings(items)?;
                 self.tell(who, Event::Listed { kind, entries: &entries })?;
             }
-            In::Order { who, xid, category, expires_in_s, tenant, options } => {
+            In::Order { who, xid, category, expires_in_s, tenant, options, key } => {
                 if self.instances.get(&who).is_some_and(|instance| category >= instance.workloads) {
                     return Err(format!("field category: there is no workload {category}"));
                 }
@@ -145,15 +145,16 @@
                 let (left, repeat) = (micros(expires_in_s), options & 2 != 0);
                 self.tell(
                     who,
-                    Event::Arrived(Arrival { call: CallId(xid), workload, left, customer, repeat }),
+                    Event::Arrived(Arrival { call: CallId(xid), workload, left, customer, repeat, key }),
                 )?;
             }
             In::Headers { who, xid, r#try } => {
                 self.tell(who, Event::Streaming { call: CallId(xid), hop: HopNo(r#try) })?
             }
-            In::Finished { who, xid, r#try, wait_time_s, complete, outcome } => {
+            In::Finished { who, xid, r#try, wait_time_s, complete, outcome, telemetry } => {
                 let (call, hop, waited) = (CallId(xid), HopNo(r#try), micros(wait_time_s));
-                let ending = Ending { call, hop, outcome: outcome.into(), waited, closed: complete };
+                let (closed, report) = (complete, telemetry.map(Report::from));
+                let ending = Ending { call, hop, outcome: outcome.into(), waited, closed, report };
                 self.tell(who, Event::Ended(ending))?;
             }
             In::Withdrawn { who, xid } => self.tell(who, Event::Withdrawn { call: CallId(xid) })?,
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -37,6 +37,7 @@
         tenant: usize,
         #[serde(default)]
         options: u32,
+        key: Option<u64>,
     },
     Headers {
         who: u32,
@@ -52,6 +53,7 @@
         #[serde(default)]
         complete: bool,
         outcome: Code,
+        telemetry: Option<Telemetry>,
     },
     Withdrawn {
         who: u32,
@@ -70,6 +72,24 @@
     },
 }
 
+/// A load report; figures that the module does not read are passed over.
+#[derive(Deserialize, Clone, Copy)]
+pub struct Telemetry {
+    busy_reqs: Option<f64>,
+    pending: Option<f64>,
+    cpu_share: Option<f64>,
+}
+
+impl From<Telemetry> for Report {
+    fn from(told: Telemetry) -> Report {
+        Report {
+            held: told.busy_reqs.and_then(Report::sound),
+            waiting: told.pending.and_then(Report::sound),
+            busy: told.cpu_share.and_then(Report::sound),
+        }
+    }
+}
+
 #[derive(Deserialize, Clone, Copy)]
 pub enum Code {
     S,
--- a/benches/events.rs
+++ b/benches/events.rs
@@ -115,7 +115,7 @@
         if !lost {
             self.hops.remove(&call);
         }
-        let ending = Ending { call, hop, outcome, waited: self.now - sent, closed: !lost };
+        let ending = Ending { call, hop, outcome, waited: self.now - sent, closed: !lost, report: None };
         self.tell(Event::Ended(ending));
     }
 
@@ -136,7 +136,7 @@
             self.calls = (self.calls + 1) & 0x00FF_FFFF;
             let (call, workload) = (CallId(self.calls), WorkloadId((self.calls.is_multiple_of(4)) as usize));
             let (left, customer) = (Micros::millis(1_000), CustomerId(0));
-            self.tell(Event::Arrived(Arrival { call, workload, left, customer, repeat: false }));
+            self.tell(Event::Arrived(Arrival { call, workload, left, customer, repeat: false, key: None }));
         }
         while self.out.len() > OUT {
             self.end_one();
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -196,7 +196,7 @@
                 let left = abandon - self.desk.clock.now();
                 let known = Call { content, abandon, verdict: Some(verdict), hops: Vec::new() };
                 self.calls.insert(call, known);
-                self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat }));
+                self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key: None }));
             }
             Note::Withdrawn(call) => {
                 if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
@@ -243,7 +243,7 @@
         let now = self.desk.clock.now();
         let Some(known) = self.calls.get(&call) else { return };
         let (waited, closed) = (now - known.hops[hop.0 as usize].sent, known.verdict.is_none());
-        self.sidecar.on(now, Event::Ended(Ending { call, hop, outcome, waited, closed }), &mut self.actions);
+        self.sidecar.on(now, Event::Ended(Ending { call, hop, outcome, waited, closed, report: None }), &mut self.actions);
         self.carry_out();
         self.clear(call);
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -32,6 +32,8 @@
 
 struct Entry {
     server: Server,
+    /// Where it stands on the ring.
+    turn: Turn,
     around: bool,
     /// What it adds to the room of our part of the ring.
     room: f64,
@@ -56,6 +58,8 @@
 pub struct Fleet {
     now: Micros,
     near: Option<PlaceId>,
+    /// Whether the ring keeps cells together.
+    by_cell: bool,
     slots: Slab<Entry>,
     numbers: FnvHashMap<ServerId, usize>,
     ring: Vec<(Turn, usize)>,
@@ -80,6 +84,11 @@
 
 impl Fleet {
     pub fn new(near: Option<PlaceId>) -> Fleet {
+        Fleet { near, by_cell: true, ..Fleet::default() }
+    }
+
+    /// As `new`, for an order of the ring that does not keep cells together.
+    pub fn in_own_order(near: Option<PlaceId>) -> Fleet {
         Fleet { near, ..Fleet::default() }
     }
 
@@ -98,16 +107,25 @@
         self.circle.iter().map(|slot| &self.slots[*slot].server)
     }
 
-    /// Those of a cell in our part of the ring, where cells stand together.
+    /// Those of a cell in our part of the ring: found at once where cells stand together.
     pub fn cell(&self, cell: CellId) -> impl Iterator<Item = &Server> {
         self.cell_slots(cell).map(|slot| &self.slots[slot].server)
     }
 
     fn cell_slots(&self, cell: CellId) -> impl Iterator<Item = usize> + '_ {
         let turn = Listing::cell_turn(cell);
-        let from = self.ring.partition_point(|((at, _), _)| at.0 < turn);
-        let there = self.ring[from..].iter().take_while(move |((at, _), _)| at.0 == turn);
-        there.map(|(_, slot)| *slot).filter(|slot| self.slots[*slot].around)
+        let (from, to) = match self.by_cell {
+            true => {
+                let from = self.ring.partition_point(|((at, _), _)| at.0 < turn);
+                (from, from + self.ring[from..].partition_point(|((at, _), _)| at.0 == turn))
+            }
+            false => (0, self.ring.len()),
+        };
+        let there = self.ring[from..to].iter().map(|(_, slot)| *slot);
+        there.filter(move |slot| {
+            let entry = &self.slots[*slot];
+            entry.around && entry.server.listing.cell == cell
+        })
     }
 
     pub fn ready(&self) -> usize {
@@ -216,7 +234,10 @@
 
     /// Takes what the list tells. A whole one names all there are. `cold` is the allowance that a fresh server starts
     /// with. Our part of the ring must be drawn or fitted after it.
-    pub fn list(&mut self, whole: bool, entries: &[Listing], mut cold: impl FnMut() -> Allowance) {
+    pub fn list(
+        &mut self, whole: bool, entries: &[Listing], turn: impl Fn(&Listing) -> (u64, u64),
+        mut cold: impl FnMut() -> Allowance,
+    ) {
         let many = whole || entries.len() > FEW;
         if many {
             self.clear();
@@ -228,7 +249,10 @@
             let cold = cold();
             let slot = match self.numbers.get(&listing.server) {
                 Some(slot) => *slot,
-                None => self.enter(Server::new(&Listing { standing: Standing::Gone, ..*listing }, 0, cold)),
+                None => {
+                    let server = Server::new(&Listing { standing: Standing::Gone, ..*listing }, 0, cold);
+                    self.enter(server, turn(listing))
+                }
             };
             let before = if many { Part::default() } else { self.part(slot) };
             if !many {
@@ -239,6 +263,7 @@
                 *known = Server::new(listing, known.out, cold);
             }
             known.listing = listing.clone();
+            self.slots[slot].turn = (turn(listing), listing.server);
             if !many {
                 self.on_ring(slot);
                 self.recount(before, slot);
@@ -249,7 +274,7 @@
                 .slots
                 .iter()
                 .filter(|(_, entry)| entry.ready())
-                .map(|(slot, entry)| (entry.turn(), slot))
+                .map(|(slot, entry)| (entry.turn, slot))
                 .collect();
             self.ring.sort_unstable();
             let slots: Vec<usize> = self.slots.iter().map(|(slot, _)| slot).collect();
@@ -361,9 +386,9 @@
         self.recount(before, slot);
     }
 
-    fn enter(&mut self, server: Server) -> usize {
+    fn enter(&mut self, server: Server, turn: (u64, u64)) -> usize {
         let id = server.listing.server;
-        let fresh = Entry { server, around: false, room: 0.0, class: None, parked: None, redrawn: 0 };
+        let fresh = Entry { server, turn: (turn, id), around: false, room: 0.0, class: None, parked: None, redrawn: 0 };
         let slot = self.slots.insert(fresh);
         self.numbers.insert(id, slot);
         slot
@@ -372,7 +397,7 @@
     /// Takes a server off the ring, and out of our part of it.
     fn off_ring(&mut self, slot: usize) {
         let entry = &self.slots[slot];
-        let Some(at) = entry.ready().then(|| self.ring.binary_search(&(entry.turn(), slot)).ok()).flatten()
+        let Some(at) = entry.ready().then(|| self.ring.binary_search(&(entry.turn, slot)).ok()).flatten()
         else {
             return;
         };
@@ -394,7 +419,7 @@
         if !entry.ready() {
             return;
         }
-        let key = (entry.turn(), slot);
+        let key = (entry.turn, slot);
         let at = self.ring.partition_point(|one| *one < key);
         self.ring.insert(at, key);
         self.first += usize::from(at <= self.first && self.ring.len() > 1);
@@ -532,8 +557,4 @@
     fn ready(&self) -> bool {
         self.server.listing.standing == Standing::Ready
     }
-
-    fn turn(&self) -> Turn {
-        (self.server.listing.turn(), self.server.listing.server)
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -196,6 +196,13 @@
         (self.left + rate * (now - self.seen).secs()).min(depth)
     }
 
+    /// As `at`, but a whole one that nobody takes lapses once the depth is reached, and saving up begins anew:
+    /// what many keep at the same time stays as little as what they earn in that while.
+    pub fn lapsing(&self, rate: f64, depth: f64, now: Micros) -> f64 {
+        let saved = self.left + rate * (now - self.seen).secs();
+        if saved > depth { saved % depth } else { saved }
+    }
+
     pub fn take(&mut self, rate: f64, depth: f64, now: Micros) -> bool {
         self.left = self.at(rate, depth, now);
         self.seen = now;
--- a/src/records.rs
+++ b/src/records.rs
@@ -44,6 +44,7 @@
     pub workload: usize,
     pub state: State,
     pub turn: (u32, u64), // its place in the queue: dearest first, then oldest
+    pub key: Option<u64>, // where servers are quicker with one they know
     pub abandon: Micros,
     pub patience: Micros,
     pub hops: Vec<Hop>,
@@ -61,6 +62,9 @@
     pub record: Tally,
     pub unreached: bool,
     pub ease: f64,
+    /// How much longer a call took there than at an idle server, as it last told, and when.
+    pub strain: f64,
+    pub heard: Micros,
     pub cold: Allowance,
 }
 
@@ -77,6 +81,8 @@
             record: Tally::default(),
             unreached: false,
             ease: 1.0,
+            strain: 1.0,
+            heard: Micros(0),
             cold,
         }
     }
@@ -91,6 +97,11 @@
         self.ease = if slow { (self.ease * 0.93).max(0.3) } else { (self.ease + 0.03).min(1.0) };
     }
 
+    /// Its strain by now: what it told counts for less the older it is.
+    pub fn strained(&self, now: Micros) -> f64 {
+        1.0 + (self.strain - 1.0) / (1.0 + (now - self.heard).secs())
+    }
+
     pub fn usable(&self) -> bool {
         self.listing.standing == Standing::Ready && self.trust == Trust::Fit
     }
@@ -112,6 +123,8 @@
     pub my_part: f64,
     pub my_number: f64,
     pub near: Option<PlaceId>,
+    pub tells_load: bool,
+    pub warm_keys: bool,
     pub cold_from: f64,
     pub warm_within: Micros,
     pub fall_span: Micros,
@@ -134,6 +147,8 @@
             my_part: 1.0 / sidecars,
             my_number: f64::from(terms.number) % sidecars,
             near: terms.near,
+            tells_load: terms.tells_load,
+            warm_keys: terms.warm_keys,
             cold_from: terms.cold_from,
             warm_within: terms.warm_within,
             fall_span: terms.fall_span,
@@ -151,6 +166,9 @@
     }
 }
 
+/// A server that reports less of its cores busy has some to be had.
+const CORES_TO_BE_HAD: f64 = 0.7;
+
 /// How crowded the servers are, as our own latency shows it.
 #[derive(Default)]
 pub struct Crowding {
@@ -161,9 +179,30 @@
     pub crowded: bool,
     pub steady: bool,
     pub fleet: f64,
+    /// Calls held for each busy core while cores are to be had, as reports have it: the sums behind the mean.
+    pub idle_held: f64,
+    pub idle_busy: f64,
+    /// The servers' strain as reported of late.
+    pub heat: f64,
 }
 
 impl Crowding {
+    /// How much longer a call takes at a server than at an idle one, by what it reports: the calls it holds for
+    /// each that it works on.
+    pub fn strain(&mut self, report: &Report) -> Option<f64> {
+        let held = report.held?;
+        let at_work = match (report.waiting, report.busy) {
+            (Some(waiting), _) => held - waiting,
+            (None, Some(busy)) if busy < CORES_TO_BE_HAD => {
+                (self.idle_held, self.idle_busy) = (0.98 * self.idle_held + held, 0.98 * self.idle_busy + busy);
+                return Some(1.0);
+            }
+            (None, Some(_)) if self.idle_busy > 0.0 => self.idle_held / self.idle_busy,
+            _ => return None,
+        };
+        Some((held / at_work.max(1.0)).max(1.0))
+    }
+
     /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds. The level
     /// is the long-run median: it follows lower ones a fifth of the way and rises by a thousandth at a time,
     /// so that a long crowd can't become what counts as uncrowded.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,9 @@
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
 const CIRCLE_LEAST: f64 = 5.0; // servers a sidecar looks at even when it has next to nothing to send
+const FAR: f64 = 0.1; // how often a server of another place stands where one of ours could
+const HOMES: usize = 2; // servers of our place that a key's calls go to
+const STRAIN_FULL: f64 = 4.0; // what a server that turns calls away unseen counts as
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
 
 /// What happens to an API call, and what is done about it.
@@ -100,7 +103,7 @@
     long_run: Tally,
     suppressed: bool,
     sends: Pace,
-    warm_sends: Pace,
+    warm_served: Pace,
     subscribed: bool,
     failed_asks: u32,
     ask_at: Micros,
@@ -123,7 +126,7 @@
             now,
             chance: Chance::new(seed),
             lots: Chance::new(!seed),
-            fleet: Fleet::new(terms.near),
+            fleet: terms.near.map_or(Fleet::new(None), |_| Fleet::in_own_order(terms.near)),
             purses: figures.shares.iter().map(|share| Allowance { left: 2.0 * share, seen: now }).collect(),
             figures,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
@@ -192,7 +195,7 @@
     // ---- API calls ----
 
     fn arrived(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
-        let Arrival { call: id, workload: WorkloadId(workload), left, customer, repeat } = arrival;
+        let Arrival { call: id, workload: WorkloadId(workload), left, customer, repeat, key } = arrival;
         let lifted = self.chance.draw() < self.figures.lifted;
         let terms = &self.figures.workloads[workload];
         // Guards against starving the cheapest workload: a part of each is ranked with the dearest.
@@ -216,6 +219,7 @@
             workload,
             state: Fresh,
             turn: (u32::MAX - (worth * 1000.0) as u32, self.arrivals),
+            key: key.filter(|_| self.figures.warm_keys),
             abandon: self.now + left,
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
@@ -246,7 +250,7 @@
         };
         let now = self.now;
         let target = self.fleet.get(server)?;
-        let cold = self.figures.cold_share(target, now).map(|share| self.cold_pace(share));
+        let cold = self.figures.cold_share(target, now).map(|share| self.cold_left(target, share) - 1.0);
         let (place, cell, trust) = (target.listing.place, target.listing.cell, target.trust);
         let call = self.calls.get_mut(&id)?;
         let give_up = call.abandon - now;
@@ -259,11 +263,10 @@
         self.sends.seen += 1.0;
         self.fleet.change(server, |target| {
             target.out += 1;
-            cold.map(|(rate, burst)| target.cold.take(rate, burst, now))
+            target.cold = cold.map_or(target.cold, |left| Allowance { left, seen: now });
         });
-        match cold {
-            Some(_) => self.settle(server),
-            None => self.warm_sends.seen += 1.0,
+        if cold.is_some() {
+            self.settle(server);
         }
         if trust == Trust::Aside {
             self.sign(server, Sign::Due, "its time aside is over".into(), out);
@@ -441,36 +444,59 @@
         }
         let (per_unit, mean, cell) = (self.per_unit(), self.fleet.mean_out(), self.bound_to(call));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
+        let burden = |server: &Server| (load(server) + 1.0) * server.strained(self.now) / server.weight();
         let fits = |server: &Server| self.open_to(call, server) && self.takes(server, per_unit);
         let mut lots = self.lots.clone();
         let mut draw = |classes| self.fleet.draw(classes, cell, &mut lots, &fits);
         let [near, far, busy]: [&[Class]; 3] = if mean < 0.5 { RANKS_CALM } else { RANKS_HELD };
-        let found = draw(near).or_else(|| draw(far)).or_else(|| {
-            let (one, other) = (draw(busy)?, draw(busy)?);
-            let heavier = (load(one) + 1.0) / one.weight() > (load(other) + 1.0) / other.weight();
-            Some(if heavier { other } else { one })
-        });
+        let mut lighter = |classes, two: bool| {
+            let one = draw(classes)?;
+            let other = if two { draw(classes)? } else { one };
+            Some(if burden(one) > burden(other) { other } else { one })
+        };
+        let told = self.figures.tells_load;
+        let home = call.key.and_then(|key| self.home(key, &fits, &burden));
+        let found = home.or_else(|| lighter(near, told)).or_else(|| lighter(far, told));
+        let found = found.or_else(|| lighter(busy, true));
         debug_assert!({
             let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
             let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
             let best = self.fleet.around().filter(|server| fits(server)).map(rank).min();
-            best == found.map(rank)
+            home.is_some() || best == found.map(rank)
         });
         let found = found.map(|server| server.listing.server);
         self.lots = lots;
         found
     }
 
+    /// Where servers are quicker with a key that they met lately: the first few of our own place in the key's own
+    /// order, which all sidecars there share. The lighter of them, else the first.
+    fn home(
+        &self, key: u64, fits: &impl Fn(&Server) -> bool, burden: &impl Fn(&Server) -> f64,
+    ) -> Option<&Server> {
+        let mut homes: [Option<(u64, &Server)>; HOMES] = [None; HOMES];
+        let near = |server: &&Server| self.figures.near.is_none_or(|near| near == server.listing.place);
+        for server in self.fleet.around().filter(near).filter(|server| fits(server)) {
+            let mut one = Some((scatter(key ^ server.listing.mark), server));
+            for home in &mut homes {
+                if home.is_none_or(|(turn, _)| one.is_some_and(|(other, _)| other < turn)) {
+                    std::mem::swap(home, &mut one);
+                }
+            }
+        }
+        let lighter = |one: &Server, other: &Server| burden(one) <= burden(other);
+        homes.into_iter().flatten().map(|(_, server)| server).reduce(|one, other| if lighter(one, other) { one } else { other })
+    }
+
     /// When a server may be sent to again: its time aside is over, and its cold part allows a call. It may be
     /// told too early, and is looked at anew then, but never too late.
     fn settle(&mut self, id: ServerId) {
         let Some(server) = self.fleet.get(id) else { return };
         let aside = if server.trust == Trust::Aside { server.until } else { Micros(0) };
         let due = |share| {
-            let lack = 1.0 - server.cold.left;
+            let lack = 1.0 - self.cold_left(server, share);
             let wait = if lack > 0.0 { lack / self.cold_pace(share).0 } else { 0.0 };
-            (server.cold.seen + Micros((wait * 1e6) as u64))
-                .min(server.listing.started + self.figures.warm_within)
+            (self.now + Micros((wait * 1e6) as u64)).min(server.listing.started + self.figures.warm_within)
         };
         let cold = self.figures.cold_share(server, self.now).map_or(Micros(0), |share| {
             let late = due(share).max(self.now);
@@ -500,7 +526,8 @@
     fn draw_circle(&mut self, changed: Option<&[ServerId]>) {
         let (all, part, figures, now) = (self.fleet.ready(), self.figures.my_part, &self.figures, self.now);
         let wanted = (0.8 * self.peak).max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
-        let start = (all as f64 * part * figures.my_number) as usize;
+        let wanted = if figures.warm_keys { all as f64 } else { wanted };
+        let start = if figures.near.is_some() { 0.0 } else { all as f64 * part * figures.my_number } as usize;
         let room = |server: &Server| match server.trust {
             Trust::Fit => figures.cold_share(server, now).unwrap_or(1.0),
             _ => 0.0,
@@ -520,16 +547,25 @@
         };
         let holds = |most: f64| trusted && f64::from(server.out) < most;
         let Some(share) = self.figures.cold_share(server, self.now) else { return holds(per_server) };
-        let (rate, burst) = self.cold_pace(share);
-        server.cold.at(rate, burst, self.now) >= 1.0 && holds((per_server * share).floor().max(1.0))
+        self.cold_left(server, share) >= 1.0 && holds((per_server * share).floor().max(1.0))
     }
 
-    /// Rule four: a cold server gets its part of what we send a warm one; where that is unknown, a few calls
+    /// Rule four: a cold server gets its part of what a warm one serves us; where that is unknown, a few calls
     /// in the span in which it could fall, all sidecars together. Returns the rate and the burst.
     fn cold_pace(&self, share: f64) -> (f64, f64) {
         let span = self.figures.fall_span.secs();
-        let rate = (self.warm_sends.a_second * share).max(4.0 * self.figures.my_part / span);
-        (rate, (rate * span * 0.5).max(1.0))
+        let rate = (self.warm_served.a_second * share).max(4.0 * self.figures.my_part / span);
+        (rate, rate * span * 0.5)
+    }
+
+    /// What a cold server may be sent by now. Half a span's worth may be saved up; where that is less than one
+    /// call, a call lapses after half a span: guards against a thousand sidecars that have saved up one each.
+    fn cold_left(&self, server: &Server, share: f64) -> f64 {
+        let (rate, burst) = self.cold_pace(share);
+        match burst >= 1.0 {
+            true => server.cold.at(rate, burst, self.now),
+            false => server.cold.lapsing(rate, 1.0 + burst, self.now),
+        }
     }
 
     fn evidence(&mut self, id: ServerId, ending: &Ending, outlived: bool, out: &mut Vec<Action>) {
@@ -539,12 +575,22 @@
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
         let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
-        self.fleet.change(id, |server| {
+        let strain = match (self.figures.tells_load, outcome) {
+            (true, Outcome::Full) => Some(STRAIN_FULL),
+            (true, _) => ending.report.and_then(|report| self.crowd.strain(&report)),
+            _ => None,
+        };
+        let now = self.now;
+        let warm = self.fleet.change(id, |server| {
             server.unreached = outcome.proves_not_run();
+            (server.strain, server.heard) = strain.map_or((server.strain, server.heard), |strain| (strain, now));
             if good {
                 server.answer(slow);
             }
+            self.figures.cold_share(server, now).is_none()
         });
+        self.crowd.heat += strain.map_or(0.0, |strain| (strain - self.crowd.heat) * 0.125);
+        self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
         if good {
             self.slices.add(self.now, waited);
             self.weigh_width(waited, out);
@@ -574,9 +620,12 @@
         let (usable, left) = (self.fleet.usable(), self.left_of_fleet());
         let crowd = &mut self.crowd;
         let Some((median, level)) = crowd.measure(waited) else { return };
+        // Where servers report their load, it tells a crowd that the few answers of a small sidecar don't.
+        let (median, level) = if self.figures.tells_load { (crowd.heat * level, level) } else { (median, level) };
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
         let needed = self.sends.a_second * level / 1e6 * left;
-        let floor = (1.4 * needed).max(2.0 * usable * self.figures.my_part).max(2.0);
+        let spread = if self.figures.tells_load { 1.0 + needed + 3.0 * needed.sqrt() } else { 0.0 };
+        let floor = (1.4 * needed + spread).max(2.0 * usable * self.figures.my_part).max(2.0);
         // Few answers a second show a crowd late: guards against the sum of many bounds that open meanwhile.
         let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5) + 0.5;
         if crowded {
@@ -666,7 +715,8 @@
         // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
         let cold = || Allowance { left: 1.0 - self.chance.draw(), seen: self.now };
         let whole = kind != ListKind::Changes;
-        self.fleet.list(whole, entries, cold);
+        let figures = &self.figures;
+        self.fleet.list(whole, entries, |listing| turn(figures, listing), cold);
         let changed: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
         self.draw_circle(Some(&changed).filter(|_| !whole).map(Vec::as_slice));
         changed.into_iter().for_each(|id| self.settle(id));
@@ -685,8 +735,8 @@
         let warm = |server: &&Server| server.usable() && self.figures.cold_share(server, self.now).is_none();
         let warm = self.fleet.around().filter(warm).count() as f64;
         if warm > 0.0 {
-            self.warm_sends.seen /= warm;
-            self.warm_sends.beat(BEAT, 0.25);
+            self.warm_served.seen /= warm;
+            self.warm_served.beat(BEAT, 0.25);
         }
         let cold = |server: &&Server| self.figures.cold_share(server, self.now).is_some();
         let cold: Vec<_> = self.fleet.all().filter(cold).map(|server| server.listing.server).collect();
@@ -705,3 +755,19 @@
         out.push(Action::Wake { after: BEAT, token: HEART });
     }
 }
+
+/// Where a server stands on our ring. Where crossing is priced the order is our own, by chance, and a server of
+/// another place comes as early as one of ours only now and then.
+fn turn(figures: &Figures, listing: &Listing) -> (u64, u64) {
+    let Some(near) = figures.near else { return listing.turn() };
+    let even = (scatter(listing.mark ^ scatter(figures.my_number as u64 + 1)) >> 11) as f64 / (1u64 << 53) as f64;
+    let weight = if listing.place == near { 1.0 } else { FAR };
+    ((-even.max(1e-12).ln() / weight * 1e12) as u64, listing.mark)
+}
+
+/// A number spread evenly over all there are.
+fn scatter(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed ^ (mixed >> 32)
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -106,6 +106,10 @@
     pub may_race: bool,
     /// The longest cool-down that clients are told of; zero where none is passed on.
     pub cool_down: Micros,
+    /// Whether servers report their load with every answer.
+    pub tells_load: bool,
+    /// Whether a server does less work for a key that it met lately.
+    pub warm_keys: bool,
     /// Whether changes of the list must be asked for.
     pub must_ask: bool,
     pub ask_within: Micros,
@@ -189,6 +193,29 @@
     pub customer: CustomerId,
     /// The client has tried before and marked this try so.
     pub repeat: bool,
+    /// What it is about, where that is told: the same number at every sidecar.
+    pub key: Option<u64>,
+}
+
+/// What a server tells of its load with an answer: late, and a little noisy.
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+pub struct Report {
+    /// API calls that it holds, those that wait included.
+    pub held: Option<f64>,
+    /// API calls that wait.
+    pub waiting: Option<f64>,
+    /// How busy its cores are, 1 at most.
+    pub busy: Option<f64>,
+}
+
+impl Report {
+    /// Past this a figure is a fault and not a load.
+    const MOST: f64 = 1e6;
+
+    /// A figure that means something, if it is one.
+    pub fn sound(figure: f64) -> Option<f64> {
+        (0.0..=Self::MOST).contains(&figure).then_some(figure)
+    }
 }
 
 /// How a hop ended, and whether its API call is over by that or by something earlier.
@@ -200,6 +227,7 @@
     /// From the send until now.
     pub waited: Micros,
     pub closed: bool,
+    pub report: Option<Report>,
 }
 
 #[derive(Clone, Debug)]
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -62,7 +62,11 @@
     #[serde(default = "one")]
     overage_payoff: f64,
     #[serde(default)]
+    family_info: Family,
+    #[serde(default)]
     prices: Prices,
+    #[serde(default)]
+    report: Reporting,
     rules: Rules,
     #[serde(default)]
     stages: Vec<String>,
@@ -126,6 +130,29 @@
     cross_zone: f64,
 }
 
+#[derive(Deserialize, Default)]
+struct Family {
+    #[serde(default)]
+    warm_keys: bool,
+}
+
+#[derive(Deserialize, Default)]
+struct Reporting {
+    #[serde(default)]
+    columns: Vec<String>,
+    #[serde(default)]
+    source: Source,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Source {
+    #[default]
+    None,
+    Probe,
+    Answers,
+}
+
 #[derive(Deserialize)]
 struct Rules {
     #[serde(default)]
@@ -203,6 +230,8 @@
                 may_cancel: bounds.cancel,
                 may_race: bounds.parallel_tries,
                 cool_down: if bounds.retry_after { micros(bounds.max_retry_after_s) } else { Micros(0) },
+                tells_load: told.report.tells_load(),
+                warm_keys: told.family_info.warm_keys,
                 must_ask: told.discovery == Discovery::OnRequest,
                 ask_within: micros(rules.ask_within_s),
                 cold_from: rules.cold_from,
@@ -256,6 +285,14 @@
     }
 }
 
+impl Reporting {
+    /// Whether each answer comes with what the module reads: calls held, and calls waiting or busy cores.
+    fn tells_load(&self) -> bool {
+        let tells = |name| self.columns.iter().any(|column| column == name);
+        self.source == Source::Answers && tells("busy_reqs") && (tells("pending") || tells("cpu_share"))
+    }
+}
+
 impl Class {
     fn kind(&self) -> Option<Kind> {
         let memory = micros(self.memory_span_s);
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -192,7 +192,7 @@
             call.answers += 1;
         }
         let (waited, closed) = (now - call.hops[hop].sent, call.over());
-        let ending = Ending { call: id, hop: HopNo(hop as u32), outcome, waited, closed };
+        let ending = Ending { call: id, hop: HopNo(hop as u32), outcome, waited, closed, report: None };
         self.tell(Event::Ended(ending), shape);
     }
 
@@ -245,7 +245,7 @@
         let known = Call { kind: KINDS[workload], abandon, hops: Vec::new(), answers: 0, left: false };
         self.calls.insert(call, known);
         let (workload, customer, repeat) = (WorkloadId(workload), CustomerId(0), self.world.draw() < 0.1);
-        let arrival = Arrival { call, workload, left: LEFT, customer, repeat };
+        let arrival = Arrival { call, workload, left: LEFT, customer, repeat, key: None };
         self.tell(Event::Arrived(arrival), shape);
         // A client that leaves at once, now and then.
         let known = self.calls.get_mut(&call).expect("just taken");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -195,7 +195,7 @@
     }
 
     fn list(&mut self, whole: bool, entries: &[Listing]) {
-        self.fleet.list(whole, entries, allowance);
+        self.fleet.list(whole, entries, Listing::turn, allowance);
         self.plain.list(whole, entries);
         let changed: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
         self.draw_circle(Some(&changed).filter(|_| !whole).map(Vec::as_slice));
@@ -271,7 +271,7 @@
             started: Micros(0),
         };
         let mut fleet = Fleet::new(None);
-        fleet.list(true, &(0..servers).map(entry).collect::<Vec<_>>(), allowance);
+        fleet.list(true, &(0..servers).map(entry).collect::<Vec<_>>(), Listing::turn, allowance);
         fleet.redraw(0, 1e9, room);
         let (mut lots, mut counts) = (Chance::new(5), BTreeMap::new());
         let fits = |server: &Server| server.listing.server.0.is_multiple_of(every);
--- a/tests/place/mod.rs
+++ b/tests/place/mod.rs
@@ -19,6 +19,8 @@
         may_cancel: true,
         may_race: true,
         cool_down: Micros::millis(500),
+        tells_load: false,
+        warm_keys: false,
         must_ask: false,
         ask_within: Micros::millis(10_000),
         cold_from: 0.2,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -58,6 +58,8 @@
             may_cancel: get("cancel", "yes") == "yes",
             may_race: get("race", "yes") == "yes",
             cool_down: length(&get("cool", "2s")),
+            tells_load: get("loads", "no") == "yes",
+            warm_keys: get("keys", "no") == "yes",
             must_ask: get("ask", "none") != "none",
             ask_within: length(&get("ask", "0s").replace("none", "0s")),
             cold_from: number("cold", "0.3"),
@@ -166,10 +168,11 @@
             left: length(words[1]),
             customer: CustomerId(customer),
             repeat: words.contains(&"repeat"),
+            key: words.iter().find_map(|word| word.strip_prefix("key=")?.parse().ok()),
         }));
     }
 
-    fn ends(&mut self, which: &str, outcome: &str, waited: Micros) {
+    fn ends(&mut self, which: &str, outcome: &str, waited: Micros, report: Option<Report>) {
         let (call, hop) = hop(which);
         let outcome = match outcome {
             "succeeded" => Outcome::Succeeded,
@@ -182,7 +185,7 @@
             other => panic!("no outcome {other}"),
         };
         let closed = matches!(outcome, Outcome::Succeeded | Outcome::Cancelled);
-        self.tell(Event::Ended(Ending { call, hop, outcome, waited, closed }));
+        self.tell(Event::Ended(Ending { call, hop, outcome, waited, closed, report }));
     }
 
     fn wait(&mut self, until: Micros) {
--- a/tests/sum.rs
+++ b/tests/sum.rs
@@ -116,7 +116,8 @@
                     break;
                 }
                 self.due.pop();
-                let ending = Ending { call, hop, outcome: Outcome::Succeeded, waited: TOOK, closed: true };
+                let (outcome, waited, report) = (Outcome::Succeeded, TOOK, None);
+                let ending = Ending { call, hop, outcome, waited, closed: true, report };
                 self.tell(at, Event::Ended(ending));
             }
             self.set += 1;
@@ -126,7 +127,7 @@
             };
             let (call, workload) = (CallId(self.set as u32), WorkloadId(0));
             let (left, customer) = (Micros::millis(2_000), CustomerId(0));
-            self.tell(at, Event::Arrived(Arrival { call, workload, left, customer, repeat: false }));
+            self.tell(at, Event::Arrived(Arrival { call, workload, left, customer, repeat: false, key: None }));
         }
     }
 
