A small sidecar turns away its part of the least worth; a key's home drawn by chance

Change: reports of strain move the part of what is offered that is turned away at once, least worth first. Key homes: over all places, drawn by chance among a thirtieth of the fleet (always the first had no effect of a second home: ties).

--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,7 @@
 //! What one instance remembers: plain records of API calls, servers and figures. Nothing is decided here.
 use crate::types::*;
 use crate::{Allowance, Bins, Tally};
+use std::collections::BTreeMap;
 
 /// Where an API call stands.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -167,7 +168,7 @@
 }
 
 /// A server that reports less of its cores busy has some to be had.
-const CORES_TO_BE_HAD: f64 = 0.7;
+const CORES_TO_BE_HAD: f64 = 0.9;
 
 /// How crowded the servers are, as our own latency shows it.
 #[derive(Default)]
@@ -182,11 +183,29 @@
     /// Calls held for each busy core while cores are to be had, as reports have it: the sums behind the mean.
     pub idle_held: f64,
     pub idle_busy: f64,
+    /// The part of what is offered that is turned away at once, the least worth first.
+    pub thinned: f64,
+    /// What was offered of late, by its worth.
+    pub offered: BTreeMap<u32, f64>,
     /// The servers' strain as reported of late.
     pub heat: f64,
 }
 
 impl Crowding {
+    /// Takes one more call that is offered; tells how large a part of what came of late is worth less. Its like
+    /// are told apart by `lot`, from 0 to 1.
+    pub fn rank(&mut self, worth: u32, lot: f64) -> f64 {
+        let below: f64 = self.offered.range(..worth).map(|(_, count)| count).sum();
+        let like = self.offered.entry(worth).or_default();
+        *like += 1.0;
+        let reached = below + lot * *like;
+        let all: f64 = self.offered.values().sum();
+        if all >= 128.0 {
+            self.offered.values_mut().for_each(|count| *count *= 0.5);
+        }
+        reached / all
+    }
+
     /// How much longer a call takes at a server than at an idle one, by what it reports: the calls it holds for
     /// each that it works on.
     pub fn strain(&mut self, report: &Report) -> Option<f64> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,10 @@
 const BEAT: Micros = Micros::millis(1_000);
 const CIRCLE_LEAST: f64 = 5.0; // servers a sidecar looks at even when it has next to nothing to send
 const FAR: f64 = 0.1; // how often a server of another place stands where one of ours could
-const HOMES: usize = 2; // servers of our place that a key's calls go to
+const HOMES: usize = 1; // servers of our place that a key's calls go to
+const A_HOME_IN: usize = 30;
+const THINS: f64 = 0.04;
+const MOST_THINNED: f64 = 0.9;
 const STRAIN_FULL: f64 = 4.0; // what a server that turns calls away unseen counts as
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
 
@@ -45,6 +48,7 @@
 const CALLS: &[(State, Input, State, Effect)] = &[
     (Fresh, Room, Out, Send),
     (Fresh, Crowd, Queued, Enqueue),
+    (Fresh, Hopeless, Over, TurnAway),
     (Queued, Room, Out, Send),
     (Queued, Hopeless, Over, TurnAway),
     (Queued, Worthless, Over, TurnAway),
@@ -224,9 +228,13 @@
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
         };
+        // A small sidecar's calls are too few for a queue: where servers tell of a crowd, it turns away its part
+        // of what is worth least.
+        let thinned = self.figures.tells_load
+            && self.crowd.rank((worth * 1000.0) as u32, self.chance.draw()) < self.crowd.thinned;
         self.calls.insert(id, call);
-        let room = self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
-        self.step(id, if room { Room } else { Crowd }, out);
+        let room = !thinned && self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
+        self.step(id, if thinned { Hopeless } else if room { Room } else { Crowd }, out);
     }
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
@@ -447,6 +455,7 @@
         let burden = |server: &Server| (load(server) + 1.0) * server.strained(self.now) / server.weight();
         let fits = |server: &Server| self.open_to(call, server) && self.takes(server, per_unit);
         let mut lots = self.lots.clone();
+        let home = call.key.and_then(|key| self.home(key, &mut lots, &fits, &burden));
         let mut draw = |classes| self.fleet.draw(classes, cell, &mut lots, &fits);
         let [near, far, busy]: [&[Class]; 3] = if mean < 0.5 { RANKS_CALM } else { RANKS_HELD };
         let mut lighter = |classes, two: bool| {
@@ -455,7 +464,6 @@
             Some(if burden(one) > burden(other) { other } else { one })
         };
         let told = self.figures.tells_load;
-        let home = call.key.and_then(|key| self.home(key, &fits, &burden));
         let found = home.or_else(|| lighter(near, told)).or_else(|| lighter(far, told));
         let found = found.or_else(|| lighter(busy, true));
         debug_assert!({
@@ -472,20 +480,18 @@
     /// Where servers are quicker with a key that they met lately: the first few of our own place in the key's own
     /// order, which all sidecars there share. The lighter of them, else the first.
     fn home(
-        &self, key: u64, fits: &impl Fn(&Server) -> bool, burden: &impl Fn(&Server) -> f64,
+        &self, key: u64, lots: &mut Chance, fits: &impl Fn(&Server) -> bool, burden: &impl Fn(&Server) -> f64,
     ) -> Option<&Server> {
-        let mut homes: [Option<(u64, &Server)>; HOMES] = [None; HOMES];
-        let near = |server: &&Server| self.figures.near.is_none_or(|near| near == server.listing.place);
-        for server in self.fleet.around().filter(near).filter(|server| fits(server)) {
-            let mut one = Some((scatter(key ^ server.listing.mark), server));
-            for home in &mut homes {
-                if home.is_none_or(|(turn, _)| one.is_some_and(|(other, _)| other < turn)) {
-                    std::mem::swap(home, &mut one);
-                }
-            }
+        let fitting = self.fleet.around().filter(|server| fits(server));
+        let mut homes: Vec<_> = fitting.map(|server| (scatter(key ^ server.listing.mark), server)).collect();
+        let most = HOMES.max(self.fleet.ready() / A_HOME_IN);
+        if homes.len() > most {
+            homes.select_nth_unstable_by_key(most, |home| home.0);
+            homes.truncate(most);
         }
-        let lighter = |one: &Server, other: &Server| burden(one) <= burden(other);
-        homes.into_iter().flatten().map(|(_, server)| server).reduce(|one, other| if lighter(one, other) { one } else { other })
+        let one = homes.get(lots.below(homes.len().max(1)))?.1;
+        let other = homes[lots.below(homes.len())].1;
+        Some(if burden(one) > burden(other) { other } else { one })
     }
 
     /// When a server may be sent to again: its time aside is over, and its cold part allows a call. It may be
@@ -590,6 +596,8 @@
             self.figures.cold_share(server, now).is_none()
         });
         self.crowd.heat += strain.map_or(0.0, |strain| (strain - self.crowd.heat) * 0.125);
+        let more = strain.map_or(0.0, |strain| THINS * (strain.min(STRAIN_FULL) / CROWDED - 1.0));
+        self.crowd.thinned = (self.crowd.thinned + more).clamp(0.0, MOST_THINNED);
         self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
         if good {
             self.slices.add(self.now, waited);
