Sidecars tell each other of a server whose strain doubled or halved

Change: where messages are allowed, what is news to us of a server's load is told to all; the lighter of two reads it.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -13,6 +13,8 @@
     workloads: usize,
     numbers: HashMap<String, ServerId>,
     names: Vec<String>,
+    /// What other sidecars call a server: the lower half of its mark.
+    marks: HashMap<u32, ServerId>,
 }
 
 impl Instance {
@@ -27,6 +29,7 @@
                 let fresh = ServerId(self.names.len() as u32);
                 self.names.push(item.endpoint.clone());
                 self.numbers.insert(item.endpoint.clone(), fresh);
+                self.marks.insert(mark(&item.endpoint) as u32, fresh);
                 fresh
             }
         };
@@ -111,7 +114,8 @@
                 let mut actions = std::mem::take(&mut self.actions);
                 let sidecar = Sidecar::new(&terms, init_seed, self.now, &mut actions);
                 let (workloads, numbers, names) = (terms.workloads.len(), HashMap::new(), Vec::new());
-                self.instances.insert(who, Instance { sidecar, workloads, numbers, names });
+                let marks = HashMap::new();
+                self.instances.insert(who, Instance { sidecar, workloads, numbers, names, marks });
                 self.carry_out(who, actions)?;
             }
             In::Destroy { who } => {
@@ -159,9 +163,17 @@
             }
             In::Withdrawn { who, xid } => self.tell(who, Event::Withdrawn { call: CallId(xid) })?,
             In::Wake { who, cookie } => self.tell(who, Event::Woke(Token(cookie)))?,
-            In::HealthResult { who } | In::Inbox { who } => {
+            In::HealthResult { who } => {
                 self.instances.get(&who).map(|_| ()).ok_or_else(|| unknown(who))?
             }
+            In::Inbox { who, raw } => {
+                let instance = self.instances.get(&who).ok_or_else(|| unknown(who))?;
+                // A message that says nothing, or of a server not listed here, is no fault of anybody's.
+                let known = unpack(&raw).and_then(|(mark, strain)| Some((*instance.marks.get(&mark)?, strain)));
+                if let Some((server, strain)) = known {
+                    self.tell(who, Event::Heard { server, strain })?;
+                }
+            }
         }
         Ok(false)
     }
@@ -196,6 +208,9 @@
                 Action::Fail { call } => Out::EndFailed { who, xid: call.0 },
                 Action::Wake { after, token } => Out::Remind { who, after_s: after.secs(), cookie: token.0 },
                 Action::Subscribe => Out::Subscribe { who, want: true },
+                Action::Tell { server, strain } => {
+                    Out::Say { who, to: -1, raw: pack(mark(name(server)) as u32, strain) }
+                }
                 Action::Log { text, server: None } => Out::Emit { who, text },
                 Action::Log { text, server: Some(server) } => {
                     Out::Emit { who, text: format!("{} {text}", name(server)) }
@@ -218,6 +233,16 @@
     Ok(())
 }
 
+/// What sidecars tell each other of a server: its mark, and its strain in tenths.
+fn pack(mark: u32, strain: f64) -> String {
+    format!("{mark:x}:{}", (strain * 10.0).round().clamp(0.0, 9_999.0))
+}
+
+fn unpack(raw: &str) -> Option<(u32, f64)> {
+    let (mark, tenths) = raw.split_once(':')?;
+    Some((u32::from_str_radix(mark, 16).ok()?, f64::from(tenths.parse::<u16>().ok()?) / 10.0))
+}
+
 fn unknown(who: u32) -> String {
     format!("field who: instance {who} was not started")
 }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -63,12 +63,13 @@
         who: u32,
         cookie: u64,
     },
-    // The module asks for neither probes nor messages; both are read and left alone.
+    // The module asks for no probes; their results are read and left alone.
     HealthResult {
         who: u32,
     },
     Inbox {
         who: u32,
+        raw: String,
     },
 }
 
@@ -145,6 +146,7 @@
     EndFailed { who: u32, xid: u32 },
     Remind { who: u32, after_s: f64, cookie: u64 },
     Subscribe { who: u32, want: bool },
+    Say { who: u32, to: i32, raw: String },
     Emit { who: u32, text: String },
     Fatal { who: u32, text: String },
     Yield { round: u64 },
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -290,6 +290,8 @@
                 }
                 Action::Wake { after, token } => self.timers.set(self.desk.clock.now() + after, token),
                 // A full channel holds the same request already.
+                // The platform's protocol on sockets has no message between sidecars: told to nobody.
+                Action::Tell { .. } => {}
                 Action::Subscribe => _ = self.ask.try_send(()),
                 Action::Log { text, server: None } => info!(self.log, "{}", text),
                 Action::Log { text, server: Some(server) } => {
--- a/src/records.rs
+++ b/src/records.rs
@@ -100,7 +100,7 @@
 
     /// Its strain by now: what it told counts for less the older it is.
     pub fn strained(&self, now: Micros) -> f64 {
-        1.0 + (self.strain - 1.0) / (1.0 + (now - self.heard).secs())
+        1.0 + (self.strain - 1.0) / (1.0 + 0.1 * (now - self.heard).secs())
     }
 
     pub fn usable(&self) -> bool {
@@ -125,6 +125,7 @@
     pub my_number: f64,
     pub near: Option<PlaceId>,
     pub tells_load: bool,
+    pub may_tell: bool,
     pub warm_keys: bool,
     pub cold_from: f64,
     pub warm_within: Micros,
@@ -149,6 +150,7 @@
             my_number: f64::from(terms.number) % sidecars,
             near: terms.near,
             tells_load: terms.tells_load,
+            may_tell: terms.may_tell,
             warm_keys: terms.warm_keys,
             cold_from: terms.cold_from,
             warm_within: terms.warm_within,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,7 @@
 const FAR: f64 = 0.1; // how often a server of another place stands where one of ours could
 const HOMES: usize = 1; // servers of our place that a key's calls go to
 const A_HOME_IN: usize = 30;
+const NEWS: f64 = 1.0;
 const THINS: f64 = 0.04;
 const MOST_THINNED: f64 = 0.9;
 const STRAIN_FULL: f64 = 4.0; // what a server that turns calls away unseen counts as
@@ -155,6 +156,7 @@
             }
             Event::Ended(ending) => self.ended(ending, out),
             Event::Withdrawn { call } => self.step(call, Left, out),
+            Event::Heard { server, strain } => self.heard(server, strain),
             Event::Woke(POKED) => self.poked = false,
             Event::Woke(ASK) => self.ask(out),
             Event::Woke(HEART) => self.beat(out),
@@ -587,9 +589,16 @@
             _ => None,
         };
         let now = self.now;
+        if let Some(strain) = strain {
+            // What is news to us is news to all, where sidecars may tell each other.
+            let known = self.fleet.get(id).map_or(1.0, |server| server.strain);
+            if self.figures.may_tell && (strain / known).log2().abs() >= NEWS {
+                out.push(Action::Tell { server: id, strain });
+            }
+            self.heard(id, strain);
+        }
         let warm = self.fleet.change(id, |server| {
             server.unreached = outcome.proves_not_run();
-            (server.strain, server.heard) = strain.map_or((server.strain, server.heard), |strain| (strain, now));
             if good {
                 server.answer(slow);
             }
@@ -609,6 +618,12 @@
         self.gate(out);
     }
 
+    /// A server's strain, as it told us or another sidecar.
+    fn heard(&mut self, id: ServerId, strain: f64) {
+        let now = self.now;
+        self.fleet.change(id, |server| (server.strain, server.heard) = (strain.max(1.0), now));
+    }
+
     /// Copies pause while errors run past SuppressAt times the trip rate.
     fn gate(&mut self, out: &mut Vec<Action>) {
         let trip = (2.0 * self.long_run.rate()).max(TRIP_FLOOR);
--- a/src/types.rs
+++ b/src/types.rs
@@ -108,6 +108,8 @@
     pub cool_down: Micros,
     /// Whether servers report their load with every answer.
     pub tells_load: bool,
+    /// Whether sidecars may tell each other what they learn.
+    pub may_tell: bool,
     /// Whether a server does less work for a key that it met lately.
     pub warm_keys: bool,
     /// Whether changes of the list must be asked for.
@@ -238,6 +240,8 @@
     Ended(Ending),
     Withdrawn { call: CallId },
     Woke(Token),
+    /// Another sidecar tells how strained it found a server.
+    Heard { server: ServerId, strain: f64 },
 }
 
 #[derive(Clone, PartialEq, Debug)]
@@ -248,6 +252,8 @@
     Fail { call: CallId },
     Wake { after: Micros, token: Token },
     Subscribe,
+    /// For all other sidecars, where they may tell each other; it may be lost.
+    Tell { server: ServerId, strain: f64 },
     Log { text: String, server: Option<ServerId> },
 }
 
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -107,6 +107,8 @@
     #[serde(default)]
     parallel_tries: bool,
     #[serde(default)]
+    peer_messages: bool,
+    #[serde(default)]
     retry_after: bool,
 }
 
@@ -231,6 +233,7 @@
                 may_race: bounds.parallel_tries,
                 cool_down: if bounds.retry_after { micros(bounds.max_retry_after_s) } else { Micros(0) },
                 tells_load: told.report.tells_load(),
+                may_tell: bounds.peer_messages,
                 warm_keys: told.family_info.warm_keys,
                 must_ask: told.discovery == Discovery::OnRequest,
                 ask_within: micros(rules.ask_within_s),
--- a/tests/place/mod.rs
+++ b/tests/place/mod.rs
@@ -20,6 +20,7 @@
         may_race: true,
         cool_down: Micros::millis(500),
         tells_load: false,
+        may_tell: false,
         warm_keys: false,
         must_ask: false,
         ask_within: Micros::millis(10_000),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,6 +59,7 @@
             may_race: get("race", "yes") == "yes",
             cool_down: length(&get("cool", "2s")),
             tells_load: get("loads", "no") == "yes",
+            may_tell: get("tell", "no") == "yes",
             warm_keys: get("keys", "no") == "yes",
             must_ask: get("ask", "none") != "none",
             ask_within: length(&get("ask", "0s").replace("none", "0s")),
