--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,8 @@
 const HOMES: usize = 1; // servers of our place that a key's calls go to
 const A_HOME_IN: usize = 30;
 const NEWS: f64 = 1.0;
-const THINS: f64 = 0.04;
+const STRAINED: f64 = 2.0;
+const THINS: f64 = 0.1;
 const MOST_THINNED: f64 = 0.9;
 const STRAIN_FULL: f64 = 4.0; // what a server that turns calls away unseen counts as
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
@@ -604,8 +605,7 @@
             }
             self.figures.cold_share(server, now).is_none()
         });
-        self.crowd.heat += strain.map_or(0.0, |strain| (strain - self.crowd.heat) * 0.125);
-        let more = strain.map_or(0.0, |strain| THINS * (strain.min(STRAIN_FULL) / CROWDED - 1.0));
+        let more = strain.map_or(0.0, |strain| THINS * (strain.min(STRAIN_FULL) / STRAINED).ln());
         self.crowd.thinned = (self.crowd.thinned + more).clamp(0.0, MOST_THINNED);
         self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
         if good {
@@ -767,6 +767,10 @@
         // Guards against a spiral: what a crowd lets through must not become the measure of what is usual.
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
+        if self.figures.tells_load {
+            let (sum, count) = self.fleet.around().fold((0.0, 0.0), |(sum, count), server| (sum + server.strained(self.now).min(STRAIN_FULL), count + 1.0));
+            self.crowd.heat = if count > 0.0 { sum / count } else { 1.0 };
+        }
         self.crowd.fleet *= 0.99;
         self.crowd.settle();
         self.outcomes.fade(0.9);
