A key's homes help each other out; a full server that tells its load is not set aside

Change: where a key's home is strained, one three times lighter among the next helps; full is strain where load is told; a customer's share of a sidecar goes by its usual traffic; another place counts a fifth heavier.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -163,13 +163,12 @@
             }
             In::Withdrawn { who, xid } => self.tell(who, Event::Withdrawn { call: CallId(xid) })?,
             In::Wake { who, cookie } => self.tell(who, Event::Woke(Token(cookie)))?,
-            In::HealthResult { who } => {
-                self.instances.get(&who).map(|_| ()).ok_or_else(|| unknown(who))?
-            }
+            In::HealthResult { who } => self.instances.get(&who).map(|_| ()).ok_or_else(|| unknown(who))?,
             In::Inbox { who, raw } => {
                 let instance = self.instances.get(&who).ok_or_else(|| unknown(who))?;
                 // A message that says nothing, or of a server not listed here, is no fault of anybody's.
-                let known = unpack(&raw).and_then(|(mark, strain)| Some((*instance.marks.get(&mark)?, strain)));
+                let known =
+                    unpack(&raw).and_then(|(mark, strain)| Some((*instance.marks.get(&mark)?, strain)));
                 if let Some((server, strain)) = known {
                     self.tell(who, Event::Heard { server, strain })?;
                 }
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -243,7 +243,11 @@
         let now = self.desk.clock.now();
         let Some(known) = self.calls.get(&call) else { return };
         let (waited, closed) = (now - known.hops[hop.0 as usize].sent, known.verdict.is_none());
-        self.sidecar.on(now, Event::Ended(Ending { call, hop, outcome, waited, closed, report: None }), &mut self.actions);
+        self.sidecar.on(
+            now,
+            Event::Ended(Ending { call, hop, outcome, waited, closed, report: None }),
+            &mut self.actions,
+        );
         self.carry_out();
         self.clear(call);
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,7 +3,7 @@
 //! that does not grow with their number. Nothing is decided here: whether a drawn server fits is asked of the rules.
 use crate::records::{Server, Trust};
 use crate::types::*;
-use crate::{Allowance, Chance, Tally};
+use crate::{scatter, Allowance, Chance, Tally};
 use fnv::FnvHashMap;
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -162,6 +162,28 @@
         f64::from(self.answered_out) / self.answered.max(1) as f64
     }
 
+    /// How strained the servers around us are in the mean, by what was last heard; each at `most`.
+    pub fn mean_strain(&self, now: Micros, most: f64) -> f64 {
+        let all: f64 = self.around().map(|server| server.strained(now).min(most)).sum();
+        if self.circle.is_empty() {
+            1.0
+        } else {
+            all / self.circle.len() as f64
+        }
+    }
+
+    /// The first of those around us that fit, in a key's own order, which is the same at every sidecar.
+    pub fn in_order_of(&self, key: u64, most: usize, fits: &impl Fn(&Server) -> bool) -> Vec<&Server> {
+        let fitting = self.around().filter(|server| fits(server));
+        let mut order: Vec<_> = fitting.map(|server| (scatter(key ^ server.listing.mark), server)).collect();
+        if order.len() > most {
+            order.select_nth_unstable_by_key(most, |(turn, _)| *turn);
+            order.truncate(most);
+        }
+        order.sort_unstable_by_key(|(turn, _)| *turn);
+        order.into_iter().map(|(_, server)| server).collect()
+    }
+
     /// The records of all around us but this one, together.
     pub fn peers(&self, id: ServerId) -> Tally {
         let own = self.numbers.get(&id).map(|slot| &self.slots[*slot]).filter(|entry| entry.around);
@@ -388,7 +410,15 @@
 
     fn enter(&mut self, server: Server, turn: (u64, u64)) -> usize {
         let id = server.listing.server;
-        let fresh = Entry { server, turn: (turn, id), around: false, room: 0.0, class: None, parked: None, redrawn: 0 };
+        let fresh = Entry {
+            server,
+            turn: (turn, id),
+            around: false,
+            room: 0.0,
+            class: None,
+            parked: None,
+            redrawn: 0,
+        };
         let slot = self.slots.insert(fresh);
         self.numbers.insert(id, slot);
         slot
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -200,7 +200,11 @@
     /// what many keep at the same time stays as little as what they earn in that while.
     pub fn lapsing(&self, rate: f64, depth: f64, now: Micros) -> f64 {
         let saved = self.left + rate * (now - self.seen).secs();
-        if saved > depth { saved % depth } else { saved }
+        if saved > depth {
+            saved % depth
+        } else {
+            saved
+        }
     }
 
     pub fn take(&mut self, rate: f64, depth: f64, now: Micros) -> bool {
@@ -252,3 +256,10 @@
         self.0.generate_range(0..count)
     }
 }
+
+/// A number spread evenly over all there are.
+pub fn scatter(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed ^ (mixed >> 32)
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -215,7 +215,8 @@
         let at_work = match (report.waiting, report.busy) {
             (Some(waiting), _) => held - waiting,
             (None, Some(busy)) if busy < CORES_TO_BE_HAD => {
-                (self.idle_held, self.idle_busy) = (0.98 * self.idle_held + held, 0.98 * self.idle_busy + busy);
+                (self.idle_held, self.idle_busy) =
+                    (0.98 * self.idle_held + held, 0.98 * self.idle_busy + busy);
                 return Some(1.0);
             }
             (None, Some(_)) if self.idle_busy > 0.0 => self.idle_held / self.idle_busy,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Class, Fleet};
 use crate::records::*;
 use crate::types::*;
-use crate::{Allowance, Chance, Pace, Slices, Tally};
+use crate::{scatter, Allowance, Chance, Pace, Slices, Tally};
 use fnv::FnvHashMap;
 use std::collections::BTreeMap;
 use Effect::*;
@@ -29,13 +29,15 @@
 const BEAT: Micros = Micros::millis(1_000);
 const CIRCLE_LEAST: f64 = 5.0; // servers a sidecar looks at even when it has next to nothing to send
 const FAR: f64 = 0.1; // how often a server of another place stands where one of ours could
-const HOMES: usize = 1; // servers of our place that a key's calls go to
-const A_HOME_IN: usize = 30;
-const NEWS: f64 = 1.0;
-const STRAINED: f64 = 2.0;
-const THINS: f64 = 0.1;
+const A_HOME_IN: usize = 30; // one server in so many is a home for a key, one at the least
+const SHARE_ROOM: f64 = 1.2; // a customer's share over what it usually sends
+const HELP: f64 = 3.0; // how much lighter another server must be to take a key's call from its homes
+const CROSSING: f64 = 1.2; // how much heavier a server of another place counts, where crossing is priced
+const NEWS: f64 = 1.0; // doublings or halvings of a server's strain that the others are told of
+const STRAINED: f64 = 2.0; // how much longer than idle a call may take at the servers before we turn any away
+const THINS: f64 = 0.1; // how fast an answer moves the part that is turned away
 const MOST_THINNED: f64 = 0.9;
-const STRAIN_FULL: f64 = 4.0; // what a server that turns calls away unseen counts as
+const STRAIN_FULL: f64 = 4.0; // a server that turns calls away unseen
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
 
 /// What happens to an API call, and what is done about it.
@@ -207,7 +209,10 @@
         let terms = &self.figures.workloads[workload];
         // Guards against starving the cheapest workload: a part of each is ranked with the dearest.
         let mut worth = if lifted { self.figures.dearest } else { terms.payoff };
-        let share = self.figures.shares.get(customer.0).copied().unwrap_or(f64::INFINITY);
+        // Streams are uneven: a sidecar with more than the even part of the usual traffic has as much more of a share.
+        let (shares, all) = (&self.figures.shares, self.figures.shares.iter().sum::<f64>());
+        let part = (SHARE_ROOM * self.sends.a_second / all.max(0.001)).max(1.0);
+        let share = shares.get(customer.0).map_or(f64::INFINITY, |share| share * part);
         let purse = self.purses.get_mut(customer.0);
         if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
             worth *= self.figures.beyond_share;
@@ -237,7 +242,17 @@
             && self.crowd.rank((worth * 1000.0) as u32, self.chance.draw()) < self.crowd.thinned;
         self.calls.insert(id, call);
         let room = !thinned && self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
-        self.step(id, if thinned { Hopeless } else if room { Room } else { Crowd }, out);
+        self.step(
+            id,
+            if thinned {
+                Hopeless
+            } else if room {
+                Room
+            } else {
+                Crowd
+            },
+            out,
+        );
     }
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
@@ -455,7 +470,11 @@
         }
         let (per_unit, mean, cell) = (self.per_unit(), self.fleet.mean_out(), self.bound_to(call));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
-        let burden = |server: &Server| (load(server) + 1.0) * server.strained(self.now) / server.weight();
+        let away = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
+        let dearer = |server: &Server| if away(server) { CROSSING } else { 1.0 };
+        let burden = |server: &Server| {
+            dearer(server) * (load(server) + 1.0) * server.strained(self.now) / server.weight()
+        };
         let fits = |server: &Server| self.open_to(call, server) && self.takes(server, per_unit);
         let mut lots = self.lots.clone();
         let home = call.key.and_then(|key| self.home(key, &mut lots, &fits, &burden));
@@ -470,8 +489,7 @@
         let found = home.or_else(|| lighter(near, told)).or_else(|| lighter(far, told));
         let found = found.or_else(|| lighter(busy, true));
         debug_assert!({
-            let far = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
-            let rank = |server: &Server| if load(server) < 0.5 { u8::from(far(server)) } else { 2 };
+            let rank = |server: &Server| if load(server) < 0.5 { u8::from(away(server)) } else { 2 };
             let best = self.fleet.around().filter(|server| fits(server)).map(rank).min();
             home.is_some() || best == found.map(rank)
         });
@@ -480,21 +498,22 @@
         found
     }
 
-    /// Where servers are quicker with a key that they met lately: the first few of our own place in the key's own
-    /// order, which all sidecars there share. The lighter of them, else the first.
+    /// Where servers are quicker with a key that they met lately, its calls go to the first few in an order that
+    /// all sidecars share: the lighter of two of them. Guards against a key dearer than those can bear: where
+    /// they are strained and the next ones far less, these help out.
     fn home(
         &self, key: u64, lots: &mut Chance, fits: &impl Fn(&Server) -> bool, burden: &impl Fn(&Server) -> f64,
     ) -> Option<&Server> {
-        let fitting = self.fleet.around().filter(|server| fits(server));
-        let mut homes: Vec<_> = fitting.map(|server| (scatter(key ^ server.listing.mark), server)).collect();
-        let most = HOMES.max(self.fleet.ready() / A_HOME_IN);
-        if homes.len() > most {
-            homes.select_nth_unstable_by_key(most, |home| home.0);
-            homes.truncate(most);
-        }
-        let one = homes.get(lots.below(homes.len().max(1)))?.1;
-        let other = homes[lots.below(homes.len())].1;
-        Some(if burden(one) > burden(other) { other } else { one })
+        let most = (self.fleet.ready() / A_HOME_IN).max(1);
+        let homes = self.fleet.in_order_of(key, 2 * most + 1, fits);
+        let (first, next) = homes.split_at(most.min(homes.len()));
+        let mut lighter = |among: &[&'_ Server]| {
+            let two = (!among.is_empty()).then(|| [lots.below(among.len()), lots.below(among.len())])?;
+            Some(if burden(among[two[0]]) > burden(among[two[1]]) { two[1] } else { two[0] })
+        };
+        let home = first[lighter(first)?];
+        let help = if burden(home) >= STRAINED { lighter(next).map(|at| next[at]) } else { None };
+        Some(help.filter(|help| burden(help) * HELP < burden(home)).unwrap_or(home))
     }
 
     /// When a server may be sent to again: its time aside is over, and its cold part allows a call. It may be
@@ -599,7 +618,8 @@
             self.heard(id, strain);
         }
         let warm = self.fleet.change(id, |server| {
-            server.unreached = outcome.proves_not_run();
+            // A full server that tells its load is strained, not ill.
+            server.unreached = outcome.proves_not_run() && strain.is_none();
             if good {
                 server.answer(slow);
             }
@@ -644,7 +664,8 @@
         let crowd = &mut self.crowd;
         let Some((median, level)) = crowd.measure(waited) else { return };
         // Where servers report their load, it tells a crowd that the few answers of a small sidecar don't.
-        let (median, level) = if self.figures.tells_load { (crowd.heat * level, level) } else { (median, level) };
+        let (median, level) =
+            if self.figures.tells_load { (crowd.heat * level, level) } else { (median, level) };
         let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
         let needed = self.sends.a_second * level / 1e6 * left;
         let spread = if self.figures.tells_load { 1.0 + needed + 3.0 * needed.sqrt() } else { 0.0 };
@@ -768,8 +789,7 @@
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
         if self.figures.tells_load {
-            let (sum, count) = self.fleet.around().fold((0.0, 0.0), |(sum, count), server| (sum + server.strained(self.now).min(STRAIN_FULL), count + 1.0));
-            self.crowd.heat = if count > 0.0 { sum / count } else { 1.0 };
+            self.crowd.heat = self.fleet.mean_strain(self.now, STRAIN_FULL);
         }
         self.crowd.fleet *= 0.99;
         self.crowd.settle();
@@ -787,14 +807,8 @@
 /// another place comes as early as one of ours only now and then.
 fn turn(figures: &Figures, listing: &Listing) -> (u64, u64) {
     let Some(near) = figures.near else { return listing.turn() };
-    let even = (scatter(listing.mark ^ scatter(figures.my_number as u64 + 1)) >> 11) as f64 / (1u64 << 53) as f64;
+    let even =
+        (scatter(listing.mark ^ scatter(figures.my_number as u64 + 1)) >> 11) as f64 / (1u64 << 53) as f64;
     let weight = if listing.place == near { 1.0 } else { FAR };
     ((-even.max(1e-12).ln() / weight * 1e12) as u64, listing.mark)
 }
-
-/// A number spread evenly over all there are.
-fn scatter(number: u64) -> u64 {
-    let mixed = (number ^ (number >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    mixed ^ (mixed >> 32)
-}
--- a/tests/sum.rs
+++ b/tests/sum.rs
@@ -127,7 +127,10 @@
             };
             let (call, workload) = (CallId(self.set as u32), WorkloadId(0));
             let (left, customer) = (Micros::millis(2_000), CustomerId(0));
-            self.tell(at, Event::Arrived(Arrival { call, workload, left, customer, repeat: false, key: None }));
+            self.tell(
+                at,
+                Event::Arrived(Arrival { call, workload, left, customer, repeat: false, key: None }),
+            );
         }
     }
 
