--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -162,16 +162,6 @@
         f64::from(self.answered_out) / self.answered.max(1) as f64
     }
 
-    /// How strained the servers around us are in the mean, by what was last heard; each at `most`.
-    pub fn mean_strain(&self, now: Micros, most: f64) -> f64 {
-        let all: f64 = self.around().map(|server| server.strained(now).min(most)).sum();
-        if self.circle.is_empty() {
-            1.0
-        } else {
-            all / self.circle.len() as f64
-        }
-    }
-
     /// The first of those around us that fit, in a key's own order, which is the same at every sidecar.
     pub fn in_order_of(&self, key: u64, most: usize, fits: &impl Fn(&Server) -> bool) -> Vec<&Server> {
         let fitting = self.around().filter(|server| fits(server));
--- a/src/records.rs
+++ b/src/records.rs
@@ -113,6 +113,7 @@
 pub struct Figures {
     pub workloads: Vec<Workload>,
     pub shares: Vec<f64>, // API calls a second that each customer may send through this sidecar alone
+    pub all_shares: f64,  // never 0
     pub beyond_share: f64,
     pub dearest: f64,
     pub lifted: f64,
@@ -138,6 +139,7 @@
         Figures {
             workloads: terms.workloads.clone(),
             shares: terms.customers.iter().map(|rate| rate / sidecars).collect(),
+            all_shares: terms.customers.iter().sum::<f64>().max(0.001) / sidecars,
             beyond_share: terms.beyond_share,
             dearest: terms.workloads.iter().map(|workload| workload.payoff).fold(0.0, f64::max),
             lifted: terms.worst_workload,
@@ -189,8 +191,6 @@
     pub thinned: f64,
     /// What was offered of late, by its worth.
     pub offered: BTreeMap<u32, f64>,
-    /// The servers' strain as reported of late.
-    pub heat: f64,
 }
 
 impl Crowding {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,11 +1,10 @@
-//! Every decision of one sidecar. How to call it: build a [`Sidecar`] from the place's [`Terms`] and a seed,
-//! hand each event to [`Sidecar::on`] with the present time, and carry out, in order, the actions that it
-//! appends. It reads no clock and shares nothing. The interface is in `types.rs`, the measures in `lib.rs`,
-//! and `docs/design.md` says what is kept of the design and when each departure acts.
+//! Every decision of one sidecar: build a [`Sidecar`] from the place's [`Terms`] and a seed, hand each event
+//! to [`Sidecar::on`] with the present time, carry out the actions it appends, in order. It reads no clock.
+//! `docs/design.md` says what is kept of the design and when each departure acts.
 use crate::fleet::{Class, Fleet};
 use crate::records::*;
 use crate::types::*;
-use crate::{scatter, Allowance, Chance, Pace, Slices, Tally};
+use crate::{Allowance, Chance, Pace, Slices, Tally};
 use fnv::FnvHashMap;
 use std::collections::BTreeMap;
 use Effect::*;
@@ -23,7 +22,7 @@
 const CROWDED: f64 = 1.65; // latency over its uncrowded level that counts as crowding
 const EASED: f64 = 1.45; // and the one below which it is over
 const PATIENCE: f64 = 0.6; // the part of the quoted time that may be spent in our own queue
-const REPEAT_WORTH: f64 = 0.1; // a client's repeat against a first try
+const REPEAT_WORTH: f64 = 0.1; // a repeat, which has lost part of its quoted time, against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
 const POKE: Micros = Micros::millis(25); // while calls wait, how often room is looked for without an event
 const BEAT: Micros = Micros::millis(1_000);
@@ -31,19 +30,18 @@
 const FAR: f64 = 0.1; // how often a server of another place stands where one of ours could
 const A_HOME_IN: usize = 30; // one server in so many is a home for a key, one at the least
 const SHARE_ROOM: f64 = 1.2; // a customer's share over what it usually sends
-const HELP: f64 = 3.0; // how much lighter another server must be to take a key's call from its homes
+const HELP: f64 = 3.0; // how much lighter a server must be that takes a key's call from its homes
 const CROSSING: f64 = 1.2; // how much heavier a server of another place counts, where crossing is priced
 const NEWS: f64 = 1.0; // doublings or halvings of a server's strain that the others are told of
-const STRAINED: f64 = 2.0; // how much longer than idle a call may take at the servers before we turn any away
+const STRAINED: f64 = 2.2; // how much longer than idle a call may take at the servers before we turn any away
 const THINS: f64 = 0.1; // how fast an answer moves the part that is turned away
-const MOST_THINNED: f64 = 0.9;
 const STRAIN_FULL: f64 = 4.0; // a server that turns calls away unseen
 const CIRCLES_A_SERVER: f64 = 4.0; // sidecars that look at each server, at the least: their parts even out
 
 /// What happens to an API call, and what is done about it.
 #[rustfmt::skip]
 #[derive(Clone, Copy, PartialEq, Debug)]
-enum Input { Room, Crowd, Hopeless, Outlived, Answered, LostOne, LostAgain, LostAll, Worthless, Left }
+enum Input { Room, Crowd, Hopeless, Outlived, Answered, LostOne, LostAgain, LostAll, Left }
 #[rustfmt::skip]
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Effect { Send, Enqueue, Copy, Resend, TurnAway, Drop, Nothing }
@@ -55,18 +53,15 @@
     (Fresh, Hopeless, Over, TurnAway),
     (Queued, Room, Out, Send),
     (Queued, Hopeless, Over, TurnAway),
-    (Queued, Worthless, Over, TurnAway),
     (Queued, Left, Over, Drop),
     (Out, Outlived, Raced, Copy),
     (Out, Answered, Over, Drop),
     (Out, LostAgain, Out, Resend),
     (Out, Crowd, Queued, Enqueue),
     (Out, LostAll, Over, TurnAway),
-    (Out, Worthless, Over, TurnAway),
     (Out, Left, Over, Drop),
     (Raced, LostOne, Out, Nothing),
     (Raced, Answered, Over, Drop),
-    (Raced, Worthless, Over, TurnAway),
     (Raced, Left, Over, Drop),
 ];
 
@@ -121,7 +116,6 @@
 // Timers carry the API call in the upper bits and what they are for in the lower two.
 const COPY: u64 = 0;
 const PATIENT: u64 = 1;
-const WORTH: u64 = 2;
 const OWN: u64 = 3;
 const POKED: Token = Token(OWN);
 const ASK: Token = Token(4 + OWN);
@@ -166,7 +160,6 @@
             Event::Woke(Token(token)) => match (CallId((token >> 2) as u32), token & 3) {
                 (call, COPY) => self.outlived(call, out),
                 (call, PATIENT) => self.step(call, Hopeless, out),
-                (call, WORTH) => self.step(call, Worthless, out),
                 _ => {}
             },
         }
@@ -209,22 +202,14 @@
         let terms = &self.figures.workloads[workload];
         // Guards against starving the cheapest workload: a part of each is ranked with the dearest.
         let mut worth = if lifted { self.figures.dearest } else { terms.payoff };
-        // Streams are uneven: a sidecar with more than the even part of the usual traffic has as much more of a share.
-        let (shares, all) = (&self.figures.shares, self.figures.shares.iter().sum::<f64>());
-        let part = (SHARE_ROOM * self.sends.a_second / all.max(0.001)).max(1.0);
-        let share = shares.get(customer.0).map_or(f64::INFINITY, |share| share * part);
+        // Streams are uneven: with more than the even part of the usual traffic goes as much more of a share.
+        let part = (SHARE_ROOM * self.sends.a_second / self.figures.all_shares).max(1.0);
+        let share = self.figures.shares.get(customer.0).map_or(f64::INFINITY, |share| share * part);
         let purse = self.purses.get_mut(customer.0);
         if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
             worth *= self.figures.beyond_share;
         }
-        // A client's repeat has lost part of its quoted time; before it go calls that can still earn.
-        if repeat {
-            worth *= REPEAT_WORTH;
-        }
-        // An answer that earns nothing is work taken from one that would.
-        if terms.late_payoff <= 0.0 && terms.quoted < left {
-            self.remind(id, WORTH, terms.quoted, out);
-        }
+        worth *= if repeat { REPEAT_WORTH } else { 1.0 };
         self.arrivals += 1;
         let (hope, median) = (terms.quoted.min(left), self.crowd.recent.median().unwrap_or_default());
         let call = Call {
@@ -236,23 +221,13 @@
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
         };
-        // A small sidecar's calls are too few for a queue: where servers tell of a crowd, it turns away its part
-        // of what is worth least.
+        // A small sidecar's calls are too few for a queue: of a told crowd it turns away its part, by worth.
         let thinned = self.figures.tells_load
             && self.crowd.rank((worth * 1000.0) as u32, self.chance.draw()) < self.crowd.thinned;
         self.calls.insert(id, call);
-        let room = !thinned && self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
-        self.step(
-            id,
-            if thinned {
-                Hopeless
-            } else if room {
-                Room
-            } else {
-                Crowd
-            },
-            out,
-        );
+        let room = self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
+        let input = if room { Room } else { Crowd };
+        self.step(id, if thinned { Hopeless } else { input }, out);
     }
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
@@ -291,9 +266,7 @@
             target.out += 1;
             target.cold = cold.map_or(target.cold, |left| Allowance { left, seen: now });
         });
-        if cold.is_some() {
-            self.settle(server);
-        }
+        cold.into_iter().for_each(|_| self.settle(server));
         if trust == Trust::Aside {
             self.sign(server, Sign::Due, "its time aside is over".into(), out);
         }
@@ -412,7 +385,7 @@
         if self.fleet.get(server).is_some_and(left) {
             self.fleet.remove(server);
         }
-        // A cancelled loser, and whatever ends after the call was over, is no evidence.
+        // A loser, and whatever ends after its call, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
             self.evidence(server, &ending, outlived, out);
         }
@@ -449,13 +422,11 @@
         standing == Standing::Ready && call.hops.iter().all(|hop| hop.server != id && harmless(hop))
     }
 
-    /// The one cell in which a tagged call may go out again, if it is bound to one.
+    /// The one cell in which a tagged call may go out again.
     fn bound_to(&self, call: &Call) -> Option<CellId> {
-        match self.figures.workloads[call.workload].kind {
-            Kind::Tagged { group: Group::Cell, .. } => call.hops.iter().find(|hop| hop.may_have_run()),
-            _ => None,
-        }
-        .map(|hop| hop.cell)
+        let kind = self.figures.workloads[call.workload].kind;
+        let bound = matches!(kind, Kind::Tagged { group: Group::Cell, .. });
+        call.hops.iter().find(|hop| bound && hop.may_have_run()).map(|hop| hop.cell)
     }
 
     /// A random server holding none of our calls, in our own place first where crossing is priced, else the
@@ -471,23 +442,23 @@
         let (per_unit, mean, cell) = (self.per_unit(), self.fleet.mean_out(), self.bound_to(call));
         let load = |server: &Server| f64::from(server.out) + if server.answered { 0.0 } else { mean };
         let away = |server: &Server| self.figures.near.is_some_and(|near| near != server.listing.place);
-        let dearer = |server: &Server| if away(server) { CROSSING } else { 1.0 };
         let burden = |server: &Server| {
-            dearer(server) * (load(server) + 1.0) * server.strained(self.now) / server.weight()
+            let heavier = server.strained(self.now) * if away(server) { CROSSING } else { 1.0 };
+            (load(server) + 1.0) * heavier / server.weight()
         };
         let fits = |server: &Server| self.open_to(call, server) && self.takes(server, per_unit);
         let mut lots = self.lots.clone();
         let home = call.key.and_then(|key| self.home(key, &mut lots, &fits, &burden));
         let mut draw = |classes| self.fleet.draw(classes, cell, &mut lots, &fits);
         let [near, far, busy]: [&[Class]; 3] = if mean < 0.5 { RANKS_CALM } else { RANKS_HELD };
-        let mut lighter = |classes, two: bool| {
+        let mut of = |classes, two: bool| {
             let one = draw(classes)?;
-            let other = if two { draw(classes)? } else { one };
-            Some(if burden(one) > burden(other) { other } else { one })
+            Some(lighter(one, if two { draw(classes)? } else { one }, &burden))
         };
-        let told = self.figures.tells_load;
-        let found = home.or_else(|| lighter(near, told)).or_else(|| lighter(far, told));
-        let found = found.or_else(|| lighter(busy, true));
+        let found = home
+            .or_else(|| of(near, self.figures.tells_load))
+            .or_else(|| of(far, self.figures.tells_load))
+            .or_else(|| of(busy, true));
         debug_assert!({
             let rank = |server: &Server| if load(server) < 0.5 { u8::from(away(server)) } else { 2 };
             let best = self.fleet.around().filter(|server| fits(server)).map(rank).min();
@@ -498,22 +469,20 @@
         found
     }
 
-    /// Where servers are quicker with a key that they met lately, its calls go to the first few in an order that
-    /// all sidecars share: the lighter of two of them. Guards against a key dearer than those can bear: where
-    /// they are strained and the next ones far less, these help out.
-    fn home(
-        &self, key: u64, lots: &mut Chance, fits: &impl Fn(&Server) -> bool, burden: &impl Fn(&Server) -> f64,
-    ) -> Option<&Server> {
+    /// Where servers are quicker with a key they met lately: the lighter of two of the first few in an order
+    /// that is the same for all. Guards against a key too dear for those: one far lighter helps.
+    fn home<'a>(
+        &'a self, key: u64, lots: &mut Chance, fits: &impl Fn(&Server) -> bool,
+        burden: &impl Fn(&Server) -> f64,
+    ) -> Option<&'a Server> {
         let most = (self.fleet.ready() / A_HOME_IN).max(1);
         let homes = self.fleet.in_order_of(key, 2 * most + 1, fits);
         let (first, next) = homes.split_at(most.min(homes.len()));
-        let mut lighter = |among: &[&'_ Server]| {
-            let two = (!among.is_empty()).then(|| [lots.below(among.len()), lots.below(among.len())])?;
-            Some(if burden(among[two[0]]) > burden(among[two[1]]) { two[1] } else { two[0] })
-        };
-        let home = first[lighter(first)?];
-        let help = if burden(home) >= STRAINED { lighter(next).map(|at| next[at]) } else { None };
-        Some(help.filter(|help| burden(help) * HELP < burden(home)).unwrap_or(home))
+        let mut draw = |among: &[&'a Server]| (!among.is_empty()).then(|| among[lots.below(among.len())]);
+        let home = lighter(draw(first)?, draw(first)?, burden);
+        let help = draw(next).zip(draw(next)).map(|(one, other)| lighter(one, other, burden));
+        let help = help.filter(|help| burden(home) >= STRAINED && burden(help) * HELP < burden(home));
+        Some(help.unwrap_or(home))
     }
 
     /// When a server may be sent to again: its time aside is over, and its cold part allows a call. It may be
@@ -547,15 +516,14 @@
         fit / self.crowd.fleet.max(fit)
     }
 
-    /// Each sidecar keeps to its part of a ring that all see alike: guards against connections from all to
-    /// all, and against knowing next to nothing of each server. Nearly a server for each of our calls at the
-    /// peak, cold ones by what they bear; it reaches past those set aside, to the whole fleet. Drawn anew at
-    /// each beat, and fitted to what has `changed` between.
+    /// Each sidecar keeps to its part of a ring: guards against connections from all to all, and knowing next
+    /// to nothing of each. Nearly a server for each of our calls at the peak, cold ones by what they bear;
+    /// it reaches past those set aside. Drawn anew at each beat, fitted to what has `changed` between.
     fn draw_circle(&mut self, changed: Option<&[ServerId]>) {
         let (all, part, figures, now) = (self.fleet.ready(), self.figures.my_part, &self.figures, self.now);
         let wanted = (0.8 * self.peak).max(CIRCLE_LEAST).max(CIRCLES_A_SERVER * all as f64 * part);
         let wanted = if figures.warm_keys { all as f64 } else { wanted };
-        let start = if figures.near.is_some() { 0.0 } else { all as f64 * part * figures.my_number } as usize;
+        let start = figures.near.map_or(all as f64 * part * figures.my_number, |_| 0.0) as usize;
         let room = |server: &Server| match server.trust {
             Trust::Fit => figures.cold_share(server, now).unwrap_or(1.0),
             _ => 0.0,
@@ -578,21 +546,23 @@
         self.cold_left(server, share) >= 1.0 && holds((per_server * share).floor().max(1.0))
     }
 
-    /// Rule four: a cold server gets its part of what a warm one serves us; where that is unknown, a few calls
-    /// in the span in which it could fall, all sidecars together. Returns the rate and the burst.
+    /// Rule four: a cold server gets its part of what a warm one serves us; without that a few calls in the
+    /// span in which it could fall, all sidecars together. Returns the rate and the burst.
     fn cold_pace(&self, share: f64) -> (f64, f64) {
         let span = self.figures.fall_span.secs();
         let rate = (self.warm_served.a_second * share).max(4.0 * self.figures.my_part / span);
         (rate, rate * span * 0.5)
     }
 
-    /// What a cold server may be sent by now. Half a span's worth may be saved up; where that is less than one
-    /// call, a call lapses after half a span: guards against a thousand sidecars that have saved up one each.
+    /// What a cold server may be sent by now. Half a span's worth may be saved up; a call lapses after half a
+    /// span where that is less than one: guards against a thousand sidecars that have saved up one each.
     fn cold_left(&self, server: &Server, share: f64) -> f64 {
         let (rate, burst) = self.cold_pace(share);
-        match burst >= 1.0 {
-            true => server.cold.at(rate, burst, self.now),
-            false => server.cold.lapsing(rate, 1.0 + burst, self.now),
+        let cold = &server.cold;
+        if burst < 1.0 {
+            cold.lapsing(rate, 1.0 + burst, self.now)
+        } else {
+            cold.at(rate, burst, self.now)
         }
     }
 
@@ -603,30 +573,23 @@
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
         let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
-        let strain = match (self.figures.tells_load, outcome) {
-            (true, Outcome::Full) => Some(STRAIN_FULL),
-            (true, _) => ending.report.and_then(|report| self.crowd.strain(&report)),
-            _ => None,
-        };
-        let now = self.now;
-        if let Some(strain) = strain {
-            // What is news to us is news to all, where sidecars may tell each other.
-            let known = self.fleet.get(id).map_or(1.0, |server| server.strain);
-            if self.figures.may_tell && (strain / known).log2().abs() >= NEWS {
-                out.push(Action::Tell { server: id, strain });
-            }
+        let full = Some(STRAIN_FULL).filter(|_| outcome == Outcome::Full);
+        let strain = full.or_else(|| ending.report.and_then(|report| self.crowd.strain(&report)));
+        let strain = strain.filter(|_| self.figures.tells_load);
+        if let Some((strain, known)) = strain.zip(self.fleet.get(id).map(|server| server.strain)) {
+            let news = self.figures.may_tell && (strain / known).log2().abs() >= NEWS;
+            out.extend(news.then_some(Action::Tell { server: id, strain }));
             self.heard(id, strain);
         }
         let warm = self.fleet.change(id, |server| {
-            // A full server that tells its load is strained, not ill.
-            server.unreached = outcome.proves_not_run() && strain.is_none();
+            server.unreached = outcome.proves_not_run() && strain.is_none(); // full by its load is not ill
             if good {
                 server.answer(slow);
             }
-            self.figures.cold_share(server, now).is_none()
+            self.figures.cold_share(server, self.now).is_none()
         });
         let more = strain.map_or(0.0, |strain| THINS * (strain.min(STRAIN_FULL) / STRAINED).ln());
-        self.crowd.thinned = (self.crowd.thinned + more).clamp(0.0, MOST_THINNED);
+        self.crowd.thinned = (self.crowd.thinned + more).clamp(0.0, 0.9);
         self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
         if good {
             self.slices.add(self.now, waited);
@@ -638,7 +601,6 @@
         self.gate(out);
     }
 
-    /// A server's strain, as it told us or another sidecar.
     fn heard(&mut self, id: ServerId, strain: f64) {
         let now = self.now;
         self.fleet.change(id, |server| (server.strain, server.heard) = (strain.max(1.0), now));
@@ -663,10 +625,8 @@
         let (usable, left) = (self.fleet.usable(), self.left_of_fleet());
         let crowd = &mut self.crowd;
         let Some((median, level)) = crowd.measure(waited) else { return };
-        // Where servers report their load, it tells a crowd that the few answers of a small sidecar don't.
-        let (median, level) =
-            if self.figures.tells_load { (crowd.heat * level, level) } else { (median, level) };
-        let crowded = median > level * if crowd.crowded { EASED } else { CROWDED };
+        let shown = median > level * if crowd.crowded { EASED } else { CROWDED };
+        let crowded = if self.figures.tells_load { crowd.thinned > 0.0 } else { shown };
         let needed = self.sends.a_second * level / 1e6 * left;
         let spread = if self.figures.tells_load { 1.0 + needed + 3.0 * needed.sqrt() } else { 0.0 };
         let floor = (1.4 * needed + spread).max(2.0 * usable * self.figures.my_part).max(2.0);
@@ -759,8 +719,7 @@
         // Spreads the first sends of many sidecars, so that they don't meet a cold server at once.
         let cold = || Allowance { left: 1.0 - self.chance.draw(), seen: self.now };
         let whole = kind != ListKind::Changes;
-        let figures = &self.figures;
-        self.fleet.list(whole, entries, |listing| turn(figures, listing), cold);
+        self.fleet.list(whole, entries, |listing| turn(&self.figures, listing), cold);
         let changed: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
         self.draw_circle(Some(&changed).filter(|_| !whole).map(Vec::as_slice));
         changed.into_iter().for_each(|id| self.settle(id));
@@ -788,9 +747,6 @@
         // Guards against a spiral: what a crowd lets through must not become the measure of what is usual.
         let part = if self.crowd.crowded { 0.0 } else { 0.1 };
         self.sends.beat(BEAT, part);
-        if self.figures.tells_load {
-            self.crowd.heat = self.fleet.mean_strain(self.now, STRAIN_FULL);
-        }
         self.crowd.fleet *= 0.99;
         self.crowd.settle();
         self.outcomes.fade(0.9);
@@ -803,12 +759,17 @@
     }
 }
 
-/// Where a server stands on our ring. Where crossing is priced the order is our own, by chance, and a server of
-/// another place comes as early as one of ours only now and then.
+/// Where a server stands on our ring. Where crossing is priced the order is our own, by lot, and a server of
+/// another place comes before one of ours only now and then.
 fn turn(figures: &Figures, listing: &Listing) -> (u64, u64) {
     let Some(near) = figures.near else { return listing.turn() };
-    let even =
-        (scatter(listing.mark ^ scatter(figures.my_number as u64 + 1)) >> 11) as f64 / (1u64 << 53) as f64;
-    let weight = if listing.place == near { 1.0 } else { FAR };
-    ((-even.max(1e-12).ln() / weight * 1e12) as u64, listing.mark)
+    listing.turn_by_lot(figures.my_number as u64, if listing.place == near { 1.0 } else { FAR })
+}
+
+fn lighter<'a>(one: &'a Server, other: &'a Server, burden: &impl Fn(&Server) -> f64) -> &'a Server {
+    if burden(one) > burden(other) {
+        other
+    } else {
+        one
+    }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,6 @@
 //! The interface of the decision module: ids, times, what a place tells a sidecar at start, events and actions.
 //! Nothing is decided here, and nothing here knows a wire.
+use crate::scatter;
 use std::ops::{Add, Sub};
 
 /// A point in time or a length of time, in whole microseconds.
@@ -81,8 +82,6 @@
     pub kind: Kind,
     pub quoted: Micros,
     pub payoff: f64,
-    /// The part of the payoff that an answer after the quoted time still earns.
-    pub late_payoff: f64,
 }
 
 /// What the place lays down for one instance at its start.
@@ -147,6 +146,12 @@
         (Self::cell_turn(self.cell), self.mark)
     }
 
+    /// Where it stands in an order of one's own, by lot: twice the weight, twice as often before another.
+    pub fn turn_by_lot(&self, own: u64, weight: f64) -> (u64, u64) {
+        let even = (scatter(self.mark ^ scatter(own + 1)) >> 11) as f64 / (1u64 << 53) as f64;
+        ((-even.max(1e-12).ln() / weight * 1e12) as u64, self.mark)
+    }
+
     /// Where a cell stands in that order.
     pub fn cell_turn(cell: CellId) -> u64 {
         u64::from(cell.0).wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -179,8 +179,6 @@
     quoted_time_s: f64,
     abandon_time_s: f64,
     #[serde(default)]
-    overdue_payoff: f64,
-    #[serde(default)]
     payoff: f64,
     semantics: Semantics,
     #[serde(default)]
@@ -212,7 +210,7 @@
                 )
             })?;
             let (quoted, payoff) = (micros(class.quoted_time_s), class.payoff);
-            kinds.push(Workload { kind, quoted, payoff, late_payoff: class.overdue_payoff });
+            kinds.push(Workload { kind, quoted, payoff });
         }
         let named = |class: &Class| Named {
             name: class.name.clone(),
@@ -272,7 +270,6 @@
             let key = |name: &str| format!(".workloads[{at}].{name}");
             from_zero(key("quoted_time_s"), class.quoted_time_s)?;
             from_zero(key("abandon_time_s"), class.abandon_time_s)?;
-            from_zero(key("overdue_payoff"), class.overdue_payoff)?;
             from_zero(key("payoff"), class.payoff)?;
             from_zero(key("memory_span_s"), class.memory_span_s)?;
         }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -72,7 +72,7 @@
 
 impl Day {
     fn new(shape: &Shape, seed: u64) -> Day {
-        let workload = |kind| Workload { late_payoff: 0.0, ..place::workload(kind) };
+        let workload = place::workload;
         let terms = Terms {
             sidecars: shape.sidecars,
             number: shape.sidecars / 2,
@@ -150,7 +150,7 @@
                 Action::Wake { after, token } => {
                     self.timers.push(Reverse((self.now + after, self.set, token)))
                 }
-                Action::Subscribe | Action::Log { .. } => {}
+                Action::Subscribe | Action::Tell { .. } | Action::Log { .. } => {}
             }
         }
     }
--- a/tests/place/mod.rs
+++ b/tests/place/mod.rs
@@ -2,7 +2,7 @@
 use oakhollow::types::*;
 
 pub fn workload(kind: Kind) -> Workload {
-    Workload { kind, quoted: Micros::millis(500), payoff: 1.0, late_payoff: 0.5 }
+    Workload { kind, quoted: Micros::millis(500), payoff: 1.0 }
 }
 
 /// One sidecar, one customer who may do all, copies and cancels allowed, a list that comes unasked.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,15 +1,15 @@
 //! Plays every file in `tests/scenarios` on the module. The notation:
 //!
-//! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near
-//! - `workload NAME KIND QUOTED PAYOFF LATE`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
+//! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near, loads, tell, keys
+//! - `workload NAME KIND QUOTED PAYOFF`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
-//! - `call ID WORKLOAD LEFT [customer=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED`, `leaves ID`, `streams ID.HOP`
+//! - `call ID WORKLOAD LEFT [customer=N] [key=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED [load=HELD:WAITING]`, `heard SERVER STRAIN`, `leaves ID`, `streams ID.HOP`
 //! - `wait LENGTH`: time passes, timers fire in order
 //! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
 //!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
 //!
-//! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID soon|late (cool-down under half a second or not), fail ID, subscribe, log WORDS.
+//! ACTION: send ID.HOP [SERVER], cancel ID.HOP, dismiss ID soon|late (cool-down under half a second or not), fail ID, subscribe, tell SERVER, log WORDS.
 mod runner;
 
 use oakhollow::rules::Sidecar;
@@ -34,6 +34,14 @@
     Micros(runner::length_us(text))
 }
 
+/// `load=HELD:WAITING`.
+fn report(text: &str) -> Report {
+    let (held, waiting) =
+        text.strip_prefix("load=").and_then(|load| load.split_once(':')).expect("load=HELD:WAITING");
+    let figure = |text: &str| text.parse().ok().and_then(Report::sound);
+    Report { held: figure(held), waiting: figure(waiting), busy: None }
+}
+
 fn hop(text: &str) -> (CallId, HopNo) {
     let (call, hop) = text.split_once('.').expect("ID.HOP");
     (CallId(call.parse().expect("an id")), HopNo(hop.parse().expect("a hop")))
@@ -86,8 +94,8 @@
             _ => panic!("no kind {}", words[1]),
         };
         self.workloads.push(words[0].to_string());
-        let (payoff, late_payoff) = (words[3].parse().expect("payoff"), words[4].parse().expect("late"));
-        let workload = Workload { kind, quoted: length(words[2]), payoff, late_payoff };
+        let payoff = words[3].parse().expect("payoff");
+        let workload = Workload { kind, quoted: length(words[2]), payoff };
         self.terms.as_mut().expect("place first").workloads.push(workload);
     }
 
@@ -117,6 +125,7 @@
                 }
                 Action::Fail { call } => format!("fail {}", call.0),
                 Action::Subscribe => "subscribe".to_string(),
+                Action::Tell { server, .. } => format!("tell {}", self.servers[server.0 as usize]),
                 Action::Log { text, .. } => format!("log {text}"),
             };
             self.done.push(said);
@@ -222,7 +231,7 @@
                 let Some(due) = due.filter(|&due| out[due].0 <= end) else { break };
                 let (at, which) = out.remove(due);
                 self.wait(at);
-                self.ends(&which, "succeeded", took);
+                self.ends(&which, "succeeded", took, None);
             }
             if turn < count {
                 self.wait(end);
@@ -244,7 +253,15 @@
                 range.for_each(|id| self.call(id, &words[2..]));
             }
             ["call", id, ..] => self.call(id.parse().expect("an id"), &words[2..]),
-            ["ends", which, outcome, waited] => self.ends(which, outcome, length(waited)),
+            ["ends", which, outcome, waited] => self.ends(which, outcome, length(waited), None),
+            ["ends", which, outcome, waited, load] => {
+                self.ends(which, outcome, length(waited), Some(report(load)))
+            }
+            ["heard", server, strain] => {
+                let known = self.servers.iter().position(|name| name == server).expect("a server");
+                let server = ServerId(known as u32);
+                self.tell(Event::Heard { server, strain: strain.parse().expect("a strain") });
+            }
             ["streams", which] => self.tell(Event::Streaming { call: hop(which).0, hop: hop(which).1 }),
             ["leaves", id] => self.tell(Event::Withdrawn { call: CallId(id.parse().expect("an id")) }),
             ["wait", time] => self.wait(self.now + length(time)),
