--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -31,12 +31,28 @@
     /// Sends one hop and waits for its end, for `give_up` at most. Dropping the future cancels the hop.
     fn hop(
         &self, content: Rc<Self::Content>, to: SocketAddr, give_up: Micros,
-    ) -> impl Future<Output = (Outcome, Option<Self::Answer>)> + 'static;
+    ) -> impl Future<Output = End<Self::Answer>> + 'static;
 
     /// Nothing new is wanted at this address.
     fn retire(&self, at: SocketAddr);
 }
 
+/// What a server tells of its load at the end of a hop.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Told {
+    Nothing,
+    Load(Report),
+    /// Something that can't be read; it counts as nothing.
+    Odd,
+}
+
+/// How a hop ended.
+pub struct End<A> {
+    pub outcome: Outcome,
+    pub answer: Option<A>,
+    pub told: Told,
+}
+
 /// The one final answer of an API call.
 pub enum Verdict<A> {
     Succeeded(A),
@@ -50,6 +66,8 @@
     pub customer: CustomerId,
     pub repeat: bool,
     pub abandon: Micros,
+    /// What it is about, where servers are quicker with what they know.
+    pub key: Option<u64>,
 }
 
 /// An API call as it is taken in.
@@ -63,7 +81,7 @@
 pub enum Note<P: Protocol> {
     Taken(Taken<P>),
     Withdrawn(CallId),
-    Ended { call: CallId, hop: HopNo, outcome: Outcome, answer: Option<P::Answer> },
+    Ended { call: CallId, hop: HopNo, end: End<P::Answer> },
     Listed(ListKind, Arc<List>),
 }
 
@@ -134,6 +152,8 @@
     actions: Vec<Action>,
     /// Ends of hops that carrying out an action has brought about; the module hears of them after it.
     ends: VecDeque<(CallId, HopNo, Outcome)>,
+    /// Load reports that could not be read.
+    odd: u64,
 }
 
 /// What goes into the making of a [`Decider`].
@@ -157,6 +177,7 @@
             most_hops: place.terms.most_hops as usize,
             calls: FnvHashMap::default(),
             ends: VecDeque::new(),
+            odd: 0,
             actions,
             protocol,
             desk,
@@ -192,11 +213,11 @@
     fn hear(&mut self, note: Note<P>) {
         match note {
             Note::Taken(Taken { call, ask, content, verdict }) => {
-                let Ask { workload, customer, repeat, abandon } = ask;
+                let Ask { workload, customer, repeat, abandon, key } = ask;
                 let left = abandon - self.desk.clock.now();
                 let known = Call { content, abandon, verdict: Some(verdict), hops: Vec::new() };
                 self.calls.insert(call, known);
-                self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key: None }));
+                self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key }));
             }
             Note::Withdrawn(call) => {
                 if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
@@ -205,14 +226,15 @@
                     self.clear(call);
                 }
             }
-            Note::Ended { call, hop, outcome, answer } => {
+            Note::Ended { call, hop, end: End { outcome, answer, told } } => {
                 let running = self.calls.get_mut(&call).and_then(|known| known.hops.get_mut(hop.0 as usize));
                 // One cancelled a moment ago has been counted as that.
                 if running.and_then(|hop| hop.running.take()).is_some() {
                     if let Some(answer) = answer {
                         self.answer(call, Verdict::Succeeded(answer));
                     }
-                    self.ended(call, hop, outcome);
+                    let report = self.weigh(told);
+                    self.ended(call, hop, outcome, report);
                     self.settle();
                 }
             }
@@ -235,17 +257,32 @@
 
     fn settle(&mut self) {
         while let Some((call, hop, outcome)) = self.ends.pop_front() {
-            self.ended(call, hop, outcome);
+            self.ended(call, hop, outcome, None);
+        }
+    }
+
+    /// A report that can't be read is counted, and said of at the first, second, fourth, eighth ... one.
+    fn weigh(&mut self, told: Told) -> Option<Report> {
+        match told {
+            Told::Nothing => None,
+            Told::Load(report) => Some(report),
+            Told::Odd => {
+                self.odd += 1;
+                if self.odd.is_power_of_two() {
+                    info!(self.log, "load report not read, {} so far", self.odd);
+                }
+                None
+            }
         }
     }
 
-    fn ended(&mut self, call: CallId, hop: HopNo, outcome: Outcome) {
+    fn ended(&mut self, call: CallId, hop: HopNo, outcome: Outcome, report: Option<Report>) {
         let now = self.desk.clock.now();
         let Some(known) = self.calls.get(&call) else { return };
         let (waited, closed) = (now - known.hops[hop.0 as usize].sent, known.verdict.is_none());
         self.sidecar.on(
             now,
-            Event::Ended(Ending { call, hop, outcome, waited, closed, report: None }),
+            Event::Ended(Ending { call, hop, outcome, waited, closed, report }),
             &mut self.actions,
         );
         self.carry_out();
@@ -317,8 +354,8 @@
             let (desk, content) = (self.desk.clone(), call.content.clone());
             let hop = self.protocol.hop(content, address, give_up.min(left));
             self.tasks.spawn(async move {
-                let (outcome, answer) = hop.await;
-                desk.tell(Note::Ended { call: id, hop: no, outcome, answer }).await;
+                let end = hop.await;
+                desk.tell(Note::Ended { call: id, hop: no, end }).await;
             })
         });
         if running.is_none() {
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -211,6 +211,7 @@
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
             abandon: (came + left).min(self.door.latest()),
+            key: if names.warm_keys { key(head.only("Request-Info")?) } else { None },
         })
     }
 
@@ -251,3 +252,9 @@
     let asked = request.head.request();
     asked.is_ok_and(|(method, target, _)| method == "GET" && target.split('?').next() == Some("/ready"))
 }
+
+/// The key among a request's further figures; one that is no number below 2^53 is none.
+fn key(info: Option<&str>) -> Option<u64> {
+    let told = info?.split(',').find_map(|part| part.trim().strip_prefix("key="))?;
+    told.parse().ok().filter(|key| *key < 1 << 53)
+}
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -1,7 +1,9 @@
 //! One hop: a request to a server, and what comes back, as the outcome that the protocol gives it.
 use super::head::{Fault, Head};
+use super::load;
 use super::messages::{Assembler, Message, Side};
 use super::pool::{Link, Pool};
+use crate::decider::{End, Told};
 use crate::reactor::Timer;
 use crate::timers::duration;
 use futures_lite::{future, AsyncWriteExt};
@@ -40,17 +42,17 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: SocketAddr, give_up: Micros,
-) -> (Outcome, Option<Message>) {
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: SocketAddr, give_up: Micros, tells_load: bool,
+) -> End<Message> {
     let written = Cell::new(false);
     let exchange = async {
         let exchanged = exchange(&pool, &content, to, give_up, &written).await;
-        exchanged.map_or_else(|outcome| (outcome, None), judge)
+        exchanged.map_or_else(ended, |answer| judge(answer, tells_load))
     };
     let late = async {
         Timer::after(duration(give_up)).await;
         // What was never written whole has not been begun.
-        (if written.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None)
+        ended(if written.get() { Outcome::TimedOut } else { Outcome::NoConnection })
     };
     future::or(exchange, late).await
 }
@@ -101,11 +103,18 @@
     }
 }
 
-fn judge(answer: Message) -> (Outcome, Option<Message>) {
+/// A hop that brought no answer.
+fn ended(outcome: Outcome) -> End<Message> {
+    End { outcome, answer: None, told: Told::Nothing }
+}
+
+fn judge(answer: Message, tells_load: bool) -> End<Message> {
     let not_started = |head: &Head| head.all("Not-Started").any(|value| value == b"1");
-    match answer.head.status() {
+    let told = if tells_load { load::report(&answer.head) } else { Told::Nothing };
+    let (outcome, answer) = match answer.head.status() {
         Ok(200) => (Outcome::Succeeded, Some(answer)),
         Ok(503 | 504) if not_started(&answer.head) => (Outcome::Full, None),
         _ => (Outcome::Errored, None),
-    }
+    };
+    End { outcome, answer, told }
 }
--- /dev/null
+++ b/sidecar/src/http1/load.rs
@@ -0,0 +1,62 @@
+//! What a server tells of its load with an answer. The platform's protocol has no header for it; this one is ours:
+//! `Load-Report: busy_reqs=3,pending=1,cpu_share=0.4`, the names being those of `report.columns`.
+use super::head::Head;
+use crate::decider::Told;
+use oakhollow::types::Report;
+
+const LOAD: &str = "Load-Report";
+/// A report is short: guards against working through a header of many kilobytes with each answer.
+const MOST_FIGURES: usize = 8;
+
+/// Reads an answer's report. One with anything odd in it tells nothing: half a report is worse than none.
+pub fn report(head: &Head) -> Told {
+    match head.only(LOAD) {
+        Ok(None) => Told::Nothing,
+        Ok(Some(text)) => read(text).map_or(Told::Odd, Told::Load),
+        Err(_) => Told::Odd,
+    }
+}
+
+fn read(text: &str) -> Option<Report> {
+    let mut report = Report::default();
+    let mut figures = text.split(',');
+    for part in figures.by_ref().take(MOST_FIGURES) {
+        let (name, figure) = part.split_once('=')?;
+        let figure = Some(Report::sound(figure.trim().parse().ok()?)?);
+        let slot = match name.trim() {
+            "busy_reqs" => &mut report.held,
+            "pending" => &mut report.waiting,
+            "cpu_share" => &mut report.busy,
+            // Known to the platform and not read.
+            "svc_ms" | "served_ps" | "failed_ps" => continue,
+            _ => return None,
+        };
+        if std::mem::replace(slot, figure).is_some() {
+            return None;
+        }
+    }
+    figures.next().is_none().then_some(report)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::read;
+
+    #[test]
+    fn a_whole_report_is_read_and_an_odd_one_tells_nothing() {
+        let whole = read("busy_reqs=3.5, pending=1,svc_ms=40").unwrap();
+        assert_eq!((whole.held, whole.waiting, whole.busy), (Some(3.5), Some(1.0), None));
+        let odd = [
+            "",
+            "busy_reqs",
+            "busy_reqs=",
+            "busy_reqs=-1",
+            "busy_reqs=NaN",
+            "busy_reqs=inf",
+            "busy_reqs=1e300",
+        ];
+        let odd = odd.into_iter().chain(["load=3", "busy_reqs=1,busy_reqs=2", "busy_reqs=1,,"]);
+        odd.for_each(|text| assert!(read(text).is_none(), "{text:?}"));
+        assert!(read(&"svc_ms=1,".repeat(99)).is_none());
+    }
+}
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -5,12 +5,13 @@
 pub mod door;
 pub mod head;
 pub mod hop;
+pub mod load;
 pub mod messages;
 pub mod pool;
 pub mod watch;
 
-use crate::decider::Protocol;
-use oakhollow::types::{Micros, Outcome};
+use crate::decider::{End, Protocol};
+use oakhollow::types::Micros;
 use oakhollow_terms::Named;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -19,12 +20,16 @@
 /// Hops over connections to servers that are kept and used again.
 pub struct Http1 {
     pub pool: Rc<pool::Pool>,
+    /// Whether servers tell their load with answers.
+    pub tells_load: bool,
 }
 
 /// What requests call things by.
 pub struct Names {
     pub workloads: Vec<Named>,
     pub customers: Vec<String>,
+    /// Whether a request's key is of use.
+    pub warm_keys: bool,
 }
 
 impl Protocol for Http1 {
@@ -33,8 +38,8 @@
 
     fn hop(
         &self, content: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros,
-    ) -> impl Future<Output = (Outcome, Option<messages::Message>)> + 'static {
-        hop::hop(self.pool.clone(), content, to, give_up)
+    ) -> impl Future<Output = End<messages::Message>> + 'static {
+        hop::hop(self.pool.clone(), content, to, give_up, self.tells_load)
     }
 
     fn retire(&self, at: SocketAddr) {
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -203,7 +203,7 @@
     // One watch feeds all: the first asks for all of them, and they hear the same.
     let ask = if number == 0 { kit.ask } else { bounded(1).0 };
     let parts = Parts {
-        protocol: Rc::new(Http1 { pool }),
+        protocol: Rc::new(Http1 { pool, tells_load: place.terms.tells_load }),
         desk: desk.clone(),
         tasks: tasks.clone(),
         log: log.clone(),
@@ -212,7 +212,8 @@
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let decider = Decider::new(&place, seed, &kit.known, parts);
     tasks.run(decider.run(notes));
-    let names = Names { workloads: place.workloads, customers: place.customers };
+    let warm_keys = place.terms.warm_keys;
+    let names = Names { workloads: place.workloads, customers: place.customers, warm_keys };
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
     let mut listener = Some(Rc::new(Async::listening(listener)?));
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -3,14 +3,15 @@
 //!
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
-//!   breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
+//!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
 //!   once more), silent, absent (nobody listens), OTHER's-address; said again, it changes a server;
 //!   `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
 //! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
-//!   `calls COUNT WORKLOAD LEFT [BODY]`, one after the other, each answered 200; `again ID OTHER WORKLOAD LEFT` on the
+//!   `calls COUNT WORKLOAD LEFT [BODY]`, one after the other, each answered 200; `flood COUNT WORKLOAD LEFT LEAST`,
+//!   so many of them dismissed; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
 //! - `raw ID BYTES` and `more ID BYTES`, with `\r`, `\n`, `_` for a blank and `*N` for N times an `x`
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
@@ -129,6 +130,9 @@
             "huge" => format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000)),
             "errors" => empty("500 Internal Server Error"),
             "busy" => empty("503 Service Unavailable"),
+            "loaded" => {
+                format!("HTTP/1.1 200 OK\r\nLoad-Report: {say}\r\nContent-Length: 2\r\n\r\nok")
+            }
             "turns-away" => empty("503 Service Unavailable\r\nNot-Started: 1"),
             "garbled" => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc".into(),
             "noise" => "\u{1}\u{2}noise".into(),
@@ -242,7 +246,7 @@
             r#"{{"name":"n0","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
-            "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}","zones":["a"],
+            "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
             "rules":{{"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
             get("listen", "127.0.0.1:0"),
@@ -252,6 +256,11 @@
             get("connect", "0.2"),
             get("idle", "60"),
             get("discovery", "on_request"),
+            match get("discovery", "").as_str() {
+                "pushed" =>
+                    r#""report":{"source":"answers","columns":["busy_reqs","pending"]},"family_info":{"warm_keys":true},"#,
+                _ => "",
+            },
             get("ask", "10"),
             workload("view", "read_like"),
             workload("save", "idempotency_key"),
@@ -427,6 +436,16 @@
                     self.expect("calls", "200", words.get(4).copied().unwrap_or_default());
                 }
             }
+            ["flood", count, workload, left, least] => {
+                let count: usize = count.parse().expect("a count");
+                let dismissed = (0..count).filter(|_| {
+                    self.call("flood", self.connect(), workload, left);
+                    let stream = self.clients.get_mut("flood").expect("a call");
+                    read_message(stream).expect("an answer").0.starts_with("HTTP/1.1 503 ")
+                });
+                let (dismissed, least) = (dismissed.count(), least.parse().expect("a count"));
+                assert!(dismissed >= least, "{dismissed} of {count} dismissed");
+            }
             ["again", id, other, workload, left] => {
                 let stream = self.clients.remove(other).expect("a call");
                 self.call(id, stream, workload, left);
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -33,6 +33,8 @@
     pub connect_within: Micros,
     /// When a server closes a connection that has stood idle, at the latest.
     pub idle_close: Micros,
+    /// What a program of its own must not take up, if anything; the simulator may send it.
+    pub mixed: Option<String>,
 }
 
 /// What the host needs of a workload.
@@ -55,8 +57,7 @@
     me: u32,
     balancers: u32,
     bounds: Bounds,
-    #[serde(default)]
-    discovery: Discovery,
+    discovery: Option<Discovery>,
     #[serde(default)]
     goal: Goal,
     #[serde(default = "one")]
@@ -112,10 +113,9 @@
     retry_after: bool,
 }
 
-#[derive(Deserialize, Default, PartialEq)]
+#[derive(Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum Discovery {
-    #[default]
     Pushed,
     OnRequest,
 }
@@ -233,7 +233,7 @@
                 tells_load: told.report.tells_load(),
                 may_tell: bounds.peer_messages,
                 warm_keys: told.family_info.warm_keys,
-                must_ask: told.discovery == Discovery::OnRequest,
+                must_ask: told.discovery == Some(Discovery::OnRequest),
                 ask_within: micros(rules.ask_within_s),
                 cold_from: rules.cold_from,
                 warm_within: micros(rules.warm_within_s),
@@ -244,12 +244,43 @@
             tier: told.stages.get(told.tier).cloned().unwrap_or_default(),
             connect_within: micros(bounds.connect_timeout_s),
             idle_close: micros(bounds.idle_close_s),
+            mixed: told.mixed(),
             zones: told.zones,
         })
     }
 }
 
 impl Told {
+    /// Settings that are each sound and don't go together, told by the key. There are two shapes: the list is asked
+    /// for and answers tell no load, or the list is pushed and they do; keys and messages belong to the second.
+    fn mixed(&self) -> Option<String> {
+        let Reporting { columns, source } = &self.report;
+        let tells = *source == Source::Answers;
+        let pushed = self.discovery.as_ref().map_or(tells, |discovery| *discovery == Discovery::Pushed);
+        let unknown = columns.iter().position(|column| !COLUMNS.contains(&column.as_str()));
+        let all = COLUMNS.join(", ");
+        match unknown {
+            Some(at) => Some(format!("report.columns[{at}]: unknown value {:?}, known are {all}", columns[at])),
+            None if *source == Source::None && !columns.is_empty() => {
+                Some("report.source: must be answers or probe where report.columns names values".into())
+            }
+            None if tells && !self.report.tells_load() => {
+                Some("report.columns: must name busy_reqs, and pending or cpu_share, where report.source is answers".into())
+            }
+            None if pushed && !tells => Some("report.source: must be answers where discovery is pushed".into()),
+            None if !pushed && tells => {
+                Some("report.source: must not be answers where discovery is on_request".into())
+            }
+            None if !pushed && self.family_info.warm_keys => {
+                Some("family_info.warm_keys: must not be set where discovery is on_request".into())
+            }
+            None if !pushed && self.bounds.peer_messages => {
+                Some("bounds.peer_messages: must not be set where discovery is on_request".into())
+            }
+            None => None,
+        }
+    }
+
     /// Figures that would parse and mean nothing.
     fn check(&self) -> Result<(), String> {
         let Told { bounds, rules, .. } = self;
@@ -285,6 +316,9 @@
     }
 }
 
+/// Values that a load report may hold.
+const COLUMNS: [&str; 6] = ["busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"];
+
 impl Reporting {
     /// Whether each answer comes with what the module reads: calls held, and calls waiting or busy cores.
     fn tells_load(&self) -> bool {
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -61,6 +61,9 @@
             terms.ask_within = Self::ASK_WITHIN;
         }
         match () {
+            _ if start.place.mixed.is_some() => {
+                Err(named(format!("settings.{}", start.place.mixed.unwrap_or_default())))
+            }
             _ if start.limits.sockets < Self::FEWEST_SOCKETS => {
                 Err(named(format!("limits.sockets: must be {} or more", Self::FEWEST_SOCKETS)))
             }
