--- a/tests/sum.rs
+++ b/tests/sum.rs
@@ -8,6 +8,7 @@
 use std::collections::{BinaryHeap, HashMap};
 
 const INSTANCES: u32 = 4;
+const MANY: u32 = 400;
 const WARM: u32 = 12;
 const COLD: ServerId = ServerId(99);
 const COLD_FROM: f64 = 0.2;
@@ -45,11 +46,11 @@
 }
 
 impl World {
-    fn new() -> World {
+    fn new(count: u32) -> World {
         let now = Micros::millis(1_000_000);
         let workload = Workload { quoted: Micros::millis(1_000), ..place::workload(Kind::Repeatable) };
         let terms = |number| Terms {
-            sidecars: INSTANCES,
+            sidecars: count,
             number,
             workloads: vec![workload.clone()],
             cold_from: COLD_FROM,
@@ -58,7 +59,7 @@
         };
         let (instances, due, sends) = (Vec::new(), BinaryHeap::new(), HashMap::new());
         let mut world = World { now, instances, due, set: 0, sends };
-        for number in 0..INSTANCES {
+        for number in 0..count {
             let mut out = Vec::new();
             let sidecar = Sidecar::new(&terms(number), u64::from(number) + 3, now, &mut out);
             world.instances.push(Instance { sidecar, timers: BinaryHeap::new(), hops: HashMap::new() });
@@ -143,7 +144,7 @@
 #[test]
 fn a_cold_server_gets_its_share_of_all_instances_together() {
     for apart in [4, 10, 1_000] {
-        let mut world = World::new();
+        let mut world = World::new(INSTANCES);
         let warm: Vec<Listing> = (0..WARM).map(|id| listing(ServerId(id), Micros(0))).collect();
         world.list(ListKind::Whole, &warm);
         world.run(600, apart, Micros::millis(6_000));
@@ -163,3 +164,20 @@
         assert!(all > 20, "{apart}: {all} in eight seconds: it never warms up");
     }
 }
+
+/// Guards against a fall of cold servers that thousands of calls a second made: each sidecar had saved up one call for
+/// one, and a burst spent them all at once.
+#[test]
+fn what_each_instance_could_save_up_never_meets_a_cold_server_at_once() {
+    let mut world = World::new(MANY);
+    let warm: Vec<Listing> = (0..WARM).map(|id| listing(ServerId(id), Micros(0))).collect();
+    world.list(ListKind::Whole, &warm);
+    world.run(30, 1, Micros::millis(10_000));
+    let started = world.now;
+    world.list(ListKind::Changes, &[listing(COLD, started)]);
+    world.run(30, 1, Micros::millis(5_000));
+    world.sends.clear();
+    world.run(3_000, 1, Micros::millis(300));
+    let cold = world.sends.get(&COLD).copied().unwrap_or(0);
+    assert!(cold <= 8, "{cold} instances sent theirs at once");
+}
