One side of a socket serves reading and writing; a flag and names written twice go

The reactor had reading and writing as twins in three places (try, wait, wake): one type, Side. Fleet kept a flag that follows from its place (by_cell, in_own_order): derived. The values of a load report stood in terms and in load.rs: one list, REPORT_VALUES.

--- a/sidecar/src/http1/load.rs
+++ b/sidecar/src/http1/load.rs
@@ -3,6 +3,7 @@
 use super::head::Head;
 use crate::decider::Told;
 use oakhollow::types::Report;
+use oakhollow_terms::REPORT_VALUES;
 
 const LOAD: &str = "Load-Report";
 /// A report is short: guards against working through a header of many kilobytes with each answer.
@@ -27,8 +28,7 @@
             "busy_reqs" => &mut report.held,
             "pending" => &mut report.waiting,
             "cpu_share" => &mut report.busy,
-            // Known to the platform and not read.
-            "svc_ms" | "served_ps" | "failed_ps" => continue,
+            other if REPORT_VALUES.contains(&other) => continue, // not read
             _ => return None,
         };
         if std::mem::replace(slot, figure).is_some() {
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -64,20 +64,52 @@
 struct Source {
     slot: Cell<usize>,
     number: u64,
-    readable: Cell<bool>,
-    writable: Cell<bool>,
+    reads: Side,
+    writes: Side,
     /// The other side has ended its sending, or the connection is broken: reads tell at once, from now on.
     ended: Cell<bool>,
-    reader: Cell<Option<Waker>>,
-    writer: Cell<Option<Waker>>,
 }
 
-fn wait_in(place: &Cell<Option<Waker>>, context: &Context) {
-    let waker = match place.take() {
-        Some(waker) if waker.will_wake(context.waker()) => waker,
-        _ => context.waker().clone(),
-    };
-    place.set(Some(waker));
+/// Reading or writing: whether it may be tried, and who waits for that.
+struct Side {
+    ready: Cell<bool>,
+    waiting: Cell<Option<Waker>>,
+}
+
+impl Side {
+    fn new(ready: bool) -> Side {
+        Side { ready: Cell::new(ready), waiting: Cell::default() }
+    }
+
+    fn told(&self) {
+        self.ready.set(true);
+        if let Some(waker) = self.waiting.take() {
+            waker.wake();
+        }
+    }
+
+    fn wait(&self, context: &Context) {
+        let waker = match self.waiting.take() {
+            Some(waker) if waker.will_wake(context.waker()) => waker,
+            _ => context.waker().clone(),
+        };
+        self.waiting.set(Some(waker));
+    }
+
+    /// Tries `work` until it does not block any more, waiting to be ready between.
+    fn poll<R>(&self, context: &Context, mut work: impl FnMut() -> Result<R>) -> Poll<Result<R>> {
+        loop {
+            if !self.ready.get() {
+                self.wait(context);
+                return Poll::Pending;
+            }
+            match work() {
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => self.ready.set(false),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
 }
 
 impl Reactor {
@@ -114,11 +146,9 @@
         let source = Rc::new(Source {
             slot: Cell::new(0),
             number: self.number() & 0xFFFF_FFFF,
-            readable: Cell::new(true),
-            writable: Cell::new(writable),
+            reads: Side::new(true),
+            writes: Side::new(writable),
             ended: Cell::new(false),
-            reader: Cell::default(),
-            writer: Cell::default(),
         });
         let slot = self.sources.borrow_mut().insert(source.clone());
         source.slot.set(slot);
@@ -188,16 +218,10 @@
             self.ended.set(true);
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
-            self.readable.set(true);
-            if let Some(waker) = self.reader.take() {
-                waker.wake();
-            }
+            self.reads.told();
         }
         if flags.intersects(EventFlags::OUT | EventFlags::HUP | EventFlags::ERR) {
-            self.writable.set(true);
-            if let Some(waker) = self.writer.take() {
-                waker.wake();
-            }
+            self.writes.told();
         }
     }
 }
@@ -226,35 +250,6 @@
     pub fn get_ref(&self) -> &T {
         &self.inner
     }
-
-    /// Tries `work` until it does not block any more, waiting to be readable between.
-    fn poll_reading<R>(&self, context: &Context, mut work: impl FnMut(&T) -> Result<R>) -> Poll<Result<R>> {
-        loop {
-            if !self.source.readable.get() {
-                wait_in(&self.source.reader, context);
-                return Poll::Pending;
-            }
-            match work(&self.inner) {
-                Err(fault) if fault.kind() == ErrorKind::WouldBlock => self.source.readable.set(false),
-                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-
-    fn poll_writing<R>(&self, context: &Context, mut work: impl FnMut(&T) -> Result<R>) -> Poll<Result<R>> {
-        loop {
-            if !self.source.writable.get() {
-                wait_in(&self.source.writer, context);
-                return Poll::Pending;
-            }
-            match work(&self.inner) {
-                Err(fault) if fault.kind() == ErrorKind::WouldBlock => self.source.writable.set(false),
-                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
 }
 
 impl Async<TcpListener> {
@@ -264,7 +259,8 @@
     }
 
     pub async fn accept(&self) -> Result<(Async<TcpStream>, SocketAddr)> {
-        let (stream, peer) = poll_fn(|context| self.poll_reading(context, TcpListener::accept)).await?;
+        let (stream, peer) =
+            poll_fn(|context| self.source.reads.poll(context, || self.inner.accept())).await?;
         Ok((Async::connected(stream)?, peer))
     }
 }
@@ -287,7 +283,7 @@
         let stream = Async::registered(TcpStream::from(socket), !under_way)?;
         if under_way {
             // Writable once it is up, or broken.
-            poll_fn(|context| stream.poll_writing(context, |_| Ok(()))).await?;
+            poll_fn(|context| stream.source.writes.poll(context, || Ok(()))).await?;
             sockopt::socket_error(&stream.inner)??;
         }
         Ok(stream)
@@ -310,17 +306,17 @@
 
     /// Whether something has come, an end or a fault included, as far as the thread has been told.
     pub fn stirred(&self) -> bool {
-        self.source.readable.get()
+        self.source.reads.ready.get()
     }
 }
 
 impl AsyncRead for &Async<TcpStream> {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context, buffer: &mut [u8]) -> Poll<Result<usize>> {
         let room = buffer.len();
-        let read = self.poll_reading(context, |mut stream| stream.read(buffer));
+        let read = self.source.reads.poll(context, || (&self.inner).read(buffer));
         // A read that leaves room has taken all there was: what comes after it is told anew. After an end nothing is.
         if matches!(read, Poll::Ready(Ok(count)) if count > 0 && count < room) && !self.source.ended.get() {
-            self.source.readable.set(false);
+            self.source.reads.ready.set(false);
         }
         read
     }
@@ -328,7 +324,7 @@
 
 impl AsyncWrite for &Async<TcpStream> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
-        self.poll_writing(context, |mut stream| stream.write(bytes))
+        self.source.writes.poll(context, || (&self.inner).write(bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<Result<()>> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -58,8 +58,6 @@
 pub struct Fleet {
     now: Micros,
     near: Option<PlaceId>,
-    /// Whether the ring keeps cells together.
-    by_cell: bool,
     slots: Slab<Entry>,
     numbers: FnvHashMap<ServerId, usize>,
     ring: Vec<(Turn, usize)>,
@@ -83,12 +81,8 @@
 }
 
 impl Fleet {
+    /// `near` is our own place, where crossing is priced. Elsewhere the ring must keep cells together.
     pub fn new(near: Option<PlaceId>) -> Fleet {
-        Fleet { near, by_cell: true, ..Fleet::default() }
-    }
-
-    /// As `new`, for an order of the ring that does not keep cells together.
-    pub fn in_own_order(near: Option<PlaceId>) -> Fleet {
         Fleet { near, ..Fleet::default() }
     }
 
@@ -114,12 +108,12 @@
 
     fn cell_slots(&self, cell: CellId) -> impl Iterator<Item = usize> + '_ {
         let turn = Listing::cell_turn(cell);
-        let (from, to) = match self.by_cell {
-            true => {
+        let (from, to) = match self.near {
+            None => {
                 let from = self.ring.partition_point(|((at, _), _)| at.0 < turn);
                 (from, from + self.ring[from..].partition_point(|((at, _), _)| at.0 == turn))
             }
-            false => (0, self.ring.len()),
+            Some(_) => (0, self.ring.len()),
         };
         let there = self.ring[from..to].iter().map(|(_, slot)| *slot);
         there.filter(move |slot| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -199,7 +199,7 @@
     /// As `at`, but a whole one that nobody takes lapses once the depth is reached, and saving up begins anew:
     /// what many keep at the same time stays as little as what they earn in that while.
     pub fn lapsing(&self, rate: f64, depth: f64, now: Micros) -> f64 {
-        let saved = self.left + rate * (now - self.seen).secs();
+        let saved = self.at(rate, f64::INFINITY, now);
         if saved > depth {
             saved % depth
         } else {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -128,7 +128,7 @@
             now,
             chance: Chance::new(seed),
             lots: Chance::new(!seed),
-            fleet: terms.near.map_or(Fleet::new(None), |_| Fleet::in_own_order(terms.near)),
+            fleet: Fleet::new(terms.near),
             purses: figures.shares.iter().map(|share| Allowance { left: 2.0 * share, seen: now }).collect(),
             figures,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
@@ -210,20 +210,21 @@
             worth *= self.figures.beyond_share;
         }
         worth *= if repeat { REPEAT_WORTH } else { 1.0 };
+        let worth = (worth * 1000.0) as u32; // in thousandths, as the queue orders it
         self.arrivals += 1;
         let (hope, median) = (terms.quoted.min(left), self.crowd.recent.median().unwrap_or_default());
         let call = Call {
             workload,
             state: Fresh,
-            turn: (u32::MAX - (worth * 1000.0) as u32, self.arrivals),
+            turn: (u32::MAX - worth, self.arrivals),
             key: key.filter(|_| self.figures.warm_keys),
             abandon: self.now + left,
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
             hops: Vec::new(),
         };
         // A small sidecar's calls are too few for a queue: of a told crowd it turns away its part, by worth.
-        let thinned = self.figures.tells_load
-            && self.crowd.rank((worth * 1000.0) as u32, self.chance.draw()) < self.crowd.thinned;
+        let told = self.figures.tells_load;
+        let thinned = told && self.crowd.rank(worth, self.chance.draw()) < self.crowd.thinned;
         self.calls.insert(id, call);
         let room = self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
         let input = if room { Room } else { Crowd };
@@ -266,7 +267,9 @@
             target.out += 1;
             target.cold = cold.map_or(target.cold, |left| Allowance { left, seen: now });
         });
-        cold.into_iter().for_each(|_| self.settle(server));
+        if cold.is_some() {
+            self.settle(server);
+        }
         if trust == Trust::Aside {
             self.sign(server, Sign::Due, "its time aside is over".into(), out);
         }
@@ -455,10 +458,8 @@
             let one = draw(classes)?;
             Some(lighter(one, if two { draw(classes)? } else { one }, &burden))
         };
-        let found = home
-            .or_else(|| of(near, self.figures.tells_load))
-            .or_else(|| of(far, self.figures.tells_load))
-            .or_else(|| of(busy, true));
+        let told = self.figures.tells_load;
+        let found = home.or_else(|| of(near, told)).or_else(|| of(far, told)).or_else(|| of(busy, true));
         debug_assert!({
             let rank = |server: &Server| if load(server) < 0.5 { u8::from(away(server)) } else { 2 };
             let best = self.fleet.around().filter(|server| fits(server)).map(rank).min();
@@ -554,7 +555,7 @@
         (rate, rate * span * 0.5)
     }
 
-    /// What a cold server may be sent by now. Half a span's worth may be saved up; a call lapses after a whole
+    /// What a cold server may be sent by now. Half a span's worth may be saved up; a call lapses after one
     /// span where that is less than one: guards against a thousand sidecars that have saved up one each.
     fn cold_left(&self, server: &Server, share: f64) -> f64 {
         let (rate, burst) = self.cold_pace(share);
--- a/src/types.rs
+++ b/src/types.rs
@@ -237,61 +237,29 @@
     pub report: Option<Report>,
 }
 
+/// `Heard` is what another sidecar found of a server's strain.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
-    Listed {
-        kind: ListKind,
-        entries: &'a [Listing],
-    },
+    Listed { kind: ListKind, entries: &'a [Listing] },
     Arrived(Arrival),
-    Streaming {
-        call: CallId,
-        hop: HopNo,
-    },
+    Streaming { call: CallId, hop: HopNo },
     Ended(Ending),
-    Withdrawn {
-        call: CallId,
-    },
+    Withdrawn { call: CallId },
     Woke(Token),
-    /// Another sidecar tells how strained it found a server.
-    Heard {
-        server: ServerId,
-        strain: f64,
-    },
+    Heard { server: ServerId, strain: f64 },
 }
 
+/// `Tell` is for all other sidecars, where they may tell each other; it may be lost.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Action {
-    Send {
-        call: CallId,
-        server: ServerId,
-        give_up: Micros,
-    },
-    Cancel {
-        call: CallId,
-        hop: HopNo,
-    },
-    Dismiss {
-        call: CallId,
-        cool_down: Micros,
-    },
-    Fail {
-        call: CallId,
-    },
-    Wake {
-        after: Micros,
-        token: Token,
-    },
+    Send { call: CallId, server: ServerId, give_up: Micros },
+    Cancel { call: CallId, hop: HopNo },
+    Dismiss { call: CallId, cool_down: Micros },
+    Fail { call: CallId },
+    Wake { after: Micros, token: Token },
     Subscribe,
-    /// For all other sidecars, where they may tell each other; it may be lost.
-    Tell {
-        server: ServerId,
-        strain: f64,
-    },
-    Log {
-        text: String,
-        server: Option<ServerId>,
-    },
+    Tell { server: ServerId, strain: f64 },
+    Log { text: String, server: Option<ServerId> },
 }
 
 impl Action {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use list::{Entry, List, Version};
 pub use operator::Operator;
-pub use place::{micros, Named, Place};
+pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use start::{Limits, Start};
 
 use fnv::FnvHasher;
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -257,28 +257,28 @@
         let Reporting { columns, source } = &self.report;
         let tells = *source == Source::Answers;
         let pushed = self.discovery.as_ref().map_or(tells, |discovery| *discovery == Discovery::Pushed);
-        let unknown = columns.iter().position(|column| !COLUMNS.contains(&column.as_str()));
-        let all = COLUMNS.join(", ");
-        match unknown {
-            Some(at) => Some(format!("report.columns[{at}]: unknown value {:?}, known are {all}", columns[at])),
-            None if *source == Source::None && !columns.is_empty() => {
-                Some("report.source: must be answers or probe where report.columns names values".into())
-            }
-            None if tells && !self.report.tells_load() => {
-                Some("report.columns: must name busy_reqs, and pending or cpu_share, where report.source is answers".into())
+        if let Some(at) = columns.iter().position(|column| !REPORT_VALUES.contains(&column.as_str())) {
+            let (odd, all) = (&columns[at], REPORT_VALUES.join(", "));
+            return Some(format!("report.columns[{at}]: unknown value {odd:?}, known are {all}"));
+        }
+        let why = match () {
+            _ if *source == Source::None && !columns.is_empty() => {
+                "report.source: must be answers or probe where report.columns names values"
             }
-            None if pushed && !tells => Some("report.source: must be answers where discovery is pushed".into()),
-            None if !pushed && tells => {
-                Some("report.source: must not be answers where discovery is on_request".into())
+            _ if tells && !self.report.tells_load() => {
+                "report.columns: must name busy_reqs, and pending or cpu_share, where report.source is answers"
             }
-            None if !pushed && self.family_info.warm_keys => {
-                Some("family_info.warm_keys: must not be set where discovery is on_request".into())
+            _ if pushed && !tells => "report.source: must be answers where discovery is pushed",
+            _ if !pushed && tells => "report.source: must not be answers where discovery is on_request",
+            _ if !pushed && self.family_info.warm_keys => {
+                "family_info.warm_keys: must not be set where discovery is on_request"
             }
-            None if !pushed && self.bounds.peer_messages => {
-                Some("bounds.peer_messages: must not be set where discovery is on_request".into())
+            _ if !pushed && self.bounds.peer_messages => {
+                "bounds.peer_messages: must not be set where discovery is on_request"
             }
-            None => None,
-        }
+            _ => return None,
+        };
+        Some(why.into())
     }
 
     /// Figures that would parse and mean nothing.
@@ -317,7 +317,8 @@
 }
 
 /// Values that a load report may hold.
-const COLUMNS: [&str; 6] = ["busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"];
+pub const REPORT_VALUES: [&str; 6] =
+    ["busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"];
 
 impl Reporting {
     /// Whether each answer comes with what the module reads: calls held, and calls waiting or busy cores.
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -60,10 +60,10 @@
         if terms.ask_within.0 == 0 {
             terms.ask_within = Self::ASK_WITHIN;
         }
+        if let Some(mixed) = &start.place.mixed {
+            return Err(named(format!("settings.{mixed}")));
+        }
         match () {
-            _ if start.place.mixed.is_some() => {
-                Err(named(format!("settings.{}", start.place.mixed.unwrap_or_default())))
-            }
             _ if start.limits.sockets < Self::FEWEST_SOCKETS => {
                 Err(named(format!("limits.sockets: must be {} or more", Self::FEWEST_SOCKETS)))
             }
