Console on a second address, and endpoints out by hand

Cause: nothing listened for operators. Board of names and marks, console thread, marks kept in the folder, roster overlays the list; a return is a cold start. Found on the way: the tests leaked a sidecar when a start failed.

--- /dev/null
+++ b/sidecar/src/board.rs
@@ -0,0 +1,142 @@
+//! What the whole program knows of servers by name: the list as last told, and which are out by hand. No sockets, no clock.
+use oakhollow::types::Micros;
+use oakhollow_terms::{Entry, List, Marks, Version};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A server taken out by hand, or put back, at that time.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Mark {
+    pub name: String,
+    pub out: bool,
+    pub at: Micros,
+}
+
+/// Why a mark is not made.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Refused {
+    Unknown,
+    TooMany,
+}
+
+#[derive(Default, Debug)]
+pub struct Board {
+    entries: BTreeMap<String, Entry>,
+    version: Version,
+    marks: Marks,
+    /// The list was told by discovery, or discovery has failed to.
+    pub settled: bool,
+    /// Workers take callers in, and the program is not leaving.
+    pub able: bool,
+}
+
+/// The board as the program's threads share it.
+pub type Shared = Arc<Mutex<Board>>;
+
+pub fn lock(board: &Shared) -> MutexGuard<'_, Board> {
+    board.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Board {
+    pub fn new(known: &List, marks: Marks) -> Board {
+        let mut board = Board { marks, ..Board::default() };
+        board.take(known);
+        board
+    }
+
+    /// Takes what the list tells.
+    pub fn take(&mut self, list: &List) {
+        self.version = list.index;
+        if list.snapshot {
+            self.entries.clear();
+        }
+        for entry in &list.endpoints {
+            if entry.left() {
+                self.entries.remove(&entry.name);
+            } else {
+                self.entries.insert(entry.name.clone(), entry.clone());
+            }
+        }
+    }
+
+    pub fn marks(&self) -> &Marks {
+        &self.marks
+    }
+
+    /// A server is out, or back in use. Saying it again changes nothing; nobody's name is refused.
+    pub fn mark(&mut self, name: &str, out: bool, now: Micros) -> Result<Mark, Refused> {
+        let was_out = self.marks.out.contains(name);
+        if !was_out && !self.entries.contains_key(name) {
+            return Err(Refused::Unknown);
+        }
+        let mut mark = Mark { name: name.to_string(), out, at: now };
+        match (was_out, out) {
+            (false, true) if self.marks.out.len() >= Marks::MOST => return Err(Refused::TooMany),
+            (false, true) => self.set(&mark),
+            (true, false) => self.set(&mark),
+            // Guards against a second cold start by a call that is only repeated.
+            (false, false) => mark.at = self.marks.back.get(name).copied().unwrap_or_default(),
+            (true, true) => {}
+        }
+        Ok(mark)
+    }
+
+    /// Takes a mark that was made elsewhere.
+    pub fn set(&mut self, mark: &Mark) {
+        self.marks.set(&mark.name, mark.out, mark.at);
+    }
+
+    /// Whether a call would be served at once.
+    pub fn serves(&self) -> bool {
+        let mut usable = self.entries.values().filter(|entry| entry.ready());
+        self.able && self.settled && usable.any(|entry| !self.marks.out.contains(&entry.name))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use oakhollow_terms::read;
+
+    fn list(text: &str) -> List {
+        let entry = |name| format!(r#"{{"name":"{name}","address":"127.0.0.1:70","status":"active"}}"#);
+        let entries: Vec<String> = text.split_whitespace().map(entry).collect();
+        let json = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","));
+        read(json.as_bytes()).expect("a list")
+    }
+
+    #[test]
+    fn two_calls_out_need_one_back_and_nobodys_name_is_refused() {
+        let mut board = Board::new(&list("a b"), Marks::default());
+        let at = Micros::millis;
+        assert_eq!(board.mark("c", true, at(1)), Err(Refused::Unknown));
+        assert!(board.mark("a", true, at(1)).is_ok() && board.mark("a", true, at(2)).is_ok());
+        // Kept while the list leaves it out, and put back all the same.
+        board.take(&list("b"));
+        assert!(board.marks().out.contains("a"));
+        assert_eq!(board.mark("a", false, at(3)).map(|mark| mark.at), Ok(at(3)));
+        assert!(board.marks().out.is_empty());
+        board.take(&list("a b"));
+        // A call that is only repeated is no second cold start.
+        assert_eq!(board.mark("a", false, at(9)).map(|mark| mark.at), Ok(at(3)));
+        assert_eq!(board.mark("b", false, at(9)).map(|mark| mark.at), Ok(at(0)));
+    }
+
+    #[test]
+    fn it_serves_with_a_server_that_is_not_out_alone() {
+        let mut board = Board::new(&list("a"), Marks::default());
+        assert!(!board.serves());
+        (board.able, board.settled) = (true, true);
+        assert!(board.serves());
+        board.mark("a", true, Micros(1)).expect("known");
+        assert!(!board.serves());
+    }
+
+    #[test]
+    fn marks_are_bounded() {
+        let names: Vec<String> = (0..=Marks::MOST).map(|number| format!("s{number}")).collect();
+        let mut board = Board::new(&list(&names.join(" ")), Marks::default());
+        let refused = names.iter().filter_map(|name| board.mark(name, true, Micros(1)).err());
+        assert_eq!(refused.collect::<Vec<_>>(), [Refused::TooMany]);
+    }
+}
--- /dev/null
+++ b/sidecar/src/console.rs
@@ -0,0 +1,234 @@
+//! The second address, for operators alone: asks whether this process serves, and takes servers out by hand or puts them
+//! back. It has a thread, a reactor and descriptors of its own, so that it answers however busy the workers are.
+use crate::board::{lock, Mark, Refused, Shared};
+use crate::http1::answers::Answer;
+use crate::http1::head::{Fault, Head};
+use crate::http1::messages::{Assembler, Side};
+use crate::reactor::{Async, Timer};
+use crate::tasks::Tasks;
+use crate::timers::Clock;
+use crate::workers::{on_this_thread, Order, Orders};
+use async_executor::Task;
+use futures_lite::{future, AsyncWriteExt};
+use oakhollow_terms::Marks;
+use slog::{info, warn, Logger};
+use std::collections::VecDeque;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::thread::Builder;
+use std::time::Duration;
+
+/// Connections held at a time. The oldest gives way to one that comes.
+const CALLERS: usize = 12;
+/// Descriptors that the console may hold: its callers, one that comes, its listener and its reactor.
+pub const SOCKETS: usize = CALLERS + 4;
+/// How long a caller may take until its call is there whole, and to take its answer.
+const WITHIN: Duration = Duration::from_millis(2_500);
+/// How long the workers may take to apply a mark: whoever asked waits for a second.
+const APPLIED: Duration = Duration::from_millis(900);
+/// After a failed accept.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Keeps the marks in the sidecar's folder.
+pub struct Keeper {
+    path: PathBuf,
+    listen: SocketAddr,
+}
+
+impl Keeper {
+    /// None where the machine names no folder.
+    pub fn new(listen: SocketAddr) -> Option<Keeper> {
+        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+        let name = format!("oakhollow-{}.marks", listen.to_string().replace([':', '[', ']'], "_"));
+        Some(Keeper { path: PathBuf::from(folder).join(name), listen })
+    }
+
+    /// What was kept; nothing where the file can't be read.
+    pub fn marks(&self, log: &Logger) -> Marks {
+        match Marks::from_file(&self.path, self.listen) {
+            Some(Ok(marks)) => {
+                info!(log, "marks taken from the folder, {} out by hand", marks.out.len());
+                marks
+            }
+            Some(Err(fault)) => {
+                warn!(log, "marks not taken: {}", fault);
+                Marks::default()
+            }
+            None => Marks::default(),
+        }
+    }
+
+    fn keep(&self, marks: &Marks, log: &Logger) {
+        if let Err(fault) = marks.to_file(&self.path, self.listen) {
+            warn!(log, "marks not kept: {}: {}", self.path.display(), fault);
+        }
+    }
+}
+
+pub struct Console {
+    pub board: Shared,
+    pub orders: Orders,
+    pub clock: Clock,
+    pub log: Logger,
+    pub keeper: Option<Keeper>,
+}
+
+/// What may be asked, as the paths have it.
+const HEALTH: &str = "/healthcheck";
+const SERVERS: &str = "/endpoints/";
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Call<'a> {
+    Health,
+    Mark { name: &'a str, out: bool },
+}
+
+fn read_call<'a>(method: &str, path: &'a str) -> Result<Call<'a>, Fault> {
+    let none = Fault { status: 404, why: "there is no such call" };
+    let (call, wanted) = match path.strip_prefix(SERVERS).and_then(|rest| rest.rsplit_once('/')) {
+        Some((name, word @ ("maint" | "ready"))) if !name.is_empty() => {
+            (Call::Mark { name, out: word == "maint" }, "PUT")
+        }
+        _ if path == HEALTH => (Call::Health, "GET"),
+        _ => return Err(none),
+    };
+    let fits = method == wanted || (method == "HEAD" && wanted == "GET");
+    fits.then_some(call).ok_or(Fault { status: 405, why: "this call has another method" })
+}
+
+/// A name as a path has it, with `%41` and the like.
+fn plain(name: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(name.len());
+    let mut rest = name.bytes();
+    while let Some(byte) = rest.next() {
+        let digit = |byte: Option<u8>| char::from(byte?).to_digit(16);
+        bytes.push(match byte {
+            b'%' => (digit(rest.next())? * 16 + digit(rest.next())?) as u8,
+            byte => byte,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
+impl Console {
+    /// Listens, and answers from now on for as long as the program lives.
+    pub fn listen(self, at: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(at)
+            .map_err(|fault| std::io::Error::new(fault.kind(), format!("console: {at}: {fault}")))?;
+        info!(self.log, "console at {}", listener.local_addr()?);
+        let life = move || on_this_thread(|tasks| self.answer_all(listener, tasks));
+        Builder::new().name("console".into()).spawn(move || _ = life())?;
+        Ok(())
+    }
+
+    async fn answer_all(self, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
+        let (console, listener) = (std::rc::Rc::new(self), Async::listening(listener)?);
+        let mut callers: VecDeque<Task<()>> = VecDeque::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(PAUSE).await;
+                continue;
+            };
+            callers.retain(|caller| !caller.is_finished());
+            // Guards against callers that finish no call shutting out one that does.
+            if callers.len() >= CALLERS {
+                callers.pop_front();
+            }
+            let console = console.clone();
+            callers.extend(tasks.spawn(async move { console.serve(stream).await }));
+        }
+    }
+
+    async fn serve(&self, stream: Async<TcpStream>) {
+        let late = async { _ = Timer::after(WITHIN).await };
+        let served = async {
+            let answer = match read(&stream).await {
+                Some(Ok(head)) => self.answer(&head).await.unwrap_or_else(Answer::from),
+                Some(Err(fault)) => fault.into(),
+                None => return,
+            };
+            if (&stream).write_all(&answer.bytes(false)).await.is_ok() {
+                let _ = stream.get_ref().shutdown(Shutdown::Write);
+                // Guards against a reset that eats the answer where more came than was read.
+                let mut rest = Vec::new();
+                while stream.read_behind(&mut rest).await.is_ok_and(|count| count > 0) && rest.len() < 1 << 16
+                {
+                }
+            }
+        };
+        future::or(served, late).await;
+    }
+
+    async fn answer(&self, head: &Head) -> Result<Answer, Fault> {
+        let (method, target, _) = head.request()?;
+        match read_call(method, target.split('?').next().unwrap_or_default())? {
+            Call::Health if lock(&self.board).serves() => Ok(Answer::plain(200, "serving")),
+            Call::Health => Ok(Answer::plain(503, "not serving")),
+            Call::Mark { name, out } => {
+                let name = plain(name).ok_or(Fault { status: 400, why: "the name is malformed" })?;
+                self.mark(&name, out).await
+            }
+        }
+    }
+
+    async fn mark(&self, name: &str, out: bool) -> Result<Answer, Fault> {
+        let marked = {
+            let mut board = lock(&self.board);
+            let marked = board.mark(name, out, self.clock.now());
+            if let (Ok(_), Some(keeper)) = (&marked, &self.keeper) {
+                keeper.keep(board.marks(), &self.log);
+            }
+            marked
+        };
+        let mark = marked.map_err(|refused| match refused {
+            Refused::Unknown => Fault { status: 404, why: "nobody has this name" },
+            Refused::TooMany => Fault { status: 507, why: "too many are out by hand" },
+        })?;
+        let Mark { name, out, .. } = &mark;
+        info!(self.log, "{} {} by hand", name, if *out { "out" } else { "back" });
+        let applied = async {
+            self.orders.have_done(|done| Order::Marked(mark.clone(), done)).await;
+            true
+        };
+        let late = async {
+            Timer::after(APPLIED).await;
+            false
+        };
+        // It holds in a moment all the same, and may be said again.
+        let slow = Fault { status: 504, why: "not applied everywhere yet" };
+        let text = if *out { "out of use" } else { "in use" };
+        future::or(applied, late).await.then(|| Answer::plain(200, text)).ok_or(slow)
+    }
+}
+
+async fn read(stream: &Async<TcpStream>) -> Option<Result<Head, Fault>> {
+    let mut inbox = Assembler::new(Side::Requests);
+    loop {
+        match inbox.take() {
+            Ok(Some(request)) => return Some(Ok(request.head)),
+            Ok(None) => {}
+            Err(fault) => return Some(Err(fault)),
+        }
+        stream.read_behind(inbox.end()).await.ok().filter(|count| *count > 0)?;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_by_path_and_method() {
+        let status = |method, path| read_call(method, path).map_err(|fault| fault.status);
+        assert_eq!(status("GET", "/healthcheck"), Ok(Call::Health));
+        assert_eq!(status("PUT", "/endpoints/s-1/maint"), Ok(Call::Mark { name: "s-1", out: true }));
+        assert_eq!(status("PUT", "/endpoints/s-1/ready"), Ok(Call::Mark { name: "s-1", out: false }));
+        assert_eq!(status("GET", "/endpoints/s-1/ready"), Err(405));
+        assert_eq!(status("PUT", "/healthcheck"), Err(405));
+        for path in ["/", "/endpoints/", "/endpoints//maint", "/endpoints/s-1", "/endpoints/s-1/gone"] {
+            assert_eq!(status("PUT", path), Err(404), "{path}");
+        }
+        assert_eq!(plain("s%2D1").as_deref(), Some("s-1"));
+        assert_eq!(plain("s%2"), None);
+    }
+}
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -1,9 +1,10 @@
 //! The one task that owns the module. All else reaches it through a bounded queue of notes; it hands each to the
 //! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
 //! knows no protocol but through [`Protocol`].
+use crate::board::Mark;
 use crate::bounds::Gauge;
 use crate::oneshot::{self, oneshot};
-use crate::roster::Roster;
+use crate::roster::{self, Roster};
 use crate::tasks::Tasks;
 use crate::timers::{Clock, Timers};
 use async_channel::{bounded, Receiver, Sender};
@@ -12,7 +13,7 @@
 use futures_lite::{future, StreamExt};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
-use oakhollow_terms::{List, Place};
+use oakhollow_terms::{List, Marks, Place};
 use slog::{info, Logger};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -81,8 +82,14 @@
 pub enum Note<P: Protocol> {
     Taken(Taken<P>),
     Withdrawn(CallId),
-    Ended { call: CallId, hop: HopNo, end: End<P::Answer> },
+    Ended {
+        call: CallId,
+        hop: HopNo,
+        end: End<P::Answer>,
+    },
     Listed(ListKind, Arc<List>),
+    /// A server is out by hand, or back; the sender is dropped when that holds.
+    Marked(Mark, Sender<()>),
 }
 
 /// How all else reaches the module.
@@ -167,13 +174,13 @@
 }
 
 impl<P: Protocol> Decider<P> {
-    pub fn new(place: &Place, seed: u64, known: &List, parts: Parts<P>) -> Decider<P> {
+    pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
         let Parts { protocol, desk, tasks, log, ask } = parts;
-        let (mut actions, now) = (Vec::new(), desk.clock.now());
+        let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut decider = Decider {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
             timers: Timers::new(desk.clock),
-            roster: Roster::new(&place.zones),
+            roster: Roster::new(&place.zones, marks),
             most_hops: place.terms.most_hops as usize,
             calls: FnvHashMap::default(),
             ends: VecDeque::new(),
@@ -186,7 +193,8 @@
             ask,
         };
         decider.carry_out();
-        decider.listed(ListKind::Cached, known);
+        let told = decider.roster.take(known);
+        decider.listed(ListKind::Cached, told);
         decider
     }
 
@@ -238,12 +246,20 @@
                     self.settle();
                 }
             }
-            Note::Listed(kind, list) => self.listed(kind, &list),
+            Note::Listed(kind, list) => {
+                let told = self.roster.take(&list);
+                self.listed(kind, told);
+            }
+            Note::Marked(mark, done) => {
+                let told = self.roster.mark(&mark);
+                // Nothing was heard from discovery by this.
+                self.listed(ListKind::Cached, told);
+                drop(done);
+            }
         }
     }
 
-    fn listed(&mut self, kind: ListKind, list: &List) {
-        let told = self.roster.take(list);
+    fn listed(&mut self, kind: ListKind, told: roster::Told) {
         self.on(Event::Listed { kind, entries: &told.entries });
         told.retired.into_iter().for_each(|address| self.protocol.retire(address));
         self.desk.listed.set(self.roster.any_ready());
--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -15,7 +15,7 @@
 }
 
 impl Answer {
-    fn plain(status: u16, text: &'static str) -> Answer {
+    pub fn plain(status: u16, text: &'static str) -> Answer {
         Answer::Worded { status, text, retry_after: None }
     }
 
@@ -83,6 +83,8 @@
         501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        507 => "Insufficient Storage",
         505 => "HTTP Version Not Supported",
         _ => "Answer",
     }
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,6 +1,7 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
+use crate::board::{lock, Shared};
 use crate::workers::{Order, Orders};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -22,6 +23,8 @@
     told: Version,
     /// All workers.
     told_to: Orders,
+    /// What the program knows by name.
+    board: Shared,
     /// One for each time that the module asks.
     asks: Receiver<()>,
     /// Where discovery is from now on.
@@ -49,11 +52,11 @@
 
 impl Watch {
     pub fn new(
-        discovery: SocketAddr, told: Version, told_to: Orders, words: (Receiver<()>, Receiver<SocketAddr>),
-        log: Logger, most_line: usize,
+        discovery: SocketAddr, told: Version, told_to: (Orders, Shared),
+        words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
     ) -> Watch {
-        let (asks, moves) = words;
-        Watch { discovery, told, told_to, asks, moves, log, most_line }
+        let ((asks, moves), (told_to, board)) = (words, told_to);
+        Watch { discovery, told, told_to, board, asks, moves, log, most_line }
     }
 
     pub async fn run(mut self) {
@@ -72,6 +75,7 @@
                 Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
                 Turn::Ended(why) => {
                     info!(self.log, "watch of the list ended: {}", why);
+                    lock(&self.board).settled = true;
                     self.told_to.tell(Order::Listed(ListKind::Failed, Arc::default())).await;
                     turn = word().await;
                     continue;
@@ -147,6 +151,11 @@
             fault
         })?;
         self.told = list.index;
+        {
+            let mut board = lock(&self.board);
+            board.take(&list);
+            board.settled = true;
+        }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
         self.told_to.tell(Order::Listed(kind, Arc::new(list))).await;
         Ok(())
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -2,7 +2,9 @@
 //! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`decider`])
 //! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`phases`]; calls are
 //! carried by [`workers`], each a thread of its own.
+pub mod board;
 pub mod bounds;
+pub mod console;
 pub mod decider;
 pub mod http1;
 pub mod logging;
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,5 +1,7 @@
 //! The program's life from start to exit, as named phases of one object.
+use crate::board::{lock, Board, Shared};
 use crate::bounds::Bound;
+use crate::console::{self, Console, Keeper};
 use crate::http1::watch::Watch;
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
@@ -110,6 +112,7 @@
     /// Where the list is watched from now on.
     moves: Sender<SocketAddr>,
     lost: Option<Lost>,
+    board: Shared,
 }
 
 /// What a running sidecar may be told from outside.
@@ -197,16 +200,21 @@
         info!(log, "listening on {}", listeners[0].local_addr()?; "tier" => &place.tier, "workers" => workers);
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
         let by_memory = (limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
-        let own = OWN_SOCKETS + WORKER_SOCKETS * (workers - 1);
+        let consoles = start.console.map_or(0, |_| console::SOCKETS);
+        let own = OWN_SOCKETS + WORKER_SOCKETS * (workers - 1) + consoles;
         let most = limits.sockets.saturating_sub(own).min(by_memory) / 2;
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
         let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
         let (clock, told) = (Clock::start(), known.index);
+        let keeper = Keeper::new(listeners[0].local_addr()?);
+        let marks = keeper.as_ref().map(|keeper| keeper.marks(&log)).unwrap_or_default();
+        let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
         let kit = Kit {
             place,
             seed: start.seed,
             known: Arc::new(known),
+            marks,
             workers,
             callers: Bound::new(most, workers),
             links: Bound::new(most, workers),
@@ -223,7 +231,12 @@
         })?;
         let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
         let orders = crew.orders();
-        let watch = Watch::new(start.discovery, told, orders.clone(), (asks, moved), log.clone(), most_line);
+        if let Some(at) = start.console {
+            Console { board: board.clone(), orders: orders.clone(), clock, log: log.clone(), keeper }
+                .listen(at)?;
+        }
+        let told_to = (orders.clone(), board.clone());
+        let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
         tasks.run(watch.run());
         Ok(Program {
             phase: Phase::Starting,
@@ -235,6 +248,7 @@
             grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
             moves,
             lost: None,
+            board,
             log,
             tasks,
         })
@@ -295,14 +309,15 @@
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
-            Effect::Open => self.orders.tell(Order::Open).await,
-            Effect::SayNo => self.orders.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await,
-            Effect::Shut => {
-                let (done, all) = bounded(1);
-                self.orders.tell(Order::Shut(done)).await;
-                // Ends when the last worker has done so, or has ended.
-                let _ = all.recv().await;
+            Effect::Open => {
+                self.orders.have_done(Order::Open).await;
+                lock(&self.board).able = true;
+            }
+            Effect::SayNo => {
+                lock(&self.board).able = false;
+                self.orders.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await
             }
+            Effect::Shut => self.orders.have_done(Order::Shut).await,
             Effect::Reread => match reread() {
                 Ok(start) => {
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -1,6 +1,7 @@
 //! Which number and address each server of the list has at this sidecar.
+use crate::board::Mark;
 use oakhollow::types::*;
-use oakhollow_terms::{Entry, List};
+use oakhollow_terms::{Entry, List, Marks};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -13,11 +14,12 @@
     at: HashMap<SocketAddr, ServerId>,
     ready: usize,
     given: u32,
+    /// Out by hand, or back, over whatever the list says.
+    marks: Marks,
 }
 
 struct Known {
-    name: String,
-    address: SocketAddr,
+    entry: Entry,
     listing: Listing,
 }
 
@@ -35,8 +37,32 @@
 }
 
 impl Roster {
-    pub fn new(zones: &[String]) -> Roster {
-        Roster { zones: zones.to_vec(), ..Roster::default() }
+    pub fn new(zones: &[String], marks: Marks) -> Roster {
+        Roster { zones: zones.to_vec(), marks, ..Roster::default() }
+    }
+
+    /// Takes a mark set by hand: all that is known, as it stands by that.
+    pub fn mark(&mut self, mark: &Mark) -> Told {
+        self.marks.set(&mark.name, mark.out, mark.at);
+        let (mut entries, mut retired) = (Vec::new(), Vec::new());
+        let known = self.numbers.get(&mark.name).and_then(|id| self.known.get(id));
+        if let Some(entry) = known.map(|known| known.entry.clone()) {
+            self.enter(&entry, &mut entries, &mut retired);
+        }
+        Told { entries: self.known.values().map(|known| known.listing.clone()).collect(), retired }
+    }
+
+    /// What the list says of a server, as it stands by the marks.
+    fn listing(&self, entry: &Entry, server: ServerId) -> Listing {
+        let mut listing = entry.listing(server, &self.zones);
+        if listing.standing == Standing::Ready && self.marks.out.contains(&entry.name) {
+            listing.standing = Standing::Draining;
+        }
+        // Whoever puts a server back has started it anew.
+        if let Some(back) = self.marks.back.get(&entry.name) {
+            listing.started = listing.started.max(*back);
+        }
+        listing
     }
 
     pub fn take(&mut self, list: &List) -> Told {
@@ -64,7 +90,7 @@
             self.given += 1;
             ServerId(self.given)
         });
-        let (address, mut listing) = (entry.address, entry.listing(server, &self.zones));
+        let (address, mut listing) = (entry.address, self.listing(entry, server));
         let same = self.at.get(&address).filter(|id| **id != server);
         let same = same.and_then(|id| Some((id, self.known.get(id)?)));
         // Guards against sending to a server that is not there any more what another at its address would run: of
@@ -78,7 +104,7 @@
                 entries.push(gone);
             }
         }
-        let known = Known { name: entry.name.clone(), address, listing: listing.clone() };
+        let known = Known { entry: entry.clone(), listing: listing.clone() };
         let before = self.drop_known(server);
         self.ready += usize::from(known.ready());
         // Of two at one address, one that is there no more must not take the other's place.
@@ -88,8 +114,8 @@
         self.known.insert(server, known);
         match before {
             // Moved, or started again: what is open to it leads elsewhere, or to nobody.
-            Some(before) if before.address != address || before.listing.started != listing.started => {
-                retired.extend([before.address, address]);
+            Some(before) if before.entry.address != address || before.listing.started != listing.started => {
+                retired.extend([before.entry.address, address]);
             }
             Some(_) => {}
             // Guards against requests that go to the server which had this address before, and may be silent.
@@ -103,15 +129,15 @@
 
     fn forget(&mut self, server: ServerId) -> Option<SocketAddr> {
         let known = self.drop_known(server)?;
-        self.numbers.remove(&known.name);
-        Some(known.address)
+        self.numbers.remove(&known.entry.name);
+        Some(known.entry.address)
     }
 
     fn drop_known(&mut self, server: ServerId) -> Option<Known> {
         let known = self.known.remove(&server)?;
         self.ready -= usize::from(known.ready());
-        if self.at.get(&known.address) == Some(&server) {
-            self.at.remove(&known.address);
+        if self.at.get(&known.entry.address) == Some(&server) {
+            self.at.remove(&known.entry.address);
         }
         Some(known)
     }
@@ -121,10 +147,10 @@
     }
 
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.known.get(&server).map(|known| known.address)
+        self.known.get(&server).map(|known| known.entry.address)
     }
 
     pub fn name(&self, server: ServerId) -> &str {
-        self.known.get(&server).map_or("a server that has left", |known| &known.name)
+        self.known.get(&server).map_or("a server that has left", |known| &known.entry.name)
     }
 }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -1,6 +1,7 @@
 //! The threads that carry the calls. Each worker has an executor, a listener and an instance of the decisions of its own,
 //! and counts as one of the sidecars in all that is shared out among them; nothing of a call ever crosses from one to
 //! another. Phases, reloads and the watch of the list are the program's, which tells its workers by orders.
+use crate::board::Mark;
 use crate::bounds::{Bound, Gauge, Share};
 use crate::decider::Parts;
 use crate::http1::door::{Door, Ids};
@@ -13,7 +14,7 @@
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use oakhollow::types::{ListKind, Micros};
-use oakhollow_terms::{List, Place};
+use oakhollow_terms::{List, Marks, Place};
 use slog::{o, Logger};
 use std::cell::RefCell;
 use std::future::Future;
@@ -30,8 +31,10 @@
 #[derive(Clone)]
 pub enum Order {
     Listed(ListKind, Arc<List>),
-    /// Take callers in.
-    Open,
+    /// Its sender is dropped when that holds.
+    Marked(Mark, Sender<()>),
+    /// Take callers in. Its sender is dropped when that holds.
+    Open(Sender<()>),
     /// `/ready` says no; calls that come from now on have their answers by then.
     SayNo(Micros),
     /// Take nobody in any more. Its sender is dropped when that holds.
@@ -44,6 +47,13 @@
 pub struct Orders(Vec<Sender<Order>>);
 
 impl Orders {
+    /// Tells an order and waits until the last worker has carried it out, or has ended.
+    pub async fn have_done(&self, order: impl FnOnce(Sender<()>) -> Order) {
+        let (done, all) = bounded(1);
+        self.tell(order(done)).await;
+        let _ = all.recv().await;
+    }
+
     /// Waits for those whose queue is full. One that has ended is told of elsewhere.
     pub async fn tell(&self, order: Order) {
         for worker in &self.0 {
@@ -153,6 +163,7 @@
     pub place: Place,
     pub seed: u64,
     pub known: Arc<List>,
+    pub marks: Marks,
     pub workers: usize,
     pub callers: Bound,
     pub links: Bound,
@@ -210,7 +221,7 @@
         ask,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let decider = Decider::new(&place, seed, &kit.known, parts);
+    let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
     let warm_keys = place.terms.warm_keys;
     let names = Names { workloads: place.workloads, customers: place.customers, warm_keys };
@@ -221,10 +232,12 @@
     while let Ok(order) = orders.recv().await {
         match order {
             Order::Listed(kind, list) => desk.tell(Note::Listed(kind, list)).await,
-            Order::Open => {
+            Order::Marked(mark, done) => desk.tell(Note::Marked(mark, done)).await,
+            Order::Open(done) => {
                 let taking = listener.clone().map(|listener| door.clone().welcome(listener));
                 welcome = taking.and_then(|taking| tasks.spawn(taking));
                 door.set_able(true);
+                drop(done);
             }
             Order::SayNo(by) => {
                 door.set_able(false);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -21,6 +21,10 @@
 //!   least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP
+//! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `hangs COUNT [BYTES]`:
+//!   connections to it that say no more
+//! - `forget NAME` its requests so far; `least NAME LEAST` requests since
+//! - `restarts`: killed, and started again with the same folder
 //! - `before LENGTH`: no more than that has passed since the last `stop` or `mark`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
@@ -194,6 +198,9 @@
     discovery: Arc<Mutex<Discovery>>,
     program: Option<(Child, Arc<Mutex<String>>)>,
     port: Option<SocketAddr>,
+    console: Option<SocketAddr>,
+    /// The sidecar's own folder, kept when it starts again.
+    folder: PathBuf,
     clients: BTreeMap<String, TcpStream>,
     idle: Vec<TcpStream>,
     started: Option<Instant>,
@@ -211,6 +218,9 @@
             let _ = program.kill();
             let _ = program.wait();
         }
+        if !self.folder.as_os_str().is_empty() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -243,13 +253,14 @@
         };
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         format!(
-            r#"{{"name":"n0","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{}",{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
             "rules":{{"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
             get("listen", "127.0.0.1:0"),
+            if words.contains(&"console") { r#""console":"127.0.0.1:0","# } else { "" },
             get("sockets", "1024"),
             self.list(true, &names),
             get("hops", "4"),
@@ -279,6 +290,11 @@
             std::fs::write(&file, &self.operator).expect("the operator's file");
             command.env("OAKHOLLOW_OPERATOR", file);
         }
+        if self.folder.as_os_str().is_empty() {
+            self.folder = self.file.with_extension("d");
+            std::fs::create_dir_all(&self.folder).expect("a folder");
+        }
+        command.env("TMPDIR", &self.folder);
         command.env("RELAY_CONFIG", &self.file).stderr(Stdio::piped()).spawn().expect("the program starts")
     }
 
@@ -332,13 +348,18 @@
                 }
             }
         });
+        self.program = Some((program, said.clone()));
         until("it listens", || {
             let said = said.lock().expect("log");
             let rest = said.split_once("listening on ").map(|(_, rest)| rest.to_string());
             self.port = rest.and_then(|rest| rest.split([',', ' ', '\n']).next()?.parse().ok());
             self.port.is_some()
         });
-        self.program = Some((program, said));
+        if words.contains(&"console") {
+            let said = said.lock().expect("log");
+            let rest = said.split_once("console at ").expect("a console").1;
+            self.console = rest.split([',', ' ', '\n']).next().and_then(|at| at.parse().ok());
+        }
         self.started = Some(Instant::now());
     }
 
@@ -465,6 +486,12 @@
                 assert!(rest.is_empty(), "{rest:?}");
                 assert!(!ended.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock), "still open");
             }
+            ["least", name, least] => {
+                let least: usize = least.parse().expect("a count");
+                let requests = self.find(name).seen.lock().expect("seen").requests;
+                assert!(requests >= least, "{requests}");
+            }
+            ["forget", name] => self.find(name).seen.lock().expect("seen").requests = 0,
             ["opens", count] => self.open(count, ""),
             ["opens", count, bytes] => self.open(count, bytes),
             ["drops"] => self.idle.clear(),
@@ -495,6 +522,23 @@
                 self.signal("TERM");
                 self.marked = Some(Instant::now());
             }
+            ["asks", method, path, status] => self.asks(method, path, status),
+            ["hangs", count, ..] => {
+                for _ in 0..count.parse().expect("a count") {
+                    let mut stream =
+                        TcpStream::connect(self.console.expect("a console")).expect("a connection");
+                    stream.write_all(plain(words.get(2).unwrap_or(&"")).as_bytes()).expect("sent");
+                    self.idle.push(stream);
+                }
+            }
+            ["restarts", ..] => {
+                self.signal("KILL");
+                let _ = self.program.as_mut().expect("a sidecar").0.wait();
+                let (port, words) = (self.port.expect("a sidecar"), &words[1..]);
+                let listen = format!("listen={port}");
+                let words: Vec<&str> = words.iter().copied().chain([listen.as_str()]).collect();
+                self.sidecar(&words);
+            }
             ["mark"] => self.marked = Some(Instant::now()),
             ["before", time] => {
                 let passed = self.marked.expect("a mark").elapsed();
@@ -541,6 +585,18 @@
         }
     }
 
+    fn asks(&self, method: &str, path: &str, status: &str) {
+        let begun = Instant::now();
+        let mut stream = TcpStream::connect(self.console.expect("a console")).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let path = plain(path);
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").expect("sent");
+        let (head, _) = read_message(&mut stream).expect("an answer");
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+        assert!(begun.elapsed() < Duration::from_secs(1), "late");
+        assert_eq!(stream.read(&mut [0]).ok(), Some(0), "one call to a connection");
+    }
+
     fn open(&mut self, count: &str, bytes: &str) {
         for _ in 0..count.parse().expect("a count") {
             let mut stream = self.connect();
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -2,11 +2,13 @@
 //! object ([`Place`]), the file of a sidecar on sockets ([`Start`]) and the list of servers ([`List`]). Whoever
 //! finds a fault is told the key, as in `settings.workloads[1].payoff: must not be negative`.
 mod list;
+mod marks;
 mod operator;
 mod place;
 mod start;
 
 pub use list::{Entry, List, Version};
+pub use marks::Marks;
 pub use operator::Operator;
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use start::{Limits, Start};
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -61,6 +61,15 @@
 }
 
 impl Entry {
+    /// Wants calls, as far as the list goes.
+    pub fn ready(&self) -> bool {
+        matches!(self.status, Status::Active)
+    }
+
+    pub fn left(&self) -> bool {
+        matches!(self.status, Status::Left)
+    }
+
     /// What the module is told of it, under the number that the host has given the server.
     pub fn listing(&self, server: ServerId, zones: &[String]) -> Listing {
         let place = zones.iter().position(|zone| *zone == self.zone).unwrap_or(zones.len());
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -18,6 +18,9 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The address for operators alone; none listens without it.
+    #[serde(default)]
+    pub console: Option<SocketAddr>,
     #[serde(deserialize_with = "seed")]
     pub seed: u64,
     #[serde(default)]
