--- a/src/rules.rs
+++ b/src/rules.rs
@@ -228,7 +228,7 @@
         self.calls.insert(id, call);
         let room = self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
         let input = if room { Room } else { Crowd };
-        self.step(id, if thinned { Hopeless } else { input }, out);
+        self.step(id, if thinned || self.fleet.ready() == 0 { Hopeless } else { input }, out);
     }
 
     /// Hops stuck at servers set aside don't count, or hung servers would fill the width with silence. A part
