A second process takes over beside the running one on the passed socket

Cause: the second process bound the address that the first one holds and ended with 1. Ruled out on the way: a module whose figures change while its servers stay measured by the old ones (a debug check of the pick failed); a whole list follows now. Tests: a listener shared with another process must leave epoll by itself.

--- a/sidecar/src/board.rs
+++ b/sidecar/src/board.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// All there are.
+    pub fn list(&self) -> List {
+        let endpoints = self.entries.values().cloned().collect();
+        List { index: self.version, snapshot: true, endpoints }
+    }
+
     pub fn marks(&self) -> &Marks {
         &self.marks
     }
--- a/sidecar/src/bounds.rs
+++ b/sidecar/src/bounds.rs
@@ -2,7 +2,7 @@
 //! a worker on which most callers land may take nearly all, and can't leave another with nothing; the sum keeps the bound.
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicIsize, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 /// What is held somewhere, for others to read.
@@ -28,13 +28,24 @@
 pub struct Bound {
     floor: usize,
     common: Arc<AtomicIsize>,
+    /// What one sharer may hold while another process has half of the bound.
+    half: usize,
+    halved: Arc<AtomicBool>,
 }
 
 impl Bound {
     /// Half of `most` goes to the floors of `sharers`, all of it if there is only one.
     pub fn new(most: usize, sharers: usize) -> Bound {
         let floor = if sharers == 1 { most } else { most / 2 / sharers };
-        Bound { floor, common: Arc::new(AtomicIsize::new((most - floor * sharers) as isize)) }
+        let common = Arc::new(AtomicIsize::new((most - floor * sharers) as isize));
+        Bound { floor, common, half: (most / 2 / sharers).max(1), halved: Arc::default() }
+    }
+}
+
+impl Bound {
+    /// Another process has half of it, until told otherwise.
+    pub fn halve(&self, halved: bool) {
+        self.halved.store(halved, Ordering::Release);
     }
 }
 
@@ -54,8 +65,16 @@
         self.held.get()
     }
 
+    /// Whether another process is short of what is held here.
+    pub fn over(&self) -> bool {
+        self.bound.halved.load(Ordering::Acquire) && self.held.get() > self.bound.half
+    }
+
     /// One place, if there is any; given up when it is dropped.
     pub fn take(self: &Rc<Share>) -> Option<Place> {
+        if self.bound.halved.load(Ordering::Acquire) && self.held.get() >= self.bound.half {
+            return None;
+        }
         if self.held.get() >= self.bound.floor {
             let common = &self.bound.common;
             common
@@ -112,6 +131,21 @@
         assert_eq!(rest.len(), 20);
     }
 
+    #[test]
+    fn half_of_it_is_another_processes_while_that_lives() {
+        let bound = Bound::new(8, 1);
+        let share = Share::of(bound.clone());
+        let mut held: Vec<Place> = (0..6).filter_map(|_| share.take()).collect();
+        bound.halve(true);
+        assert!(share.over() && share.take().is_none());
+        held.truncate(3);
+        held.extend(share.take());
+        assert!(!share.over() && held.len() == 4 && share.take().is_none());
+        bound.halve(false);
+        held.extend(std::iter::from_fn(|| share.take()));
+        assert_eq!(held.len(), 8);
+    }
+
     #[test]
     fn what_is_taken_anyway_is_given_back_before_others_take() {
         let bound = Bound::new(8, 2);
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -1,20 +1,21 @@
 //! The second address, for operators alone: asks whether this process serves, and takes servers out by hand or puts them
 //! back. It has a thread, a reactor and descriptors of its own, so that it answers however busy the workers are.
 use crate::board::{lock, Mark, Refused, Shared};
+use crate::folder::Keeper;
 use crate::http1::answers::Answer;
 use crate::http1::head::{Fault, Head};
 use crate::http1::messages::{Assembler, Side};
+use crate::peers::Peers;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use crate::timers::Clock;
 use crate::workers::{on_this_thread, Order, Orders};
 use async_executor::Task;
 use futures_lite::{future, AsyncWriteExt};
-use oakhollow_terms::Marks;
-use slog::{info, warn, Logger};
+use slog::{info, Logger};
 use std::collections::VecDeque;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::sync::Arc;
 use std::thread::Builder;
 use std::time::Duration;
 
@@ -29,48 +30,13 @@
 /// After a failed accept.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Keeps the marks in the sidecar's folder.
-pub struct Keeper {
-    path: PathBuf,
-    listen: SocketAddr,
-}
-
-impl Keeper {
-    /// None where the machine names no folder.
-    pub fn new(listen: SocketAddr) -> Option<Keeper> {
-        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
-        let name = format!("oakhollow-{}.marks", listen.to_string().replace([':', '[', ']'], "_"));
-        Some(Keeper { path: PathBuf::from(folder).join(name), listen })
-    }
-
-    /// What was kept; nothing where the file can't be read.
-    pub fn marks(&self, log: &Logger) -> Marks {
-        match Marks::from_file(&self.path, self.listen) {
-            Some(Ok(marks)) => {
-                info!(log, "marks taken from the folder, {} out by hand", marks.out.len());
-                marks
-            }
-            Some(Err(fault)) => {
-                warn!(log, "marks not taken: {}", fault);
-                Marks::default()
-            }
-            None => Marks::default(),
-        }
-    }
-
-    fn keep(&self, marks: &Marks, log: &Logger) {
-        if let Err(fault) = marks.to_file(&self.path, self.listen) {
-            warn!(log, "marks not kept: {}: {}", self.path.display(), fault);
-        }
-    }
-}
-
 pub struct Console {
     pub board: Shared,
     pub orders: Orders,
     pub clock: Clock,
     pub log: Logger,
-    pub keeper: Option<Keeper>,
+    pub keeper: Option<Arc<Keeper>>,
+    pub peers: Peers,
 }
 
 /// What may be asked, as the paths have it.
@@ -184,7 +150,9 @@
             Refused::Unknown => Fault { status: 404, why: "nobody has this name" },
             Refused::TooMany => Fault { status: 507, why: "too many are out by hand" },
         })?;
-        let Mark { name, out, .. } = &mark;
+        let mark = &mark;
+        let Mark { name, out, .. } = mark;
+        self.peers.tell(mark, None);
         info!(self.log, "{} {} by hand", name, if *out { "out" } else { "back" });
         let applied = async {
             self.orders.have_done(|done| Order::Marked(mark.clone(), done)).await;
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -90,6 +90,8 @@
     Listed(ListKind, Arc<List>),
     /// A server is out by hand, or back; the sender is dropped when that holds.
     Marked(Mark, Sender<()>),
+    /// What holds from now on.
+    Retuned(Box<Terms>),
 }
 
 /// How all else reaches the module.
@@ -250,6 +252,11 @@
                 let told = self.roster.take(&list);
                 self.listed(kind, told);
             }
+            Note::Retuned(terms) => {
+                self.on(Event::Retuned(&terms));
+                let told = self.roster.all();
+                self.listed(ListKind::Cached, told);
+            }
             Note::Marked(mark, done) => {
                 let told = self.roster.mark(&mark);
                 // Nothing was heard from discovery by this.
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -116,6 +116,8 @@
     crowded: Cell<bool>,
     able: Cell<bool>,
     closing: Cell<bool>,
+    /// Each answer ends its connection: whoever has another call takes it to our successor.
+    parting: Cell<bool>,
     answer_by: Cell<Micros>,
 }
 
@@ -139,6 +141,7 @@
             crowded: Cell::new(false),
             able: Cell::new(false),
             closing: Cell::new(false),
+            parting: Cell::new(false),
             answer_by: Cell::new(Micros::NEVER),
         })
     }
@@ -155,7 +158,7 @@
 
     /// Whether a connection may be kept after an answer.
     pub fn keeps(&self) -> bool {
-        !self.closing.get() && !self.crowded.get()
+        !self.closing.get() && !self.crowded.get() && !self.parting.get()
     }
 
     /// No API call that comes from now on may take longer than until then.
@@ -167,6 +170,11 @@
         self.answer_by.get()
     }
 
+    /// From now on each answer ends its connection.
+    pub fn part(&self) {
+        self.parting.set(true);
+    }
+
     /// From now on no connection outlives the answer it waits for.
     pub fn close(&self) {
         self.closing.set(true);
@@ -244,6 +252,12 @@
         drop(first.and_then(|id| idle.remove(&id)));
     }
 
+    /// Closes idle connections that another process of this sidecar is short of.
+    pub fn give_way(&self) {
+        let idle = self.idle.borrow().len();
+        (0..idle).take_while(|_| self.open.over()).for_each(|_| self.make_room());
+    }
+
     /// Has room looked for again, where others wait for it.
     fn stir(&self) {
         if self.crowded.get() {
--- /dev/null
+++ b/sidecar/src/peers.rs
@@ -0,0 +1,245 @@
+//! Two processes of one sidecar while one replaces the other. A local socket in the sidecar's folder carries one line from
+//! the old to the new, a snapshot, and then each side's marks, a line each; its end means that the other is gone.
+use crate::board::{lock, Mark, Shared as Board};
+use crate::bounds::Bound;
+use crate::folder::Keeper;
+use crate::workers::{Order, Orders, Shared};
+use async_channel::{bounded, Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::io::{self, AsyncBufReadExt, AsyncReadExt, BufReader, ReadHalf, WriteHalf};
+use futures_lite::{future, AsyncWriteExt};
+use oakhollow::types::Micros;
+use oakhollow_terms::{read, List, Marks, Told};
+use slog::{info, warn, Logger};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How long a process that comes waits for the one before it.
+const WITHIN: Duration = Duration::from_millis(300);
+/// Marks that may wait for a peer that does not read.
+const MOST_WAITING: usize = 256;
+/// The longest line that is taken: a list of many thousands.
+const MOST_LINE: u64 = 16 * 1024 * 1024;
+/// How long until a socket that could not be made is tried again.
+const PAUSE: Duration = Duration::from_millis(500);
+
+type Incoming = BufReader<ReadHalf<Async<UnixStream>>>;
+type Outgoing = WriteHalf<Async<UnixStream>>;
+
+/// The way to other processes of this sidecar, if there are any.
+#[derive(Clone, Default)]
+pub struct Peers(Arc<Mutex<Vec<Sender<Mark>>>>);
+
+impl Peers {
+    fn links(&self) -> std::sync::MutexGuard<'_, Vec<Sender<Mark>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells a mark to all but the one that told it.
+    pub fn tell(&self, mark: &Mark, from: Option<&Sender<Mark>>) {
+        let links = self.links();
+        let others = links.iter().filter(|link| !from.is_some_and(|from| link.same_channel(from)));
+        others.for_each(|link| _ = link.try_send(mark.clone()));
+    }
+
+    pub fn any(&self) -> bool {
+        !self.links().is_empty()
+    }
+}
+
+/// The process before this one, and what it told.
+pub struct Predecessor {
+    pub marks: Marks,
+    pub list: Option<List>,
+    reads: Incoming,
+    writes: Outgoing,
+}
+
+/// Asks the process before this one for its snapshot. None if there is none, or nothing that can be used: a start never
+/// hangs on it.
+pub async fn greet(keeper: &Keeper, log: &Logger) -> Option<Predecessor> {
+    let path = keeper.socket();
+    if !path.exists() {
+        return None;
+    }
+    let greeted = async {
+        let stream = Async::<UnixStream>::connect(&path).await.map_err(|fault| fault.to_string())?;
+        let (reads, writes) = io::split(stream);
+        let mut reads = BufReader::new(reads);
+        let line = line(&mut reads).await.ok_or("it said nothing")?;
+        let (marks, list) = Marks::from_json(line.as_bytes(), keeper.listen)?;
+        Ok(Predecessor { marks, list, reads, writes })
+    };
+    let late = async {
+        Timer::after(WITHIN).await;
+        Err("it said nothing in time".to_string())
+    };
+    match future::or(greeted, late).await {
+        Ok(predecessor) => Some(predecessor),
+        Err(fault) => {
+            warn!(log, "no snapshot from the process before: {}", fault);
+            None
+        }
+    }
+}
+
+async fn line(reads: &mut Incoming) -> Option<String> {
+    let mut line = String::new();
+    let count = reads.take(MOST_LINE).read_line(&mut line).await.ok()?;
+    (count > 0 && line.ends_with('\n')).then_some(line)
+}
+
+/// What the links of one process work on.
+pub struct Linking {
+    pub peers: Peers,
+    pub board: Board,
+    pub orders: Orders,
+    pub keeper: Arc<Keeper>,
+    pub bounds: [Bound; 2],
+    pub log: Logger,
+}
+
+impl Linking {
+    /// Follows the process before this one, if there is one, and waits for those that come after.
+    pub async fn run(self, before: Option<Predecessor>) {
+        let follow = async {
+            if let Some(Predecessor { reads, writes, .. }) = before {
+                self.link(reads, writes, Shared::WithPredecessor).await;
+            }
+            future::pending::<()>().await
+        };
+        future::or(follow, self.welcome()).await;
+    }
+
+    async fn welcome(&self) {
+        loop {
+            // Anew after each: whoever came has put its own socket there, and may be gone without a yes.
+            let path = self.keeper.socket();
+            let _ = std::fs::remove_file(&path);
+            let listener = match Async::<UnixListener>::bind(&path) {
+                Ok(listener) => listener,
+                Err(fault) => {
+                    warn!(self.log, "nobody can take over: {}: {}", path.display(), fault);
+                    return;
+                }
+            };
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(PAUSE).await;
+                continue;
+            };
+            drop(listener);
+            let (reads, mut writes) = io::split(stream);
+            let snapshot = {
+                let board = lock(&self.board);
+                board.marks().to_json(self.keeper.listen, Some(board.list()))
+            };
+            if writes.write_all(format!("{snapshot}\n").as_bytes()).await.is_ok() {
+                self.link(BufReader::new(reads), writes, Shared::WithSuccessor).await;
+            }
+        }
+    }
+
+    /// Shares with another process until that is gone.
+    async fn link(&self, mut reads: Incoming, mut writes: Outgoing, with: Shared) {
+        let (link, marks): (Sender<Mark>, Receiver<Mark>) = bounded(MOST_WAITING);
+        self.peers.links().push(link.clone());
+        self.share(with).await;
+        let heard = async {
+            while let Some(line) = line(&mut reads).await {
+                let Ok(Told { name, out, at_us }) = read(line.trim().as_bytes()) else {
+                    return warn!(self.log, "the other process said what makes no sense");
+                };
+                self.mark(Mark { name, out, at: Micros(at_us) }, &link).await;
+            }
+        };
+        let said = async {
+            while let Ok(Mark { name, out, at }) = marks.recv().await {
+                let told = Told { name, out, at_us: at.0 }.to_json();
+                if writes.write_all(format!("{told}\n").as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        };
+        future::or(heard, said).await;
+        self.peers.links().retain(|other| !other.same_channel(&link));
+        self.share(Shared::Alone).await;
+    }
+
+    async fn share(&self, with: Shared) {
+        info!(self.log, "shares with another process: {:?}", with);
+        self.bounds.iter().for_each(|bound| bound.halve(with != Shared::Alone));
+        self.orders.tell(Order::Shared(with)).await;
+    }
+
+    async fn mark(&self, mark: Mark, from: &Sender<Mark>) {
+        {
+            let mut board = lock(&self.board);
+            board.set(&mark);
+            self.keeper.keep(board.marks(), &self.log);
+        }
+        info!(
+            self.log,
+            "{} {} by hand, at the other process",
+            mark.name,
+            if mark.out { "out" } else { "back" }
+        );
+        self.peers.tell(&mark, Some(from));
+        self.orders.have_done(|done| Order::Marked(mark, done)).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_io::block_on;
+    use slog::{o, Discard};
+    use std::io::Write;
+    use std::thread;
+    use std::time::Instant;
+
+    /// What a process finds that comes where `says` is all that the one before has to say, and how long that takes.
+    fn greeted(name: &str, says: Option<&str>) -> (Option<Marks>, Duration) {
+        let folder = std::env::temp_dir().join(format!("oakhollow-peers-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let keeper = Keeper::at(&folder, "127.0.0.1:70".parse().expect("an address"));
+        let listener = std::os::unix::net::UnixListener::bind(keeper.socket()).expect("a socket");
+        let said = says.map(str::to_string);
+        // None: it dies and leaves its file behind.
+        let other = said.map(|said| {
+            thread::spawn(move || {
+                let (mut stream, _) = listener.accept().expect("somebody");
+                stream.write_all(said.as_bytes()).expect("said");
+                thread::sleep(Duration::from_millis(if said.ends_with('!') { 0 } else { 700 }));
+            })
+        });
+        let begun = Instant::now();
+        let before = block_on(greet(&keeper, &Logger::root(Discard, o!())));
+        let took = begun.elapsed();
+        other.map(thread::JoinHandle::join);
+        let _ = std::fs::remove_dir_all(&folder);
+        (before.map(|before| before.marks), took)
+    }
+
+    #[test]
+    fn a_start_never_hangs_on_what_the_process_before_says() {
+        let mut marks = Marks::default();
+        marks.set("s-1", true, Micros(1));
+        let whole = marks.to_json("127.0.0.1:70".parse().expect("an address"), None);
+        let line = |text: &str| format!("{text}\n");
+        assert_eq!(greeted("whole", Some(&line(&whole))).0, Some(marks));
+        let odd = [
+            ("stale", None),
+            ("silent", Some(String::new())),
+            ("half", Some(whole.clone())),
+            ("gone", Some("!".into())),
+            ("noise", Some(line("no snapshot"))),
+            ("newer", Some(line(&whole.replace("\"version\":1", "\"version\":2")))),
+            ("foreign", Some(line(&whole.replace(":70", ":71")))),
+        ];
+        for (name, says) in odd {
+            let (before, took) = greeted(name, says.as_deref());
+            assert!(before.is_none() && took < Duration::from_millis(600), "{name}: {before:?}, {took:?}");
+        }
+    }
+}
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,8 +1,10 @@
 //! The program's life from start to exit, as named phases of one object.
 use crate::board::{lock, Board, Shared};
 use crate::bounds::Bound;
-use crate::console::{self, Console, Keeper};
+use crate::console::{self, Console};
+use crate::folder::Keeper;
 use crate::http1::watch::Watch;
+use crate::peers::{self, Linking, Peers, Predecessor};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use crate::workers::{carry, panic_kept, Crew, Kit, Lost, Order, Orders};
@@ -12,11 +14,12 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
 use oakhollow::types::Micros;
-use oakhollow_terms::{Operator, Start};
+use oakhollow_terms::{Marks, Operator, Start};
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use slog::{info, warn, Logger};
-use std::io::{ErrorKind, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{BorrowedFd, RawFd};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -34,6 +37,12 @@
 const REBIND: Duration = Duration::from_secs(2);
 /// How many connections may wait in the machine's queue; they take none of our descriptors.
 const QUEUE: i32 = 4096;
+/// The part of the time before the program may be killed for which callers are served: alone, and while another process
+/// takes in those that come.
+const STAYS: f64 = 0.5;
+const STAYS_BESIDE: f64 = 0.65;
+/// How long discovery may take to tell the list while another process serves.
+const SETTLES: Duration = Duration::from_millis(2_000);
 /// How often it is looked whether all have left.
 const LOOK: Duration = Duration::from_millis(10);
 /// Descriptors that are neither a caller's connection nor a server's, and those of each further worker.
@@ -113,6 +122,11 @@
     moves: Sender<SocketAddr>,
     lost: Option<Lost>,
     board: Shared,
+    peers: Peers,
+    /// Another process serves meanwhile.
+    takes_over: bool,
+    /// Another process serves from now on.
+    parts: bool,
 }
 
 /// What a running sidecar may be told from outside.
@@ -141,14 +155,46 @@
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
     block_on(executor.run(async {
-        let address = start.listen;
-        let bound = bind(address, operator.workers).await;
-        let listeners = bound.map_err(|fault| format!("listen: {address}: {fault}"))?;
-        let program = Program::build(start, operator, log, tasks, listeners);
+        let (address, mut start) = (start.listen, start);
+        let (listeners, passed) = match passed_on(operator.workers) {
+            Some(listeners) => (listeners, true),
+            None => (bind(address, operator.workers).await, false),
+        };
+        let listeners = listeners.map_err(|fault| format!("listen: {address}: {fault}"))?;
+        let place = listeners[0].local_addr().map_err(|fault| format!("listen: {address}: {fault}"))?;
+        let keeper = Keeper::new(place).map(Arc::new);
+        let before = match &keeper {
+            Some(keeper) if passed => peers::greet(keeper, &log).await,
+            _ => None,
+        };
+        if let Some(list) = before.as_ref().and_then(|before| before.list.clone()) {
+            start.known = list;
+        }
+        let program = Program::build(start, operator, log, tasks, (listeners, passed), (keeper, before));
         program.map_err(|fault| format!("cannot start: {fault}"))?.live(reread, words).await
     }))
 }
 
+/// Names the descriptor of a listening socket that the platform passes on.
+const PASSED: &str = "RELAY_PASSED_SOCKET";
+
+/// The listening socket that the platform holds for all processes of this sidecar, if it does.
+fn passed_on(workers: usize) -> Option<Result<Vec<TcpListener>>> {
+    let number = std::env::var(PASSED).ok().filter(|number| !number.is_empty())?;
+    let open = || {
+        let odd = || Error::new(ErrorKind::InvalidInput, format!("{PASSED}: {number:?} is no descriptor"));
+        let number: RawFd = number.parse().ok().filter(|number| *number > 2).ok_or_else(odd)?;
+        // SAFETY: borrowed for this line only; a number that nobody has open makes the copy fail.
+        let passed = unsafe { BorrowedFd::borrow_raw(number) };
+        let socket = TcpListener::from(passed.try_clone_to_owned().map_err(|_| odd())?);
+        if !sockopt::socket_acceptconn(&socket)? {
+            net::listen(&socket, QUEUE)?;
+        }
+        (0..workers).map(|_| socket.try_clone()).collect()
+    };
+    Some(open())
+}
+
 /// Guards against failing a quick restart: the program before this one may hold the address for a moment more.
 async fn bind(listen: SocketAddr, workers: usize) -> Result<Vec<TcpListener>> {
     let first = Instant::now();
@@ -193,8 +239,10 @@
 
 impl Program {
     fn build(
-        start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: Vec<TcpListener>,
+        start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: (Vec<TcpListener>, bool),
+        kept: (Option<Arc<Keeper>>, Option<Predecessor>),
     ) -> Result<Program> {
+        let ((listeners, passed), (keeper, before)) = (listeners, kept);
         let Start { place, limits, known, .. } = start;
         let workers = operator.workers;
         info!(log, "listening on {}", listeners[0].local_addr()?; "tier" => &place.tier, "workers" => workers);
@@ -207,21 +255,27 @@
         let (moves, moved) = bounded(1);
         let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
         let (clock, told) = (Clock::start(), known.index);
-        let keeper = Keeper::new(listeners[0].local_addr()?);
-        let marks = keeper.as_ref().map(|keeper| keeper.marks(&log)).unwrap_or_default();
+        let marks = match (&before, &keeper) {
+            (Some(before), _) => before.marks.clone(),
+            (None, Some(keeper)) => keeper.marks(&log),
+            (None, None) => Marks::default(),
+        };
+        let (peers, takes_over) = (Peers::default(), before.is_some());
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
+        let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
         let kit = Kit {
             place,
             seed: start.seed,
             known: Arc::new(known),
             marks,
             workers,
-            callers: Bound::new(most, workers),
-            links: Bound::new(most, workers),
+            callers: bounds[0].clone(),
+            links: bounds[1].clone(),
             clock,
             log: log.clone(),
             ask,
             ids: Arc::default(),
+            passed,
         };
         let listeners = Arc::new(Mutex::new(listeners));
         let crew = Crew::hire(workers, move |hand| {
@@ -232,8 +286,13 @@
         let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
         let orders = crew.orders();
         if let Some(at) = start.console {
-            Console { board: board.clone(), orders: orders.clone(), clock, log: log.clone(), keeper }
-                .listen(at)?;
+            let (board, orders, peers) = (board.clone(), orders.clone(), peers.clone());
+            Console { board, orders, clock, log: log.clone(), keeper: keeper.clone(), peers }.listen(at)?;
+        }
+        if let Some(keeper) = keeper.filter(|_| passed) {
+            let (peers, board, orders) = (peers.clone(), board.clone(), orders.clone());
+            let linking = Linking { peers, board, orders, keeper, bounds, log: log.clone() };
+            tasks.run(linking.run(before));
         }
         let told_to = (orders.clone(), board.clone());
         let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
@@ -249,6 +308,9 @@
             moves,
             lost: None,
             board,
+            peers,
+            takes_over,
+            parts: false,
             log,
             tasks,
         })
@@ -268,11 +330,19 @@
             };
             let usual = async {
                 match self.phase {
+                    // Guards against taking callers from the other process, which knows the list, before this one does.
+                    Phase::Starting if self.takes_over => {
+                        while !lock(&self.board).settled && self.since.elapsed() < SETTLES {
+                            Timer::after(LOOK).await;
+                        }
+                        Sign::Bound
+                    }
                     Phase::Starting => Sign::Bound,
                     Phase::Serving => word.await,
                     Phase::Leaving => {
                         let spent = async {
-                            Timer::at(self.since + NOTICE.max(duration(self.grace.times(0.5)))).await;
+                            let part = if self.parts { STAYS_BESIDE } else { STAYS };
+                            Timer::at(self.since + NOTICE.max(duration(self.grace.times(part)))).await;
                             Sign::Spent
                         };
                         future::or(spent, word).await
@@ -315,7 +385,9 @@
             }
             Effect::SayNo => {
                 lock(&self.board).able = false;
-                self.orders.tell(Order::SayNo(self.clock.now() + (self.grace - MARGIN))).await
+                let by = self.clock.now() + (self.grace - MARGIN);
+                self.parts = self.peers.any();
+                self.orders.tell(if self.parts { Order::Part(by) } else { Order::SayNo(by) }).await
             }
             Effect::Shut => self.orders.have_done(Order::Shut).await,
             Effect::Reread => match reread() {
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -227,24 +227,29 @@
 }
 
 /// A socket of this thread.
-pub struct Async<T> {
+pub struct Async<T: AsFd> {
     inner: T,
     source: Rc<Source>,
     reactor: Rc<Reactor>,
+    /// Another process may hold the same socket.
+    shared: bool,
 }
 
-impl<T> Drop for Async<T> {
+impl<T: AsFd> Drop for Async<T> {
     fn drop(&mut self) {
-        // The close, which follows, ends its registration.
+        // The close, which follows, ends the registration of a socket that no other process holds.
+        if self.shared {
+            let _ = epoll::delete(&self.reactor.epoll, &self.inner);
+        }
         self.reactor.sources.borrow_mut().try_remove(self.source.slot.get());
     }
 }
 
 impl<T: AsFd> Async<T> {
-    fn registered(inner: T, writable: bool) -> Result<Async<T>> {
+    fn registered(inner: T, writable: bool, shared: bool) -> Result<Async<T>> {
         let reactor = Reactor::here()?;
         let source = reactor.register(&inner, writable)?;
-        Ok(Async { inner, source, reactor })
+        Ok(Async { inner, source, reactor, shared })
     }
 
     pub fn get_ref(&self) -> &T {
@@ -255,7 +260,7 @@
 impl Async<TcpListener> {
     pub fn listening(listener: TcpListener) -> Result<Async<TcpListener>> {
         listener.set_nonblocking(true)?;
-        Async::registered(listener, false)
+        Async::registered(listener, false, true)
     }
 
     pub async fn accept(&self) -> Result<(Async<TcpStream>, SocketAddr)> {
@@ -268,7 +273,7 @@
 impl Async<TcpStream> {
     pub fn connected(stream: TcpStream) -> Result<Async<TcpStream>> {
         stream.set_nonblocking(true)?;
-        Async::registered(stream, true)
+        Async::registered(stream, true, false)
     }
 
     pub async fn connect(to: SocketAddr) -> Result<Async<TcpStream>> {
@@ -280,7 +285,7 @@
             Err(Errno::INPROGRESS) => true,
             Err(fault) => return Err(fault.into()),
         };
-        let stream = Async::registered(TcpStream::from(socket), !under_way)?;
+        let stream = Async::registered(TcpStream::from(socket), !under_way, false)?;
         if under_way {
             // Writable once it is up, or broken.
             poll_fn(|context| stream.source.writes.poll(context, || Ok(()))).await?;
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -49,7 +49,13 @@
         if let Some(entry) = known.map(|known| known.entry.clone()) {
             self.enter(&entry, &mut entries, &mut retired);
         }
-        Told { entries: self.known.values().map(|known| known.listing.clone()).collect(), retired }
+        Told { retired, ..self.all() }
+    }
+
+    /// All that is known, as it stands.
+    pub fn all(&self) -> Told {
+        let entries = self.known.values().map(|known| known.listing.clone()).collect();
+        Told { entries, retired: Vec::new() }
     }
 
     /// What the list says of a server, as it stands by the marks.
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -13,7 +13,7 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use oakhollow::types::{ListKind, Micros};
+use oakhollow::types::{ListKind, Micros, Terms};
 use oakhollow_terms::{List, Marks, Place};
 use slog::{o, Logger};
 use std::cell::RefCell;
@@ -35,12 +35,24 @@
     Marked(Mark, Sender<()>),
     /// Take callers in. Its sender is dropped when that holds.
     Open(Sender<()>),
+    /// What is shared out with another process of this sidecar.
+    Shared(Shared),
+    /// Take nobody in any more, and end each connection with its next answer, due by then.
+    Part(Micros),
     /// `/ready` says no; calls that come from now on have their answers by then.
     SayNo(Micros),
     /// Take nobody in any more. Its sender is dropped when that holds.
     Shut(Sender<()>),
 }
 
+/// Whether another process of this sidecar lives beside this one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Shared {
+    Alone,
+    WithSuccessor,
+    WithPredecessor,
+}
+
 /// The way to all workers, each with a queue of its own: guards against one that is busy for a moment keeping the others
 /// from a drain.
 #[derive(Clone)]
@@ -172,6 +184,8 @@
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     pub ids: Arc<Ids>,
+    /// The listener is the platform's: what waits in its queue is for whoever comes next.
+    pub passed: bool,
 }
 
 /// The whole life of a worker that carries calls.
@@ -204,6 +218,18 @@
     place
 }
 
+/// As one of two sidecars, while another process is the other.
+fn shared(mut terms: Terms, shared: Shared) -> Terms {
+    let (sidecars, number) = match shared {
+        Shared::Alone => return terms,
+        Shared::WithPredecessor => (2, 0),
+        Shared::WithSuccessor => (2, 1),
+    };
+    terms.number = terms.number.saturating_mul(sidecars).saturating_add(number);
+    terms.sidecars = terms.sidecars.saturating_mul(sidecars);
+    terms
+}
+
 async fn obey(kit: Kit, hand: Hand, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
     let Hand { number, orders, gauges } = hand;
     let place = placed(kit.place, number, kit.workers);
@@ -223,7 +249,7 @@
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
-    let warm_keys = place.terms.warm_keys;
+    let (warm_keys, terms) = (place.terms.warm_keys, place.terms);
     let names = Names { workloads: place.workloads, customers: place.customers, warm_keys };
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
@@ -239,6 +265,18 @@
                 door.set_able(true);
                 drop(done);
             }
+            Order::Shared(with) => {
+                desk.tell(Note::Retuned(Box::new(shared(terms.clone(), with)))).await;
+                door.give_way();
+            }
+            Order::Part(by) => {
+                if let Some(welcome) = welcome.take() {
+                    welcome.cancel().await;
+                }
+                listener = None;
+                door.part();
+                door.answer_by(by);
+            }
             Order::SayNo(by) => {
                 door.set_able(false);
                 // Guards against a kill that finds an API call without its answer.
@@ -250,7 +288,7 @@
                 }
                 door.close();
                 // Dropped at once after: a listener left open would go on accepting for nobody.
-                if let Some(listener) = listener.take() {
+                if let Some(listener) = listener.take().filter(|_| !kit.passed) {
                     door.take_rest(&listener);
                 }
                 drop(done);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -21,8 +21,11 @@
 //!   least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP
-//! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `hangs COUNT [BYTES]`:
+//! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
+//!   healthcheck says yes soon; `hangs COUNT [BYTES]`:
 //!   connections to it that say no more
+//! - `sidecar ... passed`: its listening socket is held by us and passed on; `beside [KEY=VALUE ...]` starts another process
+//!   on it, which is the one spoken of from then on; `swap`: the other one is
 //! - `forget NAME` its requests so far; `least NAME LEAST` requests since
 //! - `restarts`: killed, and started again with the same folder
 //! - `before LENGTH`: no more than that has passed since the last `stop` or `mark`
@@ -34,6 +37,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -199,6 +203,10 @@
     program: Option<(Child, Arc<Mutex<String>>)>,
     port: Option<SocketAddr>,
     console: Option<SocketAddr>,
+    /// The listening socket that processes inherit.
+    passed: Option<TcpListener>,
+    /// The process beside the one spoken of.
+    beside: Option<(Child, Arc<Mutex<String>>, Option<SocketAddr>)>,
     /// The sidecar's own folder, kept when it starts again.
     folder: PathBuf,
     clients: BTreeMap<String, TcpStream>,
@@ -214,7 +222,11 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        if let Some((mut program, _)) = self.program.take() {
+        if let (true, Some((_, said))) = (thread::panicking(), &self.program) {
+            eprintln!("{}", said.lock().map(|said| said.clone()).unwrap_or_default());
+        }
+        let programs = [self.program.take().map(|it| it.0), self.beside.take().map(|it| it.0)];
+        for mut program in programs.into_iter().flatten() {
             let _ = program.kill();
             let _ = program.wait();
         }
@@ -284,7 +296,15 @@
         (self.file, self.told) = (std::env::temp_dir().join(file), config.to_string());
         std::fs::write(&self.file, config).expect("the file");
         let mut command = Command::new("/bin/sh");
+        let before = match &self.passed {
+            Some(_) => format!("{before} exec 5<&0 0</dev/null;"),
+            None => before.to_string(),
+        };
         command.args(["-c", &format!("{before} exec {}", env!("CARGO_BIN_EXE_oakhollow"))]);
+        if let Some(passed) = &self.passed {
+            command.stdin(Stdio::from(OwnedFd::from(passed.try_clone().expect("a descriptor"))));
+            command.env("RELAY_PASSED_SOCKET", "5");
+        }
         if !self.operator.is_empty() {
             let file = self.file.with_extension("toml");
             std::fs::write(&file, &self.operator).expect("the operator's file");
@@ -322,6 +342,9 @@
     }
 
     fn sidecar(&mut self, words: &[&str]) {
+        if words.contains(&"passed") {
+            self.passed.get_or_insert_with(|| listen().0);
+        }
         let address = self.stand_in(words.contains(&"unchanged"));
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
         let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
@@ -523,6 +546,7 @@
                 self.marked = Some(Instant::now());
             }
             ["asks", method, path, status] => self.asks(method, path, status),
+            ["healthy"] => until("it serves", || self.ask("GET", "/healthcheck").contains(" 200 ")),
             ["hangs", count, ..] => {
                 for _ in 0..count.parse().expect("a count") {
                     let mut stream =
@@ -539,6 +563,17 @@
                 let words: Vec<&str> = words.iter().copied().chain([listen.as_str()]).collect();
                 self.sidecar(&words);
             }
+            ["beside", ..] => {
+                let (program, said) = self.program.take().expect("a sidecar");
+                self.beside = Some((program, said, self.console));
+                self.sidecar(&words[1..]);
+            }
+            ["swap"] => {
+                let (program, said, console) = self.beside.take().expect("another");
+                let (other, log) = self.program.replace((program, said)).expect("a sidecar");
+                self.beside = Some((other, log, std::mem::replace(&mut self.console, console)));
+            }
+            ["kill"] => self.signal("KILL"),
             ["mark"] => self.marked = Some(Instant::now()),
             ["before", time] => {
                 let passed = self.marked.expect("a mark").elapsed();
@@ -586,15 +621,20 @@
     }
 
     fn asks(&self, method: &str, path: &str, status: &str) {
+        let head = self.ask(method, path);
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+    }
+
+    fn ask(&self, method: &str, path: &str) -> String {
         let begun = Instant::now();
         let mut stream = TcpStream::connect(self.console.expect("a console")).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let path = plain(path);
         write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").expect("sent");
         let (head, _) = read_message(&mut stream).expect("an answer");
-        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
         assert!(begun.elapsed() < Duration::from_secs(1), "late");
         assert_eq!(stream.read(&mut [0]).ok(), Some(0), "one call to a connection");
+        head
     }
 
     fn open(&mut self, count: &str, bytes: &str) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -154,6 +154,7 @@
             Event::Ended(ending) => self.ended(ending, out),
             Event::Withdrawn { call } => self.step(call, Left, out),
             Event::Heard { server, strain } => self.heard(server, strain),
+            Event::Retuned(terms) => return self.figures = Figures::new(terms),
             Event::Woke(POKED) => self.poked = false,
             Event::Woke(ASK) => self.ask(out),
             Event::Woke(HEART) => self.beat(out),
@@ -603,8 +604,7 @@
     }
 
     fn heard(&mut self, id: ServerId, strain: f64) {
-        let now = self.now;
-        self.fleet.change(id, |server| (server.strain, server.heard) = (strain.max(1.0), now));
+        self.fleet.change(id, |server| (server.strain, server.heard) = (strain.max(1.0), self.now));
     }
 
     /// Copies pause while errors run past SuppressAt times the trip rate.
--- a/src/types.rs
+++ b/src/types.rs
@@ -240,13 +240,27 @@
 /// `Heard` is what another sidecar found of a server's strain.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
-    Listed { kind: ListKind, entries: &'a [Listing] },
+    Listed {
+        kind: ListKind,
+        entries: &'a [Listing],
+    },
     Arrived(Arrival),
-    Streaming { call: CallId, hop: HopNo },
+    Streaming {
+        call: CallId,
+        hop: HopNo,
+    },
     Ended(Ending),
-    Withdrawn { call: CallId },
+    Withdrawn {
+        call: CallId,
+    },
     Woke(Token),
-    Heard { server: ServerId, strain: f64 },
+    Heard {
+        server: ServerId,
+        strain: f64,
+    },
+    /// The place lays down something else from now on; workloads keep their numbers. A whole list must follow, by which
+    /// servers are measured anew.
+    Retuned(&'a Terms),
 }
 
 /// `Tell` is for all other sidecars, where they may tell each other; it may be lost.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -8,7 +8,7 @@
 mod start;
 
 pub use list::{Entry, List, Version};
-pub use marks::Marks;
+pub use marks::{Marks, Told};
 pub use operator::Operator;
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use start::{Limits, Start};
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -2,11 +2,11 @@
 use crate::mark;
 use oakhollow::types::*;
 use serde::de::Error;
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
 
 /// Which state of the list was told.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct Version(pub u64);
 
 /// One whole list, or the entries that changed since the one before.
@@ -16,14 +16,14 @@
 /// let line = br#"{"index":3,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:70","status":"gone"}]}"#;
 /// assert!(read::<List>(line).unwrap_err().starts_with("endpoints[0].status: unknown variant `gone`"));
 /// ```
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct List {
     pub index: Version,
     pub snapshot: bool,
     pub endpoints: Vec<Entry>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Entry {
     pub name: String,
     pub address: SocketAddr,
@@ -38,7 +38,7 @@
     since_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Status {
     Active,
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -1,5 +1,5 @@
-//! Which servers are out by hand, and the file in which that outlives the process.
-use crate::read;
+//! Which servers are out by hand, and what of a sidecar outlives its process: a file, or a line to its successor.
+use crate::{read, List};
 use oakhollow::types::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,22 @@
     listen: SocketAddr,
     out: BTreeSet<String>,
     back: BTreeMap<String, u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    list: Option<List>,
+}
+
+/// A mark as one process tells another.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Told {
+    pub name: String,
+    pub out: bool,
+    pub at_us: u64,
+}
+
+impl Told {
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
 }
 
 const VERSION: u32 = 1;
@@ -44,9 +60,10 @@
         }
     }
 
-    pub fn to_json(&self, listen: SocketAddr) -> String {
+    /// `list` goes to a successor only.
+    pub fn to_json(&self, listen: SocketAddr, list: Option<List>) -> String {
         let back = self.back.iter().map(|(name, at)| (name.clone(), at.0)).collect();
-        let written = Written { version: VERSION, listen, out: self.out.clone(), back };
+        let written = Written { version: VERSION, listen, out: self.out.clone(), back, list };
         serde_json::to_string(&written).unwrap_or_default()
     }
 
@@ -55,10 +72,10 @@
     /// let (here, there) = ("127.0.0.1:70".parse().unwrap(), "127.0.0.1:71".parse().unwrap());
     /// let mut marks = Marks::default();
     /// marks.out.insert("s-1".into());
-    /// assert_eq!(Marks::from_json(marks.to_json(here).as_bytes(), here).unwrap(), marks);
-    /// assert!(Marks::from_json(marks.to_json(here).as_bytes(), there).unwrap_err().starts_with("listen: "));
+    /// assert_eq!(Marks::from_json(marks.to_json(here, None).as_bytes(), here).unwrap().0, marks);
+    /// assert!(Marks::from_json(marks.to_json(here, None).as_bytes(), there).unwrap_err().starts_with("listen: "));
     /// ```
-    pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<Marks, String> {
+    pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Option<List>), String> {
         let written: Written = read(json)?;
         if written.version != VERSION {
             return Err(format!("version: {} is not read", written.version));
@@ -67,20 +84,21 @@
             return Err(format!("listen: {} is another sidecar's", written.listen));
         }
         let back = written.back.into_iter().map(|(name, at)| (name, Micros(at))).collect();
-        Ok(Marks { out: written.out, back })
+        Ok((Marks { out: written.out, back }, written.list))
     }
 
     /// None where there is no file.
     pub fn from_file(path: &Path, listen: SocketAddr) -> Option<Result<Marks, String>> {
         let json = std::fs::read(path).ok()?;
-        Some(Marks::from_json(&json, listen).map_err(|fault| format!("{}: {fault}", path.display())))
+        let read = Marks::from_json(&json, listen).map(|(marks, _)| marks);
+        Some(read.map_err(|fault| format!("{}: {fault}", path.display())))
     }
 
     /// Written whole or not at all.
     pub fn to_file(&self, path: &Path, listen: SocketAddr) -> std::io::Result<()> {
         let fresh = path.with_extension(format!("new-{}", std::process::id()));
         let written =
-            std::fs::write(&fresh, self.to_json(listen)).and_then(|()| std::fs::rename(&fresh, path));
+            std::fs::write(&fresh, self.to_json(listen, None)).and_then(|()| std::fs::rename(&fresh, path));
         if written.is_err() {
             let _ = std::fs::remove_file(&fresh);
         }
