--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -4,7 +4,7 @@
 use crate::folder::Keeper;
 use crate::http1::answers::Answer;
 use crate::http1::head::{Fault, Head};
-use crate::http1::messages::{Assembler, Side};
+use crate::http1::messages::{Assembler, Came, Side};
 use crate::peers::Peers;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
@@ -113,7 +113,7 @@
                 Some(Err(fault)) => fault.into(),
                 None => return,
             };
-            if (&stream).write_all(&answer.bytes(false)).await.is_ok() {
+            if (&stream).write_all(&answer.bytes(false, answer.framing(true))).await.is_ok() {
                 let _ = stream.get_ref().shutdown(Shutdown::Write);
                 // Guards against a reset that eats the answer where more came than was read.
                 let mut rest = Vec::new();
@@ -173,7 +173,8 @@
     let mut inbox = Assembler::new(Side::Requests);
     loop {
         match inbox.take() {
-            Ok(Some(request)) => return Some(Ok(request.head)),
+            Ok(Some(Came::Whole(request))) => return Some(Ok(request.head)),
+            Ok(Some(Came::Begun(request))) => return Some(Ok(request.head)),
             Ok(None) => {}
             Err(fault) => return Some(Err(fault)),
         }
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -52,6 +52,8 @@
     pub outcome: Outcome,
     pub answer: Option<A>,
     pub told: Told,
+    /// How long the server took, where that is not all the time since the send.
+    pub waited: Option<Micros>,
 }
 
 /// The one final answer of an API call.
@@ -236,7 +238,7 @@
                     self.clear(call);
                 }
             }
-            Note::Ended { call, hop, end: End { outcome, answer, told } } => {
+            Note::Ended { call, hop, end: End { outcome, answer, told, waited } } => {
                 let running = self.calls.get_mut(&call).and_then(|known| known.hops.get_mut(hop.0 as usize));
                 // One cancelled a moment ago has been counted as that.
                 if running.and_then(|hop| hop.running.take()).is_some() {
@@ -244,7 +246,7 @@
                         self.answer(call, Verdict::Succeeded(answer));
                     }
                     let report = self.weigh(told);
-                    self.ended(call, hop, outcome, report);
+                    self.ended(call, hop, outcome, (report, waited));
                     self.settle();
                 }
             }
@@ -280,7 +282,7 @@
 
     fn settle(&mut self) {
         while let Some((call, hop, outcome)) = self.ends.pop_front() {
-            self.ended(call, hop, outcome, None);
+            self.ended(call, hop, outcome, (None, None));
         }
     }
 
@@ -299,10 +301,11 @@
         }
     }
 
-    fn ended(&mut self, call: CallId, hop: HopNo, outcome: Outcome, report: Option<Report>) {
-        let now = self.desk.clock.now();
+    fn ended(&mut self, call: CallId, hop: HopNo, outcome: Outcome, told: (Option<Report>, Option<Micros>)) {
+        let (now, (report, waited)) = (self.desk.clock.now(), told);
         let Some(known) = self.calls.get(&call) else { return };
-        let (waited, closed) = (now - known.hops[hop.0 as usize].sent, known.verdict.is_none());
+        let waited = waited.unwrap_or(now - known.hops[hop.0 as usize].sent);
+        let closed = known.verdict.is_none();
         self.sidecar.on(
             now,
             Event::Ended(Ending { call, hop, outcome, waited, closed, report }),
--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -1,12 +1,13 @@
 //! What goes back to a caller, as bytes.
-use super::head::Fault;
-use super::messages::Message;
+use super::head::{Fault, Framing};
+use super::hop::{chunk, Reply};
 use crate::decider::Verdict;
 use oakhollow::types::Micros;
+use std::borrow::Cow;
 
 pub enum Answer {
     /// A server's answer: its body, and the headers that go on unchanged.
-    Passed(Message),
+    Passed(Reply),
     Worded {
         status: u16,
         text: &'static str,
@@ -27,24 +28,44 @@
         }
     }
 
-    pub fn bytes(self, lasts: bool) -> Vec<u8> {
+    /// How the body's end is told to a caller; `old` ones read no chunks.
+    pub fn framing(&self, old: bool) -> Framing {
+        match self {
+            Answer::Passed(Reply { rest: Some(rest), .. }) => match rest.length() {
+                Some(length) => Framing::Length(length),
+                None if old => Framing::UntilClose,
+                None => Framing::Chunked,
+            },
+            Answer::Passed(Reply { body, .. }) => Framing::Length(body.len()),
+            Answer::Worded { text, .. } => Framing::Length(text.len() + 1),
+        }
+    }
+
+    /// The head, and as much of the body as there is.
+    pub fn bytes(&self, lasts: bool, framing: Framing) -> Vec<u8> {
         let (mut out, body) = match self {
-            Answer::Passed(Message { head, body, .. }) => {
+            Answer::Passed(Reply { head, body, .. }) => {
                 let mut out = b"HTTP/1.1 200 OK\r\n".to_vec();
                 head.pass_on("", &mut out);
-                (out, body)
+                let chunked = framing == Framing::Chunked;
+                (out, if chunked { Cow::Owned(chunk(body)) } else { Cow::Borrowed(&body[..]) })
             }
             Answer::Worded { status, text, retry_after } => {
-                let word = reason(status);
+                let (status, word) = (*status, reason(*status));
                 let mut out = format!("HTTP/1.1 {status} {word}\r\nContent-Type: text/plain\r\n");
                 if let Some(time) = retry_after {
                     out += &format!("Retry-After: {:.3}\r\n", time.secs());
                 }
-                (out.into_bytes(), format!("{text}\n").into_bytes())
+                (out.into_bytes(), Cow::Owned(format!("{text}\n").into_bytes()))
             }
         };
         let close = if lasts { "" } else { "Connection: close\r\n" };
-        out.extend_from_slice(format!("{close}Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+        let framing = match framing {
+            Framing::Length(length) => format!("Content-Length: {length}\r\n"),
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
+            Framing::UntilClose => String::new(),
+        };
+        out.extend_from_slice(format!("{close}{framing}\r\n").as_bytes());
         out.extend_from_slice(&body);
         out
     }
@@ -56,8 +77,8 @@
     }
 }
 
-impl From<Verdict<Message>> for Answer {
-    fn from(verdict: Verdict<Message>) -> Answer {
+impl From<Verdict<Reply>> for Answer {
+    fn from(verdict: Verdict<Reply>) -> Answer {
         match verdict {
             Verdict::Succeeded(answer) => Answer::Passed(answer),
             Verdict::Dismissed { cool_down } => Answer::Worded {
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -1,15 +1,16 @@
 //! One caller's connection: reads its requests and gives each API call its one answer.
 use super::answers::Answer;
 use super::door::Door;
-use super::head::Fault;
-use super::hop::{Outgoing, TIMEOUT};
-use super::messages::{Assembler, Message, Side};
+use super::head::{Fault, Framing, Head, MOST_LONG};
+use super::hop::{self, Feed, Outgoing, LAST_CHUNK, TIMEOUT};
+use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::Note;
 use crate::decider::{Ask, Verdict};
 use crate::reactor::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use oakhollow::types::*;
 use oakhollow_terms::Named;
+use rustix::net::sockopt;
 use std::net::{IpAddr, Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,10 @@
 const KEPT: Duration = Duration::from_secs(10);
 /// How long a caller that has its last answer may take to close, and one that came last to send.
 const LINGER: Duration = Duration::from_millis(500);
+/// How long the rest of a request that is answered already is read off for.
+const PARTING: Duration = Duration::from_secs(4);
+/// The slowest pace of a body, in bytes a second; the platform's word is 64 kB.
+const SLOWEST: f64 = 48_000.0;
 /// What a caller may send ahead while its API call is out, and after its last answer.
 const MOST_AHEAD: usize = 16 * 1024;
 
@@ -35,7 +40,8 @@
 }
 
 enum Next {
-    Request(Message, Micros),
+    Request(Message),
+    Begun(Begun),
     Fault(Fault),
     Nothing,
 }
@@ -54,22 +60,34 @@
 
     pub async fn serve(mut self) {
         loop {
+            let mut old = false;
             // Whoever sends what can't be taken is parted with: guards against hundreds of such requests at once.
             let (answer, lasts) = match self.next().await {
                 // Between requests nothing can be lost; lingering would keep out those who wait to be taken in.
                 Next::Nothing => return,
                 Next::Fault(fault) => (fault.into(), false),
-                Next::Request(request, came) => {
+                Next::Request(request) => {
                     let lasts = request.lasts;
-                    match self.answer(request, came).await {
+                    old = request.head.old();
+                    match self.answer(request).await {
                         Ok(Some(answer)) => (answer, lasts),
                         Ok(None) => return,
                         Err(fault) => (fault.into(), false),
                     }
                 }
+                Next::Begun(begun) => {
+                    let lasts = begun.head.lasts();
+                    old = begun.head.old();
+                    match self.carry(begun).await {
+                        Ok(Some((answer, whole))) => (answer, lasts && whole),
+                        Ok(None) => return,
+                        Err(fault) => (fault.into(), false),
+                    }
+                }
             };
-            let lasts = lasts && self.door.keeps();
-            if !self.write(&answer.bytes(lasts)).await {
+            let framing = answer.framing(old);
+            let lasts = lasts && self.door.keeps() && framing != Framing::UntilClose;
+            if !self.give(answer, lasts, framing).await {
                 return;
             }
             if !lasts {
@@ -81,14 +99,15 @@
 
     /// Waits for the next request, and for the word to close while there is none.
     async fn next(&mut self) -> Next {
-        let (clock, start) = (self.door.desk.clock, Instant::now());
-        let (mut came, mut leave_given) = (clock.now(), false);
+        let (start, mut leave_given) = (Instant::now(), false);
         let mut until = start + if self.fresh { WITHIN } else { KEPT };
+        let mut paced = 0;
         let door = self.door;
         let mut stay = Some(door.stay(self.source, !self.fresh));
         loop {
             match self.inbox.take() {
-                Ok(Some(request)) => return Next::Request(request, came),
+                Ok(Some(Came::Whole(request))) => return Next::Request(request),
+                Ok(Some(Came::Begun(begun))) => return Next::Begun(begun),
                 Ok(None) => {}
                 Err(fault) => return Next::Fault(fault),
             }
@@ -121,10 +140,12 @@
             match future::or(read, ended).await {
                 Some(Some(_)) => {
                     if !begun {
-                        came = clock.now();
                         // The time of a fresh one runs from its coming: silence first wins it nothing.
                         until = if self.fresh { until } else { Instant::now() + WITHIN };
                     }
+                    // Whoever keeps to the slowest pace that is allowed has the time for its body.
+                    let more = self.inbox.body().saturating_sub(paced);
+                    (until, paced) = (until + at_slowest(more), paced + more);
                 }
                 Some(None) => return Next::Nothing,
                 // The program is leaving: what has begun is waited for, and one let in at the last moment has a little
@@ -147,11 +168,11 @@
     }
 
     /// The answer to a request; none if the caller left before it.
-    async fn answer(&mut self, request: Message, came: Micros) -> Result<Option<Answer>, Fault> {
+    async fn answer(&mut self, request: Message) -> Result<Option<Answer>, Fault> {
         if asks_if_ready(&request) {
             return Ok(Some(Answer::ready(self.door.ready())));
         }
-        let ask = self.read_call(&request, came)?;
+        let (ask, _) = self.read_call(&request.head)?;
         // Guards against a stranger's request under the id of one that is open: servers tell the two apart by nothing.
         let door = self.door;
         let id = request.head.only("Request-Id")?.unwrap_or_default();
@@ -167,16 +188,71 @@
             }
             None
         };
-        let verdict: Option<Verdict<Message>> = future::or(answered, gone).await;
+        let verdict: Option<Verdict<_>> = future::or(answered, gone).await;
         if verdict.is_none() {
             door.desk.tell(Note::Withdrawn(call)).await;
         }
         Ok(verdict.map(Answer::from))
     }
 
+    /// The answer to a request whose body is passed on as it comes, and whether all of it has come.
+    async fn carry(&mut self, begun: Begun) -> Result<Option<(Answer, bool)>, Fault> {
+        let Begun { head, kept, mut rest } = begun;
+        let (mut ask, left) = self.read_call(&head)?;
+        let (door, came) = (self.door, kept.len());
+        // To the module it is a call of which nothing may be sent twice, and its time begins with its last byte.
+        ask.workload = WorkloadId(ask.workload.0 + door.names.workloads.len());
+        let longest = at_slowest(rest.length().unwrap_or(MOST_LONG));
+        ask.abandon = (ask.abandon + Micros(longest.as_micros() as u64)).min(door.latest());
+        let id = head.only("Request-Id")?.unwrap_or_default();
+        let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
+        let (content, feed) = Outgoing::begun(&head, kept, &rest, left)?;
+        let (call, verdict) = door.desk.take(ask, content).await;
+        let answered = async { Ok((&verdict).await) };
+        let pumped = pump(&self.stream, &mut rest, feed, came);
+        let verdict = future::or(answered, pumped).await;
+        if !matches!(verdict, Ok(Some(_))) {
+            door.desk.tell(Note::Withdrawn(call)).await;
+        }
+        let whole = rest.whole();
+        if whole {
+            self.inbox.push(rest.behind());
+        }
+        Ok(verdict?.map(|verdict| (Answer::from(verdict), whole)))
+    }
+
+    /// Writes an answer, the rest of a long one as it comes. False if the connection is over by that.
+    async fn give(&self, mut answer: Answer, lasts: bool, framing: Framing) -> bool {
+        if hop::write(&self.stream, &answer.bytes(lasts, framing)).await.is_err() {
+            return false;
+        }
+        let Answer::Passed(reply) = &mut answer else { return true };
+        let keeps = reply.head.lasts();
+        let Some(mut rest) = reply.rest.take() else { return true };
+        loop {
+            let Some(part) = rest.more().await else { break };
+            let over = part.is_empty();
+            let bytes = match framing {
+                Framing::Chunked if over => LAST_CHUNK.to_vec(),
+                Framing::Chunked => hop::chunk(&part),
+                _ => part,
+            };
+            if hop::write(&self.stream, &bytes).await.is_err() {
+                break;
+            }
+            if over {
+                rest.done(keeps);
+                return true;
+            }
+        }
+        // Guards against an end that a caller takes for the answer's.
+        let _ = sockopt::set_socket_linger(self.stream.get_ref(), Some(Duration::ZERO));
+        false
+    }
+
     /// What the decisions need of a request.
-    fn read_call(&self, request: &Message, came: Micros) -> Result<Ask, Fault> {
-        let (head, names) = (&request.head, &self.door.names);
+    fn read_call(&self, head: &Head) -> Result<(Ask, Micros), Fault> {
+        let (names, came) = (&self.door.names, self.door.desk.clock.now());
         let (method, target, _) = head.request()?;
         let fault = |status, why| Fault { status, why };
         if !matches!(method, "GET" | "POST") {
@@ -206,13 +282,14 @@
         let left = told.filter(|&told| told < longest.0 / 1000).map_or(longest, Micros::millis);
         let customer = head.only("Tenant")?;
         let known = |name| names.customers.iter().position(|customer| customer == name);
-        Ok(Ask {
+        let ask = Ask {
             workload: WorkloadId(workload),
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
             abandon: (came + left).min(self.door.latest()),
             key: if names.warm_keys { key(head.only("Request-Info")?) } else { None },
-        })
+        };
+        Ok((ask, left))
     }
 
     /// Ends our sending, and waits a little for the caller to end its own: a close with bytes unread would reset
@@ -223,25 +300,69 @@
         }
         let drained = async {
             let (mut taken, mut drained) = (Vec::new(), 0);
-            while drained < 4 * MOST_AHEAD {
-                let Some(count) = read(&self.stream, &mut taken).await else { return };
+            while drained < MOST_LONG {
+                let count = async { read(&self.stream, &mut taken).await };
+                let late = async {
+                    Timer::after(LINGER).await;
+                    None
+                };
+                let Some(count) = future::or(count, late).await else { return };
                 drained += count;
                 taken.clear();
             }
         };
-        let late = async { _ = Timer::after(LINGER).await };
+        let late = async { _ = Timer::after(PARTING).await };
         future::or(drained, late).await;
     }
 
     /// False if the caller is gone or takes nothing.
     async fn write(&self, bytes: &[u8]) -> bool {
-        let written = async { (&self.stream).write_all(bytes).await.is_ok() };
+        hop::write(&self.stream, bytes).await.is_ok()
+    }
+}
+
+/// The time that so much of a body may take: a third more than the platform's word.
+fn at_slowest(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / SLOWEST)
+}
+
+/// Reads the rest of a request and hands it on, then waits for its caller to leave, which is none.
+async fn pump<T>(
+    stream: &Async<TcpStream>, rest: &mut Rest, mut feed: Feed, mut came: usize,
+) -> Result<Option<T>, Fault> {
+    // Only the time in which the caller could have sent counts against it.
+    let mut waited = Duration::ZERO;
+    loop {
+        let mut part = Vec::new();
+        rest.feed(&mut part)?;
+        came += part.len();
+        if !part.is_empty() && !feed.give(part).await {
+            // No hop wants it: its verdict is on its way.
+            return future::pending().await;
+        }
+        if rest.whole() {
+            break;
+        }
+        let begun = Instant::now();
+        let allowed = (WITHIN + at_slowest(came)).saturating_sub(waited);
+        let read = async { Some(read(stream, rest.end()).await) };
         let late = async {
-            Timer::after(WITHIN).await;
-            false
+            Timer::after(allowed).await;
+            None
         };
-        future::or(written, late).await
+        match future::or(read, late).await {
+            Some(Some(_)) => waited += begun.elapsed(),
+            Some(None) => return Ok(None),
+            None => return Err(Fault { status: 408, why: "the request came too slowly" }),
+        }
+    }
+    feed.finish();
+    while read(stream, rest.end()).await.is_some() {
+        if rest.behind().len() > MOST_AHEAD {
+            return future::pending().await;
+        }
     }
+    Ok(None)
 }
 
 async fn read(stream: &Async<TcpStream>, into: &mut Vec<u8>) -> Option<usize> {
--- a/sidecar/src/http1/chunks.rs
+++ b/sidecar/src/http1/chunks.rs
@@ -1,5 +1,5 @@
 //! Chunked bodies out of bytes, and nothing else.
-use super::head::{bad, find, Fault};
+use super::head::{bad, find, Fault, MOST_LONG};
 
 const MOST_CHUNK_LINE: usize = 256;
 const MOST_TRAILER: usize = 4 * 1024;
@@ -22,13 +22,14 @@
 }
 
 impl Chunks {
-    /// Moves what it can from the front of `bytes` into `body`; says how many bytes are done with.
+    /// Moves what it can from the front of `bytes` into `body`, until that holds `most`; says how many bytes are done
+    /// with.
     pub fn feed(&mut self, bytes: &[u8], body: &mut Vec<u8>, most: usize) -> Result<usize, Fault> {
         let mut at = 0;
         loop {
             let rest = &bytes[at..];
             if let Chunk::Data(left) = self.state {
-                let part = left.min(rest.len());
+                let part = left.min(rest.len()).min(most.saturating_sub(body.len()));
                 body.extend_from_slice(&rest[..part]);
                 at += part;
                 self.state = if part == left { Chunk::DataEnd } else { Chunk::Data(left - part) };
@@ -53,7 +54,8 @@
             self.state = match self.state {
                 Chunk::Size => match chunk_size(line)? {
                     0 => Chunk::Trailer,
-                    size if size > most.saturating_sub(body.len()) => {
+                    // Guards against waiting for what is never passed on.
+                    size if size > MOST_LONG => {
                         return Err(Fault { status: 413, why: "the body is too long" })
                     }
                     size => Chunk::Data(size),
@@ -78,7 +80,7 @@
 
 fn chunk_size(line: &[u8]) -> Result<usize, Fault> {
     let digits = line.split(|&byte| byte == b';').next().unwrap_or_default().trim_ascii_end();
-    let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
+    let hex = !digits.is_empty() && digits.len() <= 16 && digits.iter().all(u8::is_ascii_hexdigit);
     let text = std::str::from_utf8(digits).ok().filter(|_| hex);
     let size = text.and_then(|text| usize::from_str_radix(text, 16).ok());
     size.ok_or(bad("a chunk's size is no number"))
--- a/sidecar/src/http1/head.rs
+++ b/sidecar/src/http1/head.rs
@@ -3,7 +3,10 @@
 use std::ops::Range;
 
 pub const MOST_HEAD: usize = 16 * 1024;
+/// The longest body that is kept whole.
 pub const MOST_BODY: usize = 64 * 1024;
+/// The longest that is passed on at all. Guards against an answer that is said to have gigabytes.
+pub const MOST_LONG: usize = 48 * 1024 * 1024;
 const MOST_LINES: usize = 100;
 /// Room made for the lines of a head to begin with.
 const USUAL_LINES: usize = 12;
@@ -144,7 +147,8 @@
         status.filter(|status| *status >= 100).ok_or(bad("the status line is malformed"))
     }
 
-    fn old(&self) -> bool {
+    /// Whether it is of HTTP/1.0.
+    pub fn old(&self) -> bool {
         let line = self.text(&self.start);
         line.starts_with(b"HTTP/1.0") || line.ends_with(b"HTTP/1.0")
     }
@@ -155,11 +159,17 @@
     }
 
     fn length(&self) -> Result<Option<usize>, Fault> {
-        let Some(text) = self.only("Content-Length")? else { return Ok(None) };
-        if text.is_empty() || text.len() > 18 || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        // Said twice alike it is one length; anything else is two messages to two readers.
+        let mut told = self.all("Content-Length").flat_map(|value| value.split(|&byte| byte == b','));
+        let Some(first) = told.next().map(<[u8]>::trim_ascii) else { return Ok(None) };
+        if told.any(|other| other.trim_ascii() != first) {
+            return Err(bad("two values of Content-Length"));
+        }
+        if first.is_empty() || first.len() > 18 || !first.iter().all(u8::is_ascii_digit) {
             return Err(bad("Content-Length is no number"));
         }
-        text.parse().map(Some).map_err(|_| bad("Content-Length is no number"))
+        let number = std::str::from_utf8(first).ok().and_then(|text| text.parse().ok());
+        number.map(Some).ok_or(bad("Content-Length is no number"))
     }
 
     /// How the end of the body is told; `none` is what holds where no header says it.
@@ -172,7 +182,7 @@
                 Some(coding) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
                 _ => Err(Fault { status: 501, why: "this transfer coding is not spoken" }),
             },
-            (Some(length), _) if length > MOST_BODY => {
+            (Some(length), _) if length > MOST_LONG => {
                 Err(Fault { status: 413, why: "the body is too long" })
             }
             (Some(length), _) => Ok(Framing::Length(length)),
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -1,38 +1,98 @@
 //! One hop: a request to a server, and what comes back, as the outcome that the protocol gives it.
 use super::head::{Fault, Head};
 use super::load;
-use super::messages::{Assembler, Message, Side};
+use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use crate::decider::{End, Told};
-use crate::reactor::Timer;
+use crate::reactor::{Async, Timer};
 use crate::timers::duration;
-use futures_lite::{future, AsyncWriteExt};
+use async_channel::{bounded, Receiver, Sender};
+use futures_lite::{future, AsyncWrite};
 use oakhollow::types::{Micros, Outcome};
-use std::cell::Cell;
-use std::net::SocketAddr;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 pub const TIMEOUT: &str = "Request-Timeout-Ms";
-/// How long the rest of an answer may take once its first byte has come.
-const REST_WITHIN: Duration = Duration::from_secs(1);
+/// How long nothing may come of an answer that has begun, while it is held back: what says no more is spoilt.
+const STALLED: Duration = Duration::from_millis(1_000);
+/// How long an answer is held back of which nobody said how long it is.
+const HELD: Duration = Duration::from_millis(1_000);
+/// How much of a long answer is held back: enough to see that it has a body at all.
+const FIRST: usize = 8 * 1024;
+/// How long one side may take nothing, or give nothing, of a body that is passed on.
+pub const IDLE: Duration = Duration::from_secs(10);
 
 /// A request as it goes out, but for the time that is left at each hop.
 pub struct Outgoing {
     front: Vec<u8>,
     body: Vec<u8>,
+    upload: Option<Upload>,
+}
+
+/// The rest of a long request, which its caller's task reads while a hop passes it on.
+struct Upload {
+    parts: RefCell<Option<Receiver<Vec<u8>>>>,
+    whole: Rc<Cell<bool>>,
+    chunked: bool,
+    /// How long the answer may take once the last byte has come.
+    left: Micros,
+}
+
+/// The caller's end of an upload.
+pub struct Feed {
+    parts: Option<Sender<Vec<u8>>>,
+    whole: Rc<Cell<bool>>,
+}
+
+impl Feed {
+    /// Waits for room. False if no hop wants it any more.
+    pub async fn give(&self, part: Vec<u8>) -> bool {
+        match &self.parts {
+            Some(parts) => parts.send(part).await.is_ok(),
+            None => false,
+        }
+    }
+
+    pub fn finish(&mut self) {
+        self.whole.set(true);
+        self.parts = None;
+    }
 }
 
 impl Outgoing {
     pub fn new(request: Message) -> Result<Outgoing, Fault> {
         let Message { head, body, .. } = request;
-        let (method, target, _) = head.request()?;
-        let mut front = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
-        head.pass_on(TIMEOUT, &mut front);
+        let (mut front, method) = Outgoing::front(&head)?;
         if !body.is_empty() || method != "GET" {
             front.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
         }
-        Ok(Outgoing { front, body })
+        Ok(Outgoing { front, body, upload: None })
+    }
+
+    /// A request of which only the first part has come.
+    pub fn begun(head: &Head, kept: Vec<u8>, rest: &Rest, left: Micros) -> Result<(Outgoing, Feed), Fault> {
+        let (mut front, _) = Outgoing::front(head)?;
+        match rest.length() {
+            Some(length) => front.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
+            None => front.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        }
+        let (chunked, whole) = (rest.length().is_none(), Rc::new(Cell::new(false)));
+        let body = if chunked { chunk(&kept) } else { kept };
+        let (sender, parts) = bounded(1);
+        let parts = RefCell::new(Some(parts));
+        let upload = Some(Upload { parts, whole: whole.clone(), chunked, left });
+        Ok((Outgoing { front, body, upload }, Feed { parts: Some(sender), whole }))
+    }
+
+    fn front(head: &Head) -> Result<(Vec<u8>, &str), Fault> {
+        let (method, target, _) = head.request()?;
+        let mut front = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+        head.pass_on(TIMEOUT, &mut front);
+        Ok((front, method))
     }
 
     fn bytes(&self, give_up: Micros) -> Vec<u8> {
@@ -41,74 +101,225 @@
     }
 }
 
+/// One chunk of a chunked body; nothing for nothing, which would end it.
+pub fn chunk(part: &[u8]) -> Vec<u8> {
+    if part.is_empty() {
+        return Vec::new();
+    }
+    [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat()
+}
+
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Writes all of it for as long as the other side takes some now and then.
+pub async fn write(stream: &Async<TcpStream>, mut bytes: &[u8]) -> std::io::Result<()> {
+    let mut stream = stream;
+    while !bytes.is_empty() {
+        let taken = poll_fn(|context| Pin::new(&mut stream).poll_write(context, bytes));
+        let idle = async {
+            Timer::after(IDLE).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let count = future::or(taken, idle).await?;
+        if count == 0 {
+            return Err(std::io::ErrorKind::WriteZero.into());
+        }
+        bytes = &bytes[count..];
+    }
+    Ok(())
+}
+
+/// A server's answer: whole, or its beginning with what carries the rest.
+pub struct Reply {
+    pub head: Head,
+    pub body: Vec<u8>,
+    pub rest: Option<Download>,
+}
+
+/// The rest of a long answer, on its server's connection.
+pub struct Download {
+    rest: Rest,
+    link: Rc<Link>,
+    pool: Rc<Pool>,
+    from: SocketAddr,
+}
+
+impl Download {
+    /// How long the whole body is, where that was said.
+    pub fn length(&self) -> Option<usize> {
+        self.rest.length()
+    }
+
+    /// What has come of the rest, after waiting for some; nothing once it is whole. None if it broke.
+    pub async fn more(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            self.rest.feed(&mut body).ok()?;
+            if !body.is_empty() || self.rest.whole() {
+                return Some(body);
+            }
+            let read = async { self.link.stream.read_behind(self.rest.end()).await.ok() };
+            let idle = async {
+                Timer::after(IDLE).await;
+                None
+            };
+            if future::or(read, idle).await? == 0 {
+                self.rest.ended();
+                if !self.rest.whole() {
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection, where it can carry another.
+    pub fn done(self, lasts: bool) {
+        if lasts && self.rest.whole() && self.rest.lasts() {
+            self.pool.park(self.from, self.link);
+        }
+    }
+}
+
 pub async fn hop(
     pool: Rc<Pool>, content: Rc<Outgoing>, to: SocketAddr, give_up: Micros, tells_load: bool,
-) -> End<Message> {
-    let written = Cell::new(false);
+) -> End<Reply> {
+    let written = Cell::new(None);
     let exchange = async {
+        let give_up = content.upload.as_ref().map_or(give_up, |upload| upload.left);
         let exchanged = exchange(&pool, &content, to, give_up, &written).await;
-        exchanged.map_or_else(ended, |answer| judge(answer, tells_load))
+        exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
+        // A call's time runs from its last byte, which this hop passes on.
+        if content.upload.is_some() {
+            return future::pending().await;
+        }
         Timer::after(duration(give_up)).await;
         // What was never written whole has not been begun.
-        ended(if written.get() { Outcome::TimedOut } else { Outcome::NoConnection })
+        ended(if written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
     };
-    future::or(exchange, late).await
+    let end = future::or(exchange, late).await;
+    let since = written.get().filter(|_| content.upload.is_some());
+    End { waited: since.map(|since| Micros(since.elapsed().as_micros() as u64)), ..end }
 }
 
 async fn exchange(
-    pool: &Pool, content: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<bool>,
-) -> Result<Message, Outcome> {
+    pool: &Rc<Pool>, content: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<Option<Instant>>,
+) -> Result<Reply, Outcome> {
+    // What a hop before this one has passed on is gone.
+    if content.upload.as_ref().is_some_and(|upload| upload.parts.borrow().is_none()) {
+        return Err(Outcome::NotSent);
+    }
     let link = match pool.idle(to) {
         Some(link) => link,
         None => pool.connect(to).await?,
     };
-    let sent = (&link.stream).write_all(&content.bytes(give_up)).await;
+    let mut inbox = Assembler::new(Side::Answers);
+    let sent = write(&link.stream, &content.bytes(give_up)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
-    written.set(true);
+    let mut late = None;
+    if let Some(upload) = &content.upload {
+        let sent = async { pass_on(upload, &link).await.map(|()| None) };
+        let early = async { read(&link, &mut inbox, future::pending()).await.map(Some) };
+        // A server that has its answer before it has the request wants no more of it.
+        match future::or(sent, early).await {
+            Ok(None) => late = Some(Timer::after(duration(upload.left))),
+            Ok(Some(came)) => return Ok(reply(came, pool, to, link, false)),
+            Err(_) => return Err(Outcome::NoConnection),
+        }
+    }
+    written.set(Some(Instant::now()));
     // From here on it may have run, whatever breaks.
-    let mut inbox = Assembler::new(Side::Answers);
-    let answer = read(&link, &mut inbox).await?;
+    let late = async {
+        match late {
+            Some(late) => _ = late.await,
+            None => future::pending().await,
+        }
+    };
+    let came = read(&link, &mut inbox, late).await?;
     // Bytes behind a whole answer are nobody's: what comes next on that connection could be taken for an answer.
-    if answer.lasts && inbox.held() == 0 {
-        pool.park(to, link);
+    let lasts = inbox.held() == 0;
+    Ok(reply(came, pool, to, link, lasts))
+}
+
+/// The rest of a long request, as its caller gives it.
+async fn pass_on(upload: &Upload, link: &Link) -> Result<(), Outcome> {
+    let parts = upload.parts.borrow_mut().take().ok_or(Outcome::NotSent)?;
+    let gone = |_| Outcome::NoConnection;
+    while let Ok(part) = parts.recv().await {
+        let part = if upload.chunked { chunk(&part) } else { part };
+        write(&link.stream, &part).await.map_err(gone)?;
+    }
+    if !upload.whole.get() {
+        return Err(Outcome::NoConnection);
+    }
+    if upload.chunked {
+        write(&link.stream, LAST_CHUNK).await.map_err(gone)?;
     }
-    Ok(answer)
+    Ok(())
 }
 
-/// Reads one answer. What can't be read has run all the same; only an end that the server made is a break.
-async fn read(link: &Link, inbox: &mut Assembler) -> Result<Message, Outcome> {
-    let mut until = None;
-    loop {
-        let read = async { Some(link.stream.read_behind(inbox.end()).await) };
-        let late = async {
-            match until {
-                Some(until) => _ = Timer::at(until).await,
-                None => future::pending().await,
+fn reply(came: Came, pool: &Rc<Pool>, from: SocketAddr, link: Rc<Link>, lasts: bool) -> Reply {
+    match came {
+        Came::Whole(Message { head, body, lasts: asked }) => {
+            if asked && lasts {
+                pool.park(from, link);
             }
-            None
-        };
-        // Guards against waiting out the call's time for the end of an answer that has none.
-        let count = future::or(read, late).await.ok_or(Outcome::Errored)?.map_err(|_| Outcome::Broken)?;
-        if count == 0 {
-            return inbox.ended().ok_or(Outcome::Broken);
+            Reply { head, body, rest: None }
         }
-        if let Some(answer) = inbox.take().map_err(|_| Outcome::Errored)? {
-            return Ok(answer);
-        }
-        if inbox.held() > 0 {
-            until = until.or(Some(Instant::now() + REST_WITHIN));
+        Came::Begun(Begun { head, kept, rest }) => {
+            let rest = Some(Download { rest, link, pool: pool.clone(), from });
+            Reply { head, body: kept, rest }
         }
     }
 }
 
+/// Reads one answer, or the beginning of a long one. What can't be read has run all the same; only an end that the
+/// server made is a break.
+async fn read(link: &Link, inbox: &mut Assembler, late: impl Future<Output = ()>) -> Result<Came, Outcome> {
+    let late = async {
+        late.await;
+        Err(Outcome::TimedOut)
+    };
+    let read = async {
+        let mut begun = None;
+        loop {
+            let read = async { Some(link.stream.read_behind(inbox.end()).await) };
+            let idle = async {
+                match begun {
+                    Some(_) => _ = Timer::after(STALLED).await,
+                    None => future::pending().await,
+                }
+                None
+            };
+            // Guards against waiting out the call's time for the end of an answer that has none.
+            let count = future::or(read, idle).await.ok_or(Outcome::Errored)?.map_err(|_| Outcome::Broken)?;
+            if count == 0 {
+                return inbox.ended().map(Came::Whole).ok_or(Outcome::Broken);
+            }
+            if let Some(came) = inbox.take().map_err(|_| Outcome::Errored)? {
+                return Ok(came);
+            }
+            let since = *begun.get_or_insert_with(Instant::now);
+            let enough = match inbox.under_way() {
+                Some((came, true)) => came >= FIRST,
+                Some((came, false)) => came > 0 && since.elapsed() >= HELD,
+                None => false,
+            };
+            if let Some(begun) = enough.then(|| inbox.begin()).flatten() {
+                return Ok(Came::Begun(begun));
+            }
+        }
+    };
+    future::or(read, late).await
+}
+
 /// A hop that brought no answer.
-fn ended(outcome: Outcome) -> End<Message> {
-    End { outcome, answer: None, told: Told::Nothing }
+fn ended(outcome: Outcome) -> End<Reply> {
+    End { outcome, answer: None, told: Told::Nothing, waited: None }
 }
 
-fn judge(answer: Message, tells_load: bool) -> End<Message> {
+fn judge(answer: Reply, tells_load: bool) -> End<Reply> {
     let not_started = |head: &Head| head.all("Not-Started").any(|value| value == b"1");
     let told = if tells_load { load::report(&answer.head) } else { Told::Nothing };
     let (outcome, answer) = match answer.head.status() {
@@ -116,5 +327,5 @@
         Ok(503 | 504) if not_started(&answer.head) => (Outcome::Full, None),
         _ => (Outcome::Errored, None),
     };
-    End { outcome, answer, told }
+    End { outcome, answer, told, waited: None }
 }
--- a/sidecar/src/http1/messages.rs
+++ b/sidecar/src/http1/messages.rs
@@ -1,15 +1,16 @@
 //! Whole messages put together from bytes as they come, without a socket.
 //!
 //! ```
-//! use oakhollow_sidecar::http1::messages::{Assembler, Side};
+//! use oakhollow_sidecar::http1::messages::{Assembler, Came, Side};
 //! let mut inbox = Assembler::new(Side::Answers);
 //! inbox.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\noak\r\n6\r\nhol");
 //! assert!(inbox.take().unwrap().is_none());
 //! inbox.push(b"low\r\n0\r\n\r\n");
-//! assert_eq!(inbox.take().unwrap().unwrap().body, b"oakhollow");
+//! let Some(Came::Whole(answer)) = inbox.take().unwrap() else { panic!() };
+//! assert_eq!(answer.body, b"oakhollow");
 //! ```
 use super::chunks::Chunks;
-use super::head::{bad, find, token, Fault, Framing, Head, MOST_BODY, MOST_HEAD};
+use super::head::{bad, find, token, Fault, Framing, Head, MOST_BODY, MOST_HEAD, MOST_LONG};
 
 /// Interim answers that are skipped ahead of one answer.
 const MOST_INTERIM: usize = 16;
@@ -23,6 +24,90 @@
     pub lasts: bool,
 }
 
+/// A message whose body is longer than what is kept, or slow: what has come of it, and the reader of the rest.
+#[derive(Debug)]
+pub struct Begun {
+    pub head: Head,
+    pub kept: Vec<u8>,
+    pub rest: Rest,
+}
+
+/// What has come.
+#[derive(Debug)]
+pub enum Came {
+    Whole(Message),
+    Begun(Begun),
+}
+
+/// Reads the rest of a body as it comes.
+#[derive(Debug)]
+pub struct Rest {
+    framing: Framing,
+    chunks: Chunks,
+    /// Bytes of the body taken out so far.
+    taken: usize,
+    bytes: Vec<u8>,
+    whole: bool,
+}
+
+impl Rest {
+    /// How long the body is, where that was said.
+    pub fn length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        }
+    }
+
+    /// Where what comes is put.
+    pub fn end(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+
+    /// Moves what has come of the body into `body`.
+    pub fn feed(&mut self, body: &mut Vec<u8>) -> Result<(), Fault> {
+        let before = body.len();
+        let done = match self.framing {
+            Framing::Length(length) => (length - self.taken).min(self.bytes.len()),
+            Framing::Chunked => self.chunks.feed(&self.bytes, body, usize::MAX)?,
+            Framing::UntilClose => self.bytes.len(),
+        };
+        if self.framing != Framing::Chunked {
+            body.extend_from_slice(&self.bytes[..done]);
+        }
+        self.bytes.drain(..done);
+        self.taken += body.len() - before;
+        if self.taken > MOST_LONG {
+            return Err(Fault { status: 413, why: "the body is too long" });
+        }
+        self.whole |= match self.framing {
+            Framing::Length(length) => self.taken == length,
+            Framing::Chunked => self.chunks.done(),
+            Framing::UntilClose => false,
+        };
+        Ok(())
+    }
+
+    /// The sender has ended its sending.
+    pub fn ended(&mut self) {
+        self.whole |= self.framing == Framing::UntilClose;
+    }
+
+    pub fn whole(&self) -> bool {
+        self.whole
+    }
+
+    /// What came behind the body.
+    pub fn behind(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// The connection may carry another message after it.
+    pub fn lasts(&self) -> bool {
+        self.framing != Framing::UntilClose && self.bytes.is_empty()
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Side {
     Requests,
@@ -68,6 +153,11 @@
         self.bytes.len() + self.part.as_ref().map_or(0, |part| part.body.len() + 1)
     }
 
+    /// What of it is a body's.
+    pub fn body(&self) -> usize {
+        self.part.as_ref().map_or(0, |part| part.body.len())
+    }
+
     /// Whether a sender waits for leave to send the body of the message that has begun.
     pub fn waits_for_leave(&self) -> bool {
         let bodiless = |part: &&Part| part.body.is_empty() && part.framing != Framing::Length(0);
@@ -93,8 +183,8 @@
         Ok(find(&self.bytes[from..], b"\r\n\r\n").is_some() || self.bytes.len() >= MOST_HEAD)
     }
 
-    /// The next whole message, if it is all there.
-    pub fn take(&mut self) -> Result<Option<Message>, Fault> {
+    /// The next whole message, if it is all there, or one begun if more of it has come than is kept.
+    pub fn take(&mut self) -> Result<Option<Came>, Fault> {
         while self.part.is_none() {
             if self.side == Side::Requests {
                 // A line's end or two before a request is what some clients leave after the last body.
@@ -122,24 +212,44 @@
         let Some(part) = &mut self.part else { return Ok(None) };
         let whole = match part.framing {
             Framing::Length(length) => {
-                let taken = (length - part.body.len()).min(self.bytes.len());
+                let taken = (length.min(MOST_BODY + 1) - part.body.len()).min(self.bytes.len());
                 part.body.extend(self.bytes.drain(..taken));
                 part.body.len() == length
             }
             Framing::Chunked => {
-                let taken = part.chunks.feed(&self.bytes, &mut part.body, MOST_BODY)?;
+                let taken = part.chunks.feed(&self.bytes, &mut part.body, MOST_BODY + 1)?;
                 self.bytes.drain(..taken);
                 part.chunks.done()
             }
             Framing::UntilClose => {
                 part.body.append(&mut self.bytes);
-                if part.body.len() > MOST_BODY {
-                    return Err(Fault { status: 413, why: "the body is too long" });
-                }
                 false
             }
         };
-        Ok(if whole { self.give(true) } else { None })
+        if whole {
+            return Ok(self.give(true).map(Came::Whole));
+        }
+        let long = part.body.len() > MOST_BODY;
+        Ok(if long { self.begin().map(Came::Begun) } else { None })
+    }
+
+    /// How much of a body has come that is known to be longer than what is kept (true), or of which nobody said how
+    /// long it is (false).
+    pub fn under_way(&self) -> Option<(usize, bool)> {
+        let part = self.part.as_ref()?;
+        match part.framing {
+            Framing::Length(length) => (length > MOST_BODY).then_some((part.body.len(), true)),
+            _ => Some((part.body.len(), false)),
+        }
+    }
+
+    /// Gives out what is under way, with all that came behind.
+    pub fn begin(&mut self) -> Option<Begun> {
+        let Part { head, framing, chunks, body } = self.part.take()?;
+        (self.interim, self.searched) = (0, 0);
+        let bytes = std::mem::take(&mut self.bytes);
+        let rest = Rest { framing, chunks, taken: body.len(), bytes, whole: false };
+        Some(Begun { head, kept: body, rest })
     }
 
     /// The other side has ended its sending: an answer whose end was to be told so is whole now.
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -34,11 +34,11 @@
 
 impl Protocol for Http1 {
     type Content = hop::Outgoing;
-    type Answer = messages::Message;
+    type Answer = hop::Reply;
 
     fn hop(
         &self, content: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros,
-    ) -> impl Future<Output = End<messages::Message>> + 'static {
+    ) -> impl Future<Output = End<hop::Reply>> + 'static {
         hop::hop(self.pool.clone(), content, to, give_up, self.tells_load)
     }
 
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -131,7 +131,7 @@
             if chunks.done() {
                 return Err("discovery ended the watch".into());
             }
-            if lines.len() > self.most_line {
+            if lines.len() >= self.most_line {
                 return Err("a line without an end".into());
             }
         }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -13,7 +13,7 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use oakhollow::types::{ListKind, Micros, Terms};
+use oakhollow::types::{Kind, ListKind, Micros, Terms, Workload};
 use oakhollow_terms::{List, Marks, Place};
 use slog::{o, Logger};
 use std::cell::RefCell;
@@ -230,9 +230,18 @@
     terms
 }
 
+/// Each workload has a twin, behind them all, for calls whose body is not kept: nothing of those may be sent twice.
+fn with_twins(mut place: Place) -> Place {
+    let workloads = &mut place.terms.workloads;
+    let twins: Vec<Workload> =
+        workloads.iter().map(|workload| Workload { kind: Kind::OnceOnly, ..workload.clone() }).collect();
+    workloads.extend(twins);
+    place
+}
+
 async fn obey(kit: Kit, hand: Hand, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
     let Hand { number, orders, gauges } = hand;
-    let place = placed(kit.place, number, kit.workers);
+    let place = with_twins(placed(kit.place, number, kit.workers));
     let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
     let (desk, notes) = Desk::new(kit.clock, gauges.calls);
     let links = Share::of(kit.links);
