Settings change at SIGHUP as generations, and half a file changes nothing

Cause: only the address of discovery was taken from a file read again. Workloads keep their numbers through all settings, calls their most hops; a key that stood in the file before must stand there still; deadlines must be over 0 and names differ.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -69,6 +69,7 @@
     pub customer: CustomerId,
     pub repeat: bool,
     pub abandon: Micros,
+    pub most_hops: usize,
     /// What it is about, where servers are quicker with what they know.
     pub key: Option<u64>,
 }
@@ -140,6 +141,7 @@
 struct Call<P: Protocol> {
     content: Rc<P::Content>,
     abandon: Micros,
+    most_hops: usize,
     verdict: Option<oneshot::Sender<Verdict<P::Answer>>>,
     hops: Vec<Hop>,
 }
@@ -157,7 +159,6 @@
     ask: Sender<()>,
     roster: Roster,
     timers: Timers,
-    most_hops: usize,
     sidecar: Sidecar,
     calls: FnvHashMap<CallId, Call<P>>,
     actions: Vec<Action>,
@@ -185,7 +186,6 @@
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
             timers: Timers::new(desk.clock),
             roster: Roster::new(&place.zones, marks),
-            most_hops: place.terms.most_hops as usize,
             calls: FnvHashMap::default(),
             ends: VecDeque::new(),
             odd: 0,
@@ -225,9 +225,9 @@
     fn hear(&mut self, note: Note<P>) {
         match note {
             Note::Taken(Taken { call, ask, content, verdict }) => {
-                let Ask { workload, customer, repeat, abandon, key } = ask;
+                let Ask { workload, customer, repeat, abandon, most_hops, key } = ask;
                 let left = abandon - self.desk.clock.now();
-                let known = Call { content, abandon, verdict: Some(verdict), hops: Vec::new() };
+                let known = Call { content, abandon, most_hops, verdict: Some(verdict), hops: Vec::new() };
                 self.calls.insert(call, known);
                 self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key }));
             }
@@ -374,7 +374,7 @@
         let now = self.desk.clock.now();
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (no, left) = (HopNo(call.hops.len() as u32), call.abandon - now);
-        let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < self.most_hops;
+        let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < call.most_hops;
         let address = self.roster.address(server).filter(|_| sound);
         let running = address.and_then(|address| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -172,7 +172,7 @@
         if asks_if_ready(&request) {
             return Ok(Some(Answer::ready(self.door.ready())));
         }
-        let (ask, _) = self.read_call(&request.head)?;
+        let (ask, ..) = self.read_call(&request.head)?;
         // Guards against a stranger's request under the id of one that is open: servers tell the two apart by nothing.
         let door = self.door;
         let id = request.head.only("Request-Id")?.unwrap_or_default();
@@ -198,10 +198,10 @@
     /// The answer to a request whose body is passed on as it comes, and whether all of it has come.
     async fn carry(&mut self, begun: Begun) -> Result<Option<(Answer, bool)>, Fault> {
         let Begun { head, kept, mut rest } = begun;
-        let (mut ask, left) = self.read_call(&head)?;
+        let (mut ask, left, long) = self.read_call(&head)?;
         let (door, came) = (self.door, kept.len());
         // To the module it is a call of which nothing may be sent twice, and its time begins with its last byte.
-        ask.workload = WorkloadId(ask.workload.0 + door.names.workloads.len());
+        ask.workload = long;
         let longest = at_slowest(rest.length().unwrap_or(MOST_LONG));
         ask.abandon = (ask.abandon + Micros(longest.as_micros() as u64)).min(door.latest());
         let id = head.only("Request-Id")?.unwrap_or_default();
@@ -250,9 +250,9 @@
         false
     }
 
-    /// What the decisions need of a request.
-    fn read_call(&self, head: &Head) -> Result<(Ask, Micros), Fault> {
-        let (names, came) = (&self.door.names, self.door.desk.clock.now());
+    /// What the decisions need of a request, the time that its caller gives it, and its workload if its body is not kept.
+    fn read_call(&self, head: &Head) -> Result<(Ask, Micros, WorkloadId), Fault> {
+        let (names, came) = (self.door.names(), self.door.desk.clock.now());
         let (method, target, _) = head.request()?;
         let fault = |status, why| Fault { status, why };
         if !matches!(method, "GET" | "POST") {
@@ -283,13 +283,14 @@
         let customer = head.only("Tenant")?;
         let known = |name| names.customers.iter().position(|customer| customer == name);
         let ask = Ask {
-            workload: WorkloadId(workload),
+            workload: names.numbers[workload].usual,
+            most_hops: names.most_hops,
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
             abandon: (came + left).min(self.door.latest()),
             key: if names.warm_keys { key(head.only("Request-Info")?) } else { None },
         };
-        Ok((ask, left))
+        Ok((ask, left, names.numbers[workload].long))
     }
 
     /// Ends our sending, and waits a little for the caller to end its own: a close with bytes unread would reset
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -100,7 +100,7 @@
 /// What the connections of callers share.
 pub struct Door {
     pub desk: Rc<Desk>,
-    pub names: Names,
+    names: RefCell<Rc<Names>>,
     tasks: Tasks,
     log: Logger,
     /// Places for connections, and how many connections there are.
@@ -128,7 +128,7 @@
         let (open, connections) = open;
         Rc::new(Door {
             desk,
-            names,
+            names: RefCell::new(Rc::new(names)),
             tasks,
             log,
             open,
@@ -146,6 +146,15 @@
         })
     }
 
+    /// What requests call things by, from now on.
+    pub fn rename(&self, names: Names) {
+        self.names.replace(Rc::new(names));
+    }
+
+    pub fn names(&self) -> Rc<Names> {
+        self.names.borrow().clone()
+    }
+
     /// Whether this phase wants callers at all.
     pub fn set_able(&self, able: bool) {
         self.able.set(able);
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -11,6 +11,7 @@
 pub mod watch;
 
 use crate::decider::{End, Protocol};
+use crate::generations::Numbers;
 use oakhollow::types::Micros;
 use oakhollow_terms::Named;
 use std::future::Future;
@@ -27,9 +28,12 @@
 /// What requests call things by.
 pub struct Names {
     pub workloads: Vec<Named>,
+    /// Their numbers, in the same order.
+    pub numbers: Vec<Numbers>,
     pub customers: Vec<String>,
     /// Whether a request's key is of use.
     pub warm_keys: bool,
+    pub most_hops: usize,
 }
 
 impl Protocol for Http1 {
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -69,8 +69,8 @@
     parked: Cell<LinkId>,
     /// A task sweeps it.
     watched: Cell<bool>,
-    connect_within: Micros,
-    keep: Micros,
+    connect_within: Cell<Micros>,
+    keep: Cell<Micros>,
 }
 
 impl Pool {
@@ -84,12 +84,17 @@
             open,
             parked: Cell::default(),
             watched: Cell::default(),
-            connect_within,
-            // Guards against writing a request to a connection that the server is about to close.
-            keep: idle_close.times(0.5),
+            connect_within: Cell::new(connect_within),
+            keep: Cell::new(keep(idle_close)),
         })
     }
 
+    /// The same figures, from now on.
+    pub fn retune(&self, connect_within: Micros, idle_close: Micros) {
+        self.connect_within.set(connect_within);
+        self.keep.set(keep(idle_close));
+    }
+
     /// A connection that was used before, if one is free.
     pub fn idle(&self, to: SocketAddr) -> Option<Rc<Link>> {
         loop {
@@ -115,7 +120,7 @@
         self.be_watched();
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
         let late = async {
-            Timer::after(duration(self.connect_within)).await;
+            Timer::after(duration(self.connect_within.get())).await;
             None
         };
         match future::or(connected, late).await {
@@ -150,7 +155,7 @@
 
     /// Closes idle connections that have turned readable or are old; false if there is none at all.
     fn sweep(&self) -> bool {
-        let (keep, now) = (duration(self.keep), Instant::now());
+        let (keep, now) = (duration(self.keep.get()), Instant::now());
         let (mut shelves, mut ages) = (self.shelves.borrow_mut(), self.ages.borrow_mut());
         shelves.retain(|_, shelf| {
             shelf.idle.retain(|idle| {
@@ -181,6 +186,11 @@
     }
 }
 
+/// Guards against writing a request to a connection that the server is about to close.
+fn keep(idle_close: Micros) -> Micros {
+    idle_close.times(0.5)
+}
+
 /// Sweeps a pool for as long as it has idle connections: one task for all of them, which the machine tells of none.
 async fn watch(pool: Weak<Pool>) {
     while let Some(there) = pool.upgrade() {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod console;
 pub mod decider;
 pub mod folder;
+pub mod generations;
 pub mod http1;
 pub mod logging;
 pub mod oneshot;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,7 +1,7 @@
 //! `oakhollow`: one sidecar, started with the file that `RELAY_CONFIG` or the first argument names.
 use clap::Parser;
 use oakhollow_sidecar::{logging, run, signals, workers};
-use oakhollow_terms::{Operator, Start};
+use oakhollow_terms::{Operator, Shape, Start};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -22,8 +22,8 @@
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let operator =
         args.operator.map(|path| Operator::from_file(&path, cores)).transpose()?.unwrap_or_default();
-    let read = || Start::from_file(&path);
-    let start = read()?;
+    let start = Start::from_file(&path)?;
+    let read = |before: &Shape| Start::after(before, &path);
     let log = logging::to_stderr(&start.name);
     let words = signals().map_err(|fault| format!("signals: {fault}"))?;
     workers::keep_panics();
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -14,7 +14,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, Stream, StreamExt};
 use oakhollow::types::Micros;
-use oakhollow_terms::{Marks, Operator, Start};
+use oakhollow_terms::{Marks, Operator, Place, Shape, Start};
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use slog::{info, warn, Logger};
 use std::io::{Error, ErrorKind, Result};
@@ -121,6 +121,8 @@
     /// Where the list is watched from now on.
     moves: Sender<SocketAddr>,
     lost: Option<Lost>,
+    /// The keys of the file that holds.
+    shape: Shape,
     board: Shared,
     peers: Peers,
     /// Another process serves meanwhile.
@@ -149,8 +151,8 @@
 /// Runs one sidecar until `words` say stop, or end, and then as long as it takes to part in good order. `reread`
 /// gives what it is to be started with by now. A fault is one line.
 pub fn run(
-    start: Start, operator: Operator, reread: impl Fn() -> std::result::Result<Start, String>, log: Logger,
-    words: impl Stream<Item = Word>,
+    start: Start, operator: Operator, reread: impl Fn(&Shape) -> std::result::Result<Start, String>,
+    log: Logger, words: impl Stream<Item = Word>,
 ) -> std::result::Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     let tasks = Tasks::of(&executor);
@@ -237,6 +239,16 @@
     Ok(listeners)
 }
 
+/// The longest that any API call may take.
+fn longest(place: &Place) -> Micros {
+    place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default()
+}
+
+/// How long after the word to stop the program is sure to live.
+fn grace(longest: Micros) -> Micros {
+    longest.min(MOST_GRACE) + GRACE_BESIDES
+}
+
 impl Program {
     fn build(
         start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: (Vec<TcpListener>, bool),
@@ -253,7 +265,7 @@
         let most = limits.sockets.saturating_sub(own).min(by_memory) / 2;
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
-        let longest = place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default();
+        let longest = longest(&place);
         let (clock, told) = (Clock::start(), known.index);
         let marks = match (&before, &keeper) {
             (Some(before), _) => before.marks.clone(),
@@ -304,7 +316,8 @@
             orders,
             clock,
             longest: duration(longest),
-            grace: longest.min(MOST_GRACE) + GRACE_BESIDES,
+            grace: grace(longest),
+            shape: start.shape,
             moves,
             lost: None,
             board,
@@ -317,7 +330,8 @@
     }
 
     async fn live(
-        mut self, reread: impl Fn() -> std::result::Result<Start, String>, words: impl Stream<Item = Word>,
+        mut self, reread: impl Fn(&Shape) -> std::result::Result<Start, String>,
+        words: impl Stream<Item = Word>,
     ) -> std::result::Result<(), String> {
         // Held until the end: a word that is late by a phase is heard by nobody, and ends nothing.
         let mut words = Box::pin(words);
@@ -375,7 +389,7 @@
         self.lost.take().map_or(Ok(()), |Lost(why)| Err(why))
     }
 
-    async fn step(&mut self, sign: Sign, reread: &impl Fn() -> std::result::Result<Start, String>) {
+    async fn step(&mut self, sign: Sign, reread: &impl Fn(&Shape) -> std::result::Result<Start, String>) {
         let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
         let Some(&(_, _, phase, effect)) = row else { return };
         match effect {
@@ -390,8 +404,12 @@
                 self.orders.tell(if self.parts { Order::Part(by) } else { Order::SayNo(by) }).await
             }
             Effect::Shut => self.orders.have_done(Order::Shut).await,
-            Effect::Reread => match reread() {
+            Effect::Reread => match reread(&self.shape) {
                 Ok(start) => {
+                    let longest = longest(&start.place);
+                    (self.longest, self.grace) = (duration(longest), grace(longest));
+                    self.shape = start.shape;
+                    self.orders.tell(Order::Retuned(Arc::new(start.place))).await;
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
                     let _ = self.moves.send(start.discovery).await;
                 }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -4,6 +4,7 @@
 use crate::board::Mark;
 use crate::bounds::{Bound, Gauge, Share};
 use crate::decider::Parts;
+use crate::generations::{Generations, Numbers};
 use crate::http1::door::{Door, Ids};
 use crate::http1::pool::Pool;
 use crate::http1::{Decider, Desk, Http1, Names, Note};
@@ -13,7 +14,7 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use oakhollow::types::{Kind, ListKind, Micros, Terms, Workload};
+use oakhollow::types::{ListKind, Micros, Terms};
 use oakhollow_terms::{List, Marks, Place};
 use slog::{o, Logger};
 use std::cell::RefCell;
@@ -35,6 +36,8 @@
     Marked(Mark, Sender<()>),
     /// Take callers in. Its sender is dropped when that holds.
     Open(Sender<()>),
+    /// Settings that hold from now on.
+    Retuned(Arc<Place>),
     /// What is shared out with another process of this sidecar.
     Shared(Shared),
     /// Take nobody in any more, and end each connection with its next answer, due by then.
@@ -230,18 +233,23 @@
     terms
 }
 
-/// Each workload has a twin, behind them all, for calls whose body is not kept: nothing of those may be sent twice.
-fn with_twins(mut place: Place) -> Place {
-    let workloads = &mut place.terms.workloads;
-    let twins: Vec<Workload> =
-        workloads.iter().map(|workload| Workload { kind: Kind::OnceOnly, ..workload.clone() }).collect();
-    workloads.extend(twins);
-    place
+/// What requests call things by.
+fn names_of(place: &mut Place, numbers: Vec<Numbers>) -> Names {
+    Names {
+        workloads: std::mem::take(&mut place.workloads),
+        numbers,
+        customers: std::mem::take(&mut place.customers),
+        warm_keys: place.terms.warm_keys,
+        most_hops: place.terms.most_hops as usize,
+    }
 }
 
 async fn obey(kit: Kit, hand: Hand, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
     let Hand { number, orders, gauges } = hand;
-    let place = with_twins(placed(kit.place, number, kit.workers));
+    let mut place = placed(kit.place, number, kit.workers);
+    let mut generations = Generations::default();
+    let numbers;
+    (place.terms, numbers) = generations.take(place.terms);
     let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
     let (desk, notes) = Desk::new(kit.clock, gauges.calls);
     let links = Share::of(kit.links);
@@ -249,7 +257,7 @@
     // One watch feeds all: the first asks for all of them, and they hear the same.
     let ask = if number == 0 { kit.ask } else { bounded(1).0 };
     let parts = Parts {
-        protocol: Rc::new(Http1 { pool, tells_load: place.terms.tells_load }),
+        protocol: Rc::new(Http1 { pool: pool.clone(), tells_load: place.terms.tells_load }),
         desk: desk.clone(),
         tasks: tasks.clone(),
         log: log.clone(),
@@ -258,8 +266,8 @@
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
-    let (warm_keys, terms) = (place.terms.warm_keys, place.terms);
-    let names = Names { workloads: place.workloads, customers: place.customers, warm_keys };
+    let names = names_of(&mut place, numbers);
+    let (mut terms, mut with) = (place.terms, Shared::Alone);
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
     let mut listener = Some(Rc::new(Async::listening(listener)?));
@@ -274,7 +282,19 @@
                 door.set_able(true);
                 drop(done);
             }
-            Order::Shared(with) => {
+            Order::Retuned(place) => {
+                let mut place = placed(Place::clone(&place), number, kit.workers);
+                let numbers;
+                (place.terms, numbers) = generations.take(place.terms);
+                pool.retune(place.connect_within, place.idle_close);
+                let names = names_of(&mut place, numbers);
+                terms = place.terms;
+                // The module first: a call that comes by the new names must find its number there.
+                desk.tell(Note::Retuned(Box::new(shared(terms.clone(), with)))).await;
+                door.rename(names);
+            }
+            Order::Shared(now) => {
+                with = now;
                 desk.tell(Note::Retuned(Box::new(shared(terms.clone(), with)))).await;
                 door.give_way();
             }
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -23,7 +23,7 @@
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`; `asked COUNT` watches at
 //!   least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
-//!   replaced, SIGHUP
+//!   replaced, SIGHUP; `spoils`: the same with nothing in it
 //! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
 //!   healthcheck says yes soon; `hangs COUNT [BYTES]`:
 //!   connections to it that say no more
@@ -649,7 +649,12 @@
                 let from = format!(r#""discovery":{},"seed""#, from.split(',').next().expect("an address"));
                 self.reread(&from, &to);
             }
+            ["rereads", from] => self.reread(from, ""),
             ["rereads", from, to] => self.reread(from, to),
+            ["spoils"] => {
+                std::fs::write(&self.file, "").expect("the file");
+                self.signal("HUP");
+            }
             ["exits", code] => {
                 let program = &mut self.program.as_mut().expect("a sidecar").0;
                 until("it exits", || program.try_wait().expect("its state").is_some());
--- a/src/records.rs
+++ b/src/records.rs
@@ -48,6 +48,7 @@
     pub key: Option<u64>, // where servers are quicker with one they know
     pub abandon: Micros,
     pub patience: Micros,
+    pub most_hops: usize, // as the place had it when the call came
     pub hops: Vec<Hop>,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -221,6 +221,7 @@
             key: key.filter(|_| self.figures.warm_keys),
             abandon: self.now + left,
             patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
+            most_hops: self.figures.most_hops,
             hops: Vec::new(),
         };
         // A small sidecar's calls are too few for a queue: of a told crowd it turns away its part, by worth.
@@ -378,7 +379,8 @@
     fn ended(&mut self, ending: Ending, out: &mut Vec<Action>) {
         let Ending { call: id, hop: HopNo(no), outcome, closed, .. } = ending;
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let (state, workload, count, abandon) = (call.state, call.workload, call.hops.len(), call.abandon);
+        let many = self.figures.workloads[call.workload].kind != Kind::OnceOnly;
+        let (state, abandon, more) = (call.state, call.abandon, call.hops.len() < call.most_hops);
         let Some(hop) = call.hops.get_mut(no as usize).filter(|hop| hop.open()) else { return };
         hop.ended = Some(outcome);
         let (server, outlived) = (hop.server, hop.outlived);
@@ -393,8 +395,6 @@
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
             self.evidence(server, &ending, outlived, out);
         }
-        let kind = self.figures.workloads[workload].kind;
-        let again = (outcome.proves_not_run() || kind != Kind::OnceOnly) && count < self.figures.most_hops;
         if state == Over && !open {
             self.calls.remove(&id);
         }
@@ -402,7 +402,7 @@
             Outcome::Succeeded => Answered,
             _ if closed => Left,
             _ if open => LostOne,
-            _ if again && self.now < abandon => LostAgain,
+            _ if more && (many || outcome.proves_not_run()) && self.now < abandon => LostAgain,
             _ => LostAll,
         };
         self.step(id, input, out);
@@ -440,7 +440,7 @@
             self.settle(rested);
         }
         let call = self.calls.get(&id)?;
-        if call.hops.len() >= self.figures.most_hops || self.now >= call.abandon {
+        if call.hops.len() >= call.most_hops || self.now >= call.abandon {
             return None;
         }
         let (per_unit, mean, cell) = (self.per_unit(), self.fleet.mean_out(), self.bound_to(call));
--- a/src/types.rs
+++ b/src/types.rs
@@ -77,7 +77,7 @@
     OnceOnly,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 pub struct Workload {
     pub kind: Kind,
     pub quoted: Micros,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -5,12 +5,14 @@
 mod marks;
 mod operator;
 mod place;
+mod shape;
 mod start;
 
 pub use list::{Entry, List, Version};
 pub use marks::{Marks, Told};
 pub use operator::Operator;
 pub use place::{micros, Named, Place, REPORT_VALUES};
+pub use shape::Shape;
 pub use start::{Limits, Start};
 
 use fnv::FnvHasher;
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -288,6 +288,10 @@
             true => Ok(()),
             false => Err(format!("{key}: must be a number from 0 up")),
         };
+        let over_zero = |key: String, figure: f64| match figure > 0.0 {
+            true => Ok(()),
+            false => Err(format!("{key}: must be over 0")),
+        };
         from_zero(".bounds.connect_timeout_s".into(), bounds.connect_timeout_s)?;
         from_zero(".bounds.idle_close_s".into(), bounds.idle_close_s)?;
         from_zero(".bounds.max_retry_after_s".into(), bounds.max_retry_after_s)?;
@@ -299,11 +303,16 @@
         from_zero(".rules.warm_within_s".into(), rules.warm_within_s)?;
         for (at, class) in self.workloads.iter().enumerate() {
             let key = |name: &str| format!(".workloads[{at}].{name}");
-            from_zero(key("quoted_time_s"), class.quoted_time_s)?;
-            from_zero(key("abandon_time_s"), class.abandon_time_s)?;
+            over_zero(key("quoted_time_s"), class.quoted_time_s)?;
+            over_zero(key("abandon_time_s"), class.abandon_time_s)?;
             from_zero(key("payoff"), class.payoff)?;
             from_zero(key("memory_span_s"), class.memory_span_s)?;
         }
+        let mut named = self.workloads.iter().enumerate().filter(|(_, class)| !class.name.is_empty());
+        let twice = |at: usize, name: &str| self.workloads[..at].iter().any(|other| other.name == name);
+        if let Some((at, class)) = named.find(|(at, class)| twice(*at, &class.name)) {
+            return Err(format!(".workloads[{at}].name: {:?} stands twice", class.name));
+        }
         for (at, tenant) in self.tenants.iter().enumerate() {
             from_zero(format!(".tenants[{at}].quota_per_s"), tenant.quota_per_s)?;
         }
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -1,5 +1,5 @@
 //! The file that a sidecar on sockets is started with.
-use crate::{read, List, Place};
+use crate::{read, List, Place, Shape};
 use oakhollow::types::Micros;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -29,6 +29,9 @@
     pub known: List,
     #[serde(rename = "settings")]
     pub place: Place,
+    /// Which keys it was read from.
+    #[serde(skip)]
+    pub shape: Shape,
 }
 
 /// What the machine allows.
@@ -52,11 +55,21 @@
     const ASK_WITHIN: Micros = Micros::millis(10_000);
     const LEAST_MEMORY_MB: f64 = 16.0;
 
+    /// Reads a file that takes the place of one of this shape, all of whose keys it must have.
+    pub fn after(before: &Shape, path: &Path) -> Result<Start, String> {
+        let start = Start::from_file(path)?;
+        match start.shape.lacks(before) {
+            Some(key) => Err(format!("{}: {key}: missing", path.display())),
+            None => Ok(start),
+        }
+    }
+
     /// Reads the file; the message of a fault is one line that names the file and the key.
     pub fn from_file(path: &Path) -> Result<Start, String> {
         let named = |fault: String| format!("{}: {}", path.display(), fault.replace('\n', " "));
         let json = std::fs::read(path).map_err(|fault| named(fault.to_string()))?;
         let mut start: Start = read(&json).map_err(named)?;
+        start.shape = Shape::of(&json);
         // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
         let terms = &mut start.place.terms;
         terms.must_ask = true;
