--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -11,6 +11,7 @@
 use async_executor::Task;
 use fnv::FnvHashMap;
 use futures_lite::{future, StreamExt};
+use oakhollow::learnt::Learnt;
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
 use oakhollow_terms::{List, Marks, Place};
@@ -95,6 +96,8 @@
     Marked(Mark, Sender<()>),
     /// What holds from now on.
     Retuned(Box<Terms>),
+    /// What the module has learnt is asked for.
+    Asked(Sender<Learnt>),
 }
 
 /// How all else reaches the module.
@@ -176,11 +179,13 @@
     pub log: Logger,
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
+    /// What another process learnt in our place.
+    pub learnt: Option<Learnt>,
 }
 
 impl<P: Protocol> Decider<P> {
     pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
-        let Parts { protocol, desk, tasks, log, ask } = parts;
+        let Parts { protocol, desk, tasks, log, ask, learnt } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut decider = Decider {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
@@ -197,6 +202,9 @@
             ask,
         };
         decider.carry_out();
+        if let Some(learnt) = learnt {
+            decider.sidecar.teach(&learnt);
+        }
         let told = decider.roster.take(known);
         decider.listed(ListKind::Cached, told);
         decider
@@ -254,6 +262,7 @@
                 let told = self.roster.take(&list);
                 self.listed(kind, told);
             }
+            Note::Asked(to) => _ = to.try_send(self.sidecar.learnt()),
             Note::Retuned(terms) => {
                 self.on(Event::Retuned(&terms));
                 let told = self.roster.all();
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -139,6 +139,9 @@
             };
             match future::or(read, ended).await {
                 Some(Some(_)) => {
+                    if let Some(stay) = &stay {
+                        stay.stirs();
+                    }
                     if !begun {
                         // The time of a fresh one runs from its coming: silence first wins it nothing.
                         until = if self.fresh { until } else { Instant::now() + WITHIN };
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/door.rs
@@ -6,12 +6,12 @@
 use crate::oneshot;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
+use crate::yielding::{self, Holder};
 use async_channel::{bounded, Receiver, Sender};
 use futures_lite::future;
 use oakhollow::types::Micros;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::BuildHasher;
@@ -23,9 +23,6 @@
 /// After a failed accept: what made it fail, such as a lack of descriptors, does not pass in an instant.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// How long one that has never sent a whole request is left alone, however many others wait.
-const YOUTH: Duration = Duration::from_millis(100);
-
 /// One stay of a connection among those with no request open; the longer ago it began, the lower.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct StayId(u64);
@@ -35,7 +32,9 @@
     source: IpAddr,
     /// It has had an answer before.
     known: bool,
+    /// When its last byte came, or it did.
     since: Instant,
+    begun: bool,
     _told: oneshot::Sender<()>,
 }
 
@@ -249,15 +248,16 @@
     }
 
     /// Closes one connection with no request open. Guards against kept connections shutting out new clients, and
-    /// against one source, or many that say nothing, taking what the usual callers need: those that never sent a
-    /// whole request go first, then who has the most connections, then the longest idle.
+    /// against one source, or many that say nothing, taking what the usual callers need.
     fn make_room(&self) {
         let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
-        let none_new = idle.values().all(|stay| stay.known);
-        let due = |stay: &Stay| none_new || !stay.known && stay.since.elapsed() >= YOUTH;
-        let count = |stay: &Stay| Reverse(sources.get(&stay.source).copied().unwrap_or(0));
-        let first = idle.iter().filter(|(_, stay)| due(stay)).min_by_key(|(_, stay)| count(stay));
-        let first = first.map(|(id, _)| *id);
+        let holder = |stay: &Stay| Holder {
+            known: stay.known,
+            begun: stay.begun,
+            silent: stay.since.elapsed(),
+            like: sources.get(&stay.source).copied().unwrap_or(0),
+        };
+        let first = yielding::first(idle.iter().map(|(id, stay)| (*id, holder(stay))));
         drop(first.and_then(|id| idle.remove(&id)));
     }
 
@@ -285,7 +285,7 @@
         let id = self.stays.replace(StayId(self.stays.get().0 + 1));
         let (sender, told) = oneshot::oneshot();
         if !self.closing.get() {
-            let stay = Stay { source, known, since: Instant::now(), _told: sender };
+            let stay = Stay { source, known, since: Instant::now(), begun: false, _told: sender };
             self.idle.borrow_mut().insert(id, stay);
             self.stir();
         }
@@ -301,6 +301,13 @@
 }
 
 impl Staying<'_> {
+    /// Bytes of a request have come.
+    pub fn stirs(&self) {
+        if let Some(stay) = self.door.idle.borrow_mut().get_mut(&self.id) {
+            (stay.begun, stay.since) = (true, Instant::now());
+        }
+    }
+
     pub async fn told_to_close(&self) {
         let _ = (&self.told).await;
     }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod tasks;
 pub mod timers;
 pub mod workers;
+pub mod yielding;
 
 pub use phases::{run, signals, Word};
--- a/sidecar/src/peers.rs
+++ b/sidecar/src/peers.rs
@@ -8,8 +8,9 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{self, AsyncBufReadExt, AsyncReadExt, BufReader, ReadHalf, WriteHalf};
 use futures_lite::{future, AsyncWriteExt};
+use oakhollow::learnt::Learnt;
 use oakhollow::types::Micros;
-use oakhollow_terms::{read, List, Marks, Told};
+use oakhollow_terms::{read, Line, Marks, Rest, Told};
 use slog::{info, warn, Logger};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -29,18 +30,28 @@
 
 /// The way to other processes of this sidecar, if there are any.
 #[derive(Clone, Default)]
-pub struct Peers(Arc<Mutex<Vec<Sender<Mark>>>>);
+pub struct Peers(Arc<Mutex<Vec<Sender<Line>>>>);
 
 impl Peers {
-    fn links(&self) -> std::sync::MutexGuard<'_, Vec<Sender<Mark>>> {
+    fn links(&self) -> std::sync::MutexGuard<'_, Vec<Sender<Line>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Tells a mark to all but the one that told it.
-    pub fn tell(&self, mark: &Mark, from: Option<&Sender<Mark>>) {
+    pub fn tell(&self, mark: &Mark, from: Option<&Sender<Line>>) {
+        let Mark { name, out, at } = mark.clone();
+        self.say(Line::Mark(Told { name, out, at_us: at.0 }), from);
+    }
+
+    /// This process takes nobody in any more.
+    pub fn part(&self) {
+        self.say(Line::Parting, None);
+    }
+
+    fn say(&self, line: Line, from: Option<&Sender<Line>>) {
         let links = self.links();
         let others = links.iter().filter(|link| !from.is_some_and(|from| link.same_channel(from)));
-        others.for_each(|link| _ = link.try_send(mark.clone()));
+        others.for_each(|link| _ = link.try_send(line.clone()));
     }
 
     pub fn any(&self) -> bool {
@@ -51,7 +62,7 @@
 /// The process before this one, and what it told.
 pub struct Predecessor {
     pub marks: Marks,
-    pub list: Option<List>,
+    pub rest: Rest,
     reads: Incoming,
     writes: Outgoing,
 }
@@ -68,8 +79,8 @@
         let (reads, writes) = io::split(stream);
         let mut reads = BufReader::new(reads);
         let line = line(&mut reads).await.ok_or("it said nothing")?;
-        let (marks, list) = Marks::from_json(line.as_bytes(), keeper.listen)?;
-        Ok(Predecessor { marks, list, reads, writes })
+        let (marks, rest) = Marks::from_json(line.as_bytes(), keeper.listen)?;
+        Ok(Predecessor { marks, rest, reads, writes })
     };
     let late = async {
         Timer::after(WITHIN).await;
@@ -130,9 +141,10 @@
             };
             drop(listener);
             let (reads, mut writes) = io::split(stream);
+            let learnt = self.learnt().await;
             let snapshot = {
                 let board = lock(&self.board);
-                board.marks().to_json(self.keeper.listen, Some(board.list()))
+                board.marks().to_json(self.keeper.listen, Rest { list: Some(board.list()), learnt })
             };
             if writes.write_all(format!("{snapshot}\n").as_bytes()).await.is_ok() {
                 self.link(BufReader::new(reads), writes, Shared::WithSuccessor).await;
@@ -142,21 +154,29 @@
 
     /// Shares with another process until that is gone.
     async fn link(&self, mut reads: Incoming, mut writes: Outgoing, with: Shared) {
-        let (link, marks): (Sender<Mark>, Receiver<Mark>) = bounded(MOST_WAITING);
+        let (link, lines): (Sender<Line>, Receiver<Line>) = bounded(MOST_WAITING);
         self.peers.links().push(link.clone());
         self.share(with).await;
         let heard = async {
             while let Some(line) = line(&mut reads).await {
-                let Ok(Told { name, out, at_us }) = read(line.trim().as_bytes()) else {
-                    return warn!(self.log, "the other process said what makes no sense");
-                };
-                self.mark(Mark { name, out, at: Micros(at_us) }, &link).await;
+                match read(line.trim().as_bytes()) {
+                    Ok(Line::Mark(Told { name, out, at_us })) => {
+                        self.mark(Mark { name, out, at: Micros(at_us) }, &link).await;
+                    }
+                    // What it still has ends with each answer: guards against doing with half for seconds.
+                    Ok(Line::Parting) => {
+                        info!(self.log, "the other process takes nobody in any more");
+                        self.orders.tell(Order::Shared(Shared::Alone)).await;
+                    }
+                    Err(fault) => {
+                        return warn!(self.log, "the other process said what makes no sense: {}", fault)
+                    }
+                }
             }
         };
         let said = async {
-            while let Ok(Mark { name, out, at }) = marks.recv().await {
-                let told = Told { name, out, at_us: at.0 }.to_json();
-                if writes.write_all(format!("{told}\n").as_bytes()).await.is_err() {
+            while let Ok(line) = lines.recv().await {
+                if writes.write_all(format!("{}\n", line.to_json()).as_bytes()).await.is_err() {
                     return;
                 }
             }
@@ -166,13 +186,24 @@
         self.share(Shared::Alone).await;
     }
 
+    /// What a worker's module has learnt; all of them see about the same.
+    async fn learnt(&self) -> Option<Learnt> {
+        let (to, learnt) = bounded(1);
+        self.orders.tell(Order::Asked(to)).await;
+        let late = async {
+            Timer::after(WITHIN / 3).await;
+            None
+        };
+        future::or(async { learnt.recv().await.ok() }, late).await
+    }
+
     async fn share(&self, with: Shared) {
         info!(self.log, "shares with another process: {:?}", with);
         self.bounds.iter().for_each(|bound| bound.halve(with != Shared::Alone));
         self.orders.tell(Order::Shared(with)).await;
     }
 
-    async fn mark(&self, mark: Mark, from: &Sender<Mark>) {
+    async fn mark(&self, mark: Mark, from: &Sender<Line>) {
         {
             let mut board = lock(&self.board);
             board.set(&mark);
@@ -225,7 +256,7 @@
     fn a_start_never_hangs_on_what_the_process_before_says() {
         let mut marks = Marks::default();
         marks.set("s-1", true, Micros(1));
-        let whole = marks.to_json("127.0.0.1:70".parse().expect("an address"), None);
+        let whole = marks.to_json("127.0.0.1:70".parse().expect("an address"), Rest::default());
         let line = |text: &str| format!("{text}\n");
         assert_eq!(greeted("whole", Some(&line(&whole))).0, Some(marks));
         let odd = [
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -169,7 +169,7 @@
             Some(keeper) if passed => peers::greet(keeper, &log).await,
             _ => None,
         };
-        if let Some(list) = before.as_ref().and_then(|before| before.list.clone()) {
+        if let Some(list) = before.as_ref().and_then(|before| before.rest.list.clone()) {
             start.known = list;
         }
         let program = Program::build(start, operator, log, tasks, (listeners, passed), (keeper, before));
@@ -272,6 +272,7 @@
             (None, Some(keeper)) => keeper.marks(&log),
             (None, None) => Marks::default(),
         };
+        let learnt = before.as_ref().and_then(|before| before.rest.learnt);
         let (peers, takes_over) = (Peers::default(), before.is_some());
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
@@ -280,6 +281,7 @@
             seed: start.seed,
             known: Arc::new(known),
             marks,
+            learnt,
             workers,
             callers: bounds[0].clone(),
             links: bounds[1].clone(),
@@ -401,6 +403,7 @@
                 lock(&self.board).able = false;
                 let by = self.clock.now() + (self.grace - MARGIN);
                 self.parts = self.peers.any();
+                self.peers.part();
                 self.orders.tell(if self.parts { Order::Part(by) } else { Order::SayNo(by) }).await
             }
             Effect::Shut => self.orders.have_done(Order::Shut).await,
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -14,6 +14,7 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use futures_lite::future;
+use oakhollow::learnt::Learnt;
 use oakhollow::types::{ListKind, Micros, Terms};
 use oakhollow_terms::{List, Marks, Place};
 use slog::{o, Logger};
@@ -36,6 +37,8 @@
     Marked(Mark, Sender<()>),
     /// Take callers in. Its sender is dropped when that holds.
     Open(Sender<()>),
+    /// What the modules have learnt is asked for.
+    Asked(Sender<Learnt>),
     /// Settings that hold from now on.
     Retuned(Arc<Place>),
     /// What is shared out with another process of this sidecar.
@@ -179,6 +182,8 @@
     pub seed: u64,
     pub known: Arc<List>,
     pub marks: Marks,
+    /// What another process learnt in this one's place, for each worker.
+    pub learnt: Option<Learnt>,
     pub workers: usize,
     pub callers: Bound,
     pub links: Bound,
@@ -262,6 +267,7 @@
         tasks: tasks.clone(),
         log: log.clone(),
         ask,
+        learnt: kit.learnt,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
@@ -282,6 +288,7 @@
                 door.set_able(true);
                 drop(done);
             }
+            Order::Asked(to) => desk.tell(Note::Asked(to)).await,
             Order::Retuned(place) => {
                 let mut place = placed(Place::clone(&place), number, kit.workers);
                 let numbers;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Beside the interface types ([`types`]) this file holds the measures that the rules read.
 pub mod fleet;
+pub mod learnt;
 pub mod records;
 pub mod rules;
 pub mod types;
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -1,5 +1,6 @@
 //! Which servers are out by hand, and what of a sidecar outlives its process: a file, or a line to its successor.
 use crate::{read, List};
+use oakhollow::learnt::Learnt;
 use oakhollow::types::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,49 @@
     back: BTreeMap<String, u64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     list: Option<List>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    learnt: Option<Figures>,
+}
+
+/// What a process has learnt, as written.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+struct Figures {
+    level_us: Option<f64>,
+    width: f64,
+    steady: bool,
+    fleet: f64,
+    sends_ps: f64,
+    warm_ps: f64,
+}
+
+/// What a successor is told beside the marks.
+#[derive(Clone, Default, Debug)]
+pub struct Rest {
+    pub list: Option<List>,
+    pub learnt: Option<Learnt>,
+}
+
+impl Figures {
+    fn of(learnt: &Learnt) -> Figures {
+        let Learnt { level, width, steady, fleet, sends_a_second, warm_a_second } = *learnt;
+        Figures { level_us: level, width, steady, fleet, sends_ps: sends_a_second, warm_ps: warm_a_second }
+    }
+
+    /// None where a figure means nothing.
+    fn read(self) -> Option<Learnt> {
+        let Figures { level_us, width, steady, fleet, sends_ps, warm_ps } = self;
+        let sound = |figure: f64| (0.0..1e9).contains(&figure);
+        let all = [level_us.unwrap_or(0.0), width, fleet, sends_ps, warm_ps].into_iter().all(sound);
+        let learnt = Learnt {
+            level: level_us,
+            width,
+            steady,
+            fleet,
+            sends_a_second: sends_ps,
+            warm_a_second: warm_ps,
+        };
+        all.then_some(learnt)
+    }
 }
 
 /// A mark as one process tells another.
@@ -33,7 +77,16 @@
     pub at_us: u64,
 }
 
-impl Told {
+/// What one process tells another of the same sidecar, a line each.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Line {
+    Mark(Told),
+    /// It takes nobody in any more.
+    Parting,
+}
+
+impl Line {
     pub fn to_json(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
     }
@@ -60,22 +113,24 @@
         }
     }
 
-    /// `list` goes to a successor only.
-    pub fn to_json(&self, listen: SocketAddr, list: Option<List>) -> String {
+    /// `rest` goes to a successor only.
+    pub fn to_json(&self, listen: SocketAddr, rest: Rest) -> String {
         let back = self.back.iter().map(|(name, at)| (name.clone(), at.0)).collect();
-        let written = Written { version: VERSION, listen, out: self.out.clone(), back, list };
+        let learnt = rest.learnt.as_ref().map(Figures::of);
+        let written =
+            Written { version: VERSION, listen, out: self.out.clone(), back, list: rest.list, learnt };
         serde_json::to_string(&written).unwrap_or_default()
     }
 
     /// ```
-    /// use oakhollow_terms::Marks;
+    /// use oakhollow_terms::{Marks, Rest};
     /// let (here, there) = ("127.0.0.1:70".parse().unwrap(), "127.0.0.1:71".parse().unwrap());
     /// let mut marks = Marks::default();
     /// marks.out.insert("s-1".into());
-    /// assert_eq!(Marks::from_json(marks.to_json(here, None).as_bytes(), here).unwrap().0, marks);
-    /// assert!(Marks::from_json(marks.to_json(here, None).as_bytes(), there).unwrap_err().starts_with("listen: "));
+    /// assert_eq!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), here).unwrap().0, marks);
+    /// assert!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), there).unwrap_err().starts_with("listen: "));
     /// ```
-    pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Option<List>), String> {
+    pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Rest), String> {
         let written: Written = read(json)?;
         if written.version != VERSION {
             return Err(format!("version: {} is not read", written.version));
@@ -84,7 +139,8 @@
             return Err(format!("listen: {} is another sidecar's", written.listen));
         }
         let back = written.back.into_iter().map(|(name, at)| (name, Micros(at))).collect();
-        Ok((Marks { out: written.out, back }, written.list))
+        let learnt = written.learnt.and_then(Figures::read);
+        Ok((Marks { out: written.out, back }, Rest { list: written.list, learnt }))
     }
 
     /// None where there is no file.
@@ -97,8 +153,8 @@
     /// Written whole or not at all.
     pub fn to_file(&self, path: &Path, listen: SocketAddr) -> std::io::Result<()> {
         let fresh = path.with_extension(format!("new-{}", std::process::id()));
-        let written =
-            std::fs::write(&fresh, self.to_json(listen, None)).and_then(|()| std::fs::rename(&fresh, path));
+        let written = std::fs::write(&fresh, self.to_json(listen, Rest::default()))
+            .and_then(|()| std::fs::rename(&fresh, path));
         if written.is_err() {
             let _ = std::fs::remove_file(&fresh);
         }
