A successor knows of each server what the process before it learnt

Ruled out: requests ended at the door (0). Also a test that read the log before the console was said.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -11,10 +11,9 @@
 use async_executor::Task;
 use fnv::FnvHashMap;
 use futures_lite::{future, StreamExt};
-use oakhollow::learnt::Learnt;
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
-use oakhollow_terms::{List, Marks, Place};
+use oakhollow_terms::{List, Marks, Place, Taught};
 use slog::{info, Logger};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -97,7 +96,7 @@
     /// What holds from now on.
     Retuned(Box<Terms>),
     /// What the module has learnt is asked for.
-    Asked(Sender<Learnt>),
+    Asked(Sender<Taught>),
 }
 
 /// How all else reaches the module.
@@ -180,12 +179,12 @@
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     /// What another process learnt in our place.
-    pub learnt: Option<Learnt>,
+    pub taught: Option<Taught>,
 }
 
 impl<P: Protocol> Decider<P> {
     pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
-        let Parts { protocol, desk, tasks, log, ask, learnt } = parts;
+        let Parts { protocol, desk, tasks, log, ask, taught } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut decider = Decider {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
@@ -202,11 +201,19 @@
             ask,
         };
         decider.carry_out();
-        if let Some(learnt) = learnt {
-            decider.sidecar.teach(&learnt);
+        let taught = taught.unwrap_or_default();
+        if taught != Taught::default() {
+            decider.sidecar.teach(&taught.learnt);
         }
         let told = decider.roster.take(known);
         decider.listed(ListKind::Cached, told);
+        for (name, judged) in &taught.servers {
+            if let Some(id) = decider.roster.number(name) {
+                decider.sidecar.judge_as(id, judged);
+            }
+        }
+        let told = decider.roster.all();
+        decider.listed(ListKind::Cached, told);
         decider
     }
 
@@ -262,7 +269,11 @@
                 let told = self.roster.take(&list);
                 self.listed(kind, told);
             }
-            Note::Asked(to) => _ = to.try_send(self.sidecar.learnt()),
+            Note::Asked(to) => {
+                let named = |(id, judged)| (self.roster.name(id).to_string(), judged);
+                let servers = self.sidecar.judged().map(named).collect();
+                let _ = to.try_send(Taught { learnt: self.sidecar.learnt(), servers });
+            }
             Note::Retuned(terms) => {
                 self.on(Event::Retuned(&terms));
                 let told = self.roster.all();
--- a/sidecar/src/peers.rs
+++ b/sidecar/src/peers.rs
@@ -8,9 +8,8 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{self, AsyncBufReadExt, AsyncReadExt, BufReader, ReadHalf, WriteHalf};
 use futures_lite::{future, AsyncWriteExt};
-use oakhollow::learnt::Learnt;
 use oakhollow::types::Micros;
-use oakhollow_terms::{read, Line, Marks, Rest, Told};
+use oakhollow_terms::{read, Line, Marks, Rest, Taught, Told};
 use slog::{info, warn, Logger};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -187,7 +186,7 @@
     }
 
     /// What a worker's module has learnt; all of them see about the same.
-    async fn learnt(&self) -> Option<Learnt> {
+    async fn learnt(&self) -> Option<Taught> {
         let (to, learnt) = bounded(1);
         self.orders.tell(Order::Asked(to)).await;
         let late = async {
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -272,7 +272,7 @@
             (None, Some(keeper)) => keeper.marks(&log),
             (None, None) => Marks::default(),
         };
-        let learnt = before.as_ref().and_then(|before| before.rest.learnt);
+        let taught = before.as_ref().and_then(|before| before.rest.learnt.clone());
         let (peers, takes_over) = (Peers::default(), before.is_some());
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
@@ -281,7 +281,7 @@
             seed: start.seed,
             known: Arc::new(known),
             marks,
-            learnt,
+            taught,
             workers,
             callers: bounds[0].clone(),
             links: bounds[1].clone(),
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -148,6 +148,10 @@
         Some(known)
     }
 
+    pub fn number(&self, name: &str) -> Option<ServerId> {
+        self.numbers.get(name).copied()
+    }
+
     pub fn any_ready(&self) -> bool {
         self.ready > 0
     }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -14,9 +14,8 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use oakhollow::learnt::Learnt;
 use oakhollow::types::{ListKind, Micros, Terms};
-use oakhollow_terms::{List, Marks, Place};
+use oakhollow_terms::{List, Marks, Place, Taught};
 use slog::{o, Logger};
 use std::cell::RefCell;
 use std::future::Future;
@@ -38,7 +37,7 @@
     /// Take callers in. Its sender is dropped when that holds.
     Open(Sender<()>),
     /// What the modules have learnt is asked for.
-    Asked(Sender<Learnt>),
+    Asked(Sender<Taught>),
     /// Settings that hold from now on.
     Retuned(Arc<Place>),
     /// What is shared out with another process of this sidecar.
@@ -183,7 +182,7 @@
     pub known: Arc<List>,
     pub marks: Marks,
     /// What another process learnt in this one's place, for each worker.
-    pub learnt: Option<Learnt>,
+    pub taught: Option<Taught>,
     pub workers: usize,
     pub callers: Bound,
     pub links: Bound,
@@ -267,7 +266,7 @@
         tasks: tasks.clone(),
         log: log.clone(),
         ask,
-        learnt: kit.learnt,
+        taught: kit.taught,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -426,9 +426,12 @@
             self.port.is_some()
         });
         if words.contains(&"console") {
-            let said = said.lock().expect("log");
-            let rest = said.split_once("console at ").expect("a console").1;
-            self.console = rest.split([',', ' ', '\n']).next().and_then(|at| at.parse().ok());
+            until("it has a console", || {
+                let said = said.lock().expect("log").clone();
+                let at = said.split_once("console at ").and_then(|(_, rest)| rest.split_once(','));
+                self.console = at.and_then(|(at, _)| at.parse().ok());
+                self.console.is_some()
+            });
         }
         self.started = Some(Instant::now());
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -91,7 +91,7 @@
     figures: Figures,
     chance: Chance,
     lots: Chance, // for the pick alone, which draws as often as it must
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     dither: f64, // which way a part of a call is rounded, for this beat
     peak: f64,   // the most of our calls in flight of late
     calls: FnvHashMap<CallId, Call>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -9,7 +9,7 @@
 mod start;
 
 pub use list::{Entry, List, Version};
-pub use marks::{Line, Marks, Rest, Told};
+pub use marks::{Line, Marks, Rest, Taught, Told};
 pub use operator::Operator;
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use shape::Shape;
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -1,7 +1,8 @@
 //! Which servers are out by hand, and what of a sidecar outlives its process: a file, or a line to its successor.
 use crate::{read, List};
-use oakhollow::learnt::Learnt;
+use oakhollow::learnt::{Judged, Learnt};
 use oakhollow::types::Micros;
+use oakhollow::Tally;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -29,7 +30,7 @@
 }
 
 /// What a process has learnt, as written.
-#[derive(Clone, Copy, Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 struct Figures {
     level_us: Option<f64>,
     width: f64,
@@ -37,35 +38,75 @@
     fleet: f64,
     sends_ps: f64,
     warm_ps: f64,
+    #[serde(default)]
+    servers: Vec<ServerFigures>,
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+struct ServerFigures {
+    name: String,
+    ease: f64,
+    good: f64,
+    bad: f64,
+    answered: bool,
+    asides: u32,
+    aside_us: Option<u64>,
+}
+
+/// What an instance of the decisions begins with that another one learnt in its place.
+#[derive(Clone, Default, PartialEq, Debug)]
+pub struct Taught {
+    pub learnt: Learnt,
+    pub servers: Vec<(String, Judged)>,
 }
 
 /// What a successor is told beside the marks.
 #[derive(Clone, Default, Debug)]
 pub struct Rest {
     pub list: Option<List>,
-    pub learnt: Option<Learnt>,
+    pub learnt: Option<Taught>,
 }
 
 impl Figures {
-    fn of(learnt: &Learnt) -> Figures {
-        let Learnt { level, width, steady, fleet, sends_a_second, warm_a_second } = *learnt;
-        Figures { level_us: level, width, steady, fleet, sends_ps: sends_a_second, warm_ps: warm_a_second }
+    fn of(taught: &Taught) -> Figures {
+        let Learnt { level, width, steady, fleet, sends_a_second, warm_a_second } = taught.learnt;
+        let server = |(name, judged): &(String, Judged)| ServerFigures {
+            name: name.clone(),
+            ease: judged.ease,
+            good: judged.record.good,
+            bad: judged.record.bad,
+            answered: judged.answered,
+            asides: judged.asides,
+            aside_us: judged.aside.map(|until| until.0),
+        };
+        let servers = taught.servers.iter().map(server).collect();
+        Figures {
+            level_us: level,
+            width,
+            steady,
+            fleet,
+            sends_ps: sends_a_second,
+            warm_ps: warm_a_second,
+            servers,
+        }
     }
 
     /// None where a figure means nothing.
-    fn read(self) -> Option<Learnt> {
-        let Figures { level_us, width, steady, fleet, sends_ps, warm_ps } = self;
+    fn read(self) -> Option<Taught> {
+        let Figures { level_us, width, steady, fleet, sends_ps, warm_ps, servers } = self;
         let sound = |figure: f64| (0.0..1e9).contains(&figure);
         let all = [level_us.unwrap_or(0.0), width, fleet, sends_ps, warm_ps].into_iter().all(sound);
-        let learnt = Learnt {
-            level: level_us,
-            width,
-            steady,
-            fleet,
-            sends_a_second: sends_ps,
-            warm_a_second: warm_ps,
+        let (sends_a_second, warm_a_second) = (sends_ps, warm_ps);
+        let learnt = Learnt { level: level_us, width, steady, fleet, sends_a_second, warm_a_second };
+        let server = |of: ServerFigures| {
+            let record = Tally { good: of.good, bad: of.bad };
+            let known = (0.01..=1.0).contains(&of.ease) && sound(of.good) && sound(of.bad);
+            let (answered, aside) = (of.answered, of.aside_us.map(Micros));
+            let judged = Judged { ease: of.ease, record, answered, asides: of.asides, aside };
+            known.then_some((of.name, judged))
         };
-        all.then_some(learnt)
+        let servers = servers.into_iter().filter_map(server).collect();
+        all.then_some(Taught { learnt, servers })
     }
 }
 
@@ -123,11 +164,15 @@
     }
 
     /// ```
-    /// use oakhollow_terms::{Marks, Rest};
+    /// use oakhollow_terms::{Marks, Rest, Taught};
     /// let (here, there) = ("127.0.0.1:70".parse().unwrap(), "127.0.0.1:71".parse().unwrap());
     /// let mut marks = Marks::default();
     /// marks.out.insert("s-1".into());
     /// assert_eq!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), here).unwrap().0, marks);
+    /// let mut taught = Taught::default();
+    /// taught.servers.push(("s-2".into(), oakhollow::learnt::Judged { ease: 0.5, ..Default::default() }));
+    /// let rest = Rest { learnt: Some(taught.clone()), ..Rest::default() };
+    /// assert_eq!(Marks::from_json(marks.to_json(here, rest).as_bytes(), here).unwrap().1.learnt, Some(taught));
     /// assert!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), there).unwrap_err().starts_with("listen: "));
     /// ```
     pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Rest), String> {
