--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -179,7 +179,7 @@
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     /// What another process learnt in our place.
-    pub taught: Option<Taught>,
+    pub taught: Taught,
 }
 
 impl<P: Protocol> Decider<P> {
@@ -201,13 +201,9 @@
             ask,
         };
         decider.carry_out();
-        let taught = taught.unwrap_or_default();
-        if taught != Taught::default() {
-            decider.sidecar.teach(&taught.learnt);
-        }
         let told = decider.roster.take(known);
         decider.listed(ListKind::Cached, told);
-        for (name, judged) in &taught.servers {
+        for (name, judged) in &taught {
             if let Some(id) = decider.roster.number(name) {
                 decider.sidecar.judge_as(id, judged);
             }
@@ -272,7 +268,7 @@
             Note::Asked(to) => {
                 let named = |(id, judged)| (self.roster.name(id).to_string(), judged);
                 let servers = self.sidecar.judged().map(named).collect();
-                let _ = to.try_send(Taught { learnt: self.sidecar.learnt(), servers });
+                let _ = to.try_send(servers);
             }
             Note::Retuned(terms) => {
                 self.on(Event::Retuned(&terms));
--- a/sidecar/src/peers.rs
+++ b/sidecar/src/peers.rs
@@ -140,10 +140,10 @@
             };
             drop(listener);
             let (reads, mut writes) = io::split(stream);
-            let learnt = self.learnt().await;
+            let taught = self.taught().await;
             let snapshot = {
                 let board = lock(&self.board);
-                board.marks().to_json(self.keeper.listen, Rest { list: Some(board.list()), learnt })
+                board.marks().to_json(self.keeper.listen, Rest { list: Some(board.list()), taught })
             };
             if writes.write_all(format!("{snapshot}\n").as_bytes()).await.is_ok() {
                 self.link(BufReader::new(reads), writes, Shared::WithSuccessor).await;
@@ -186,14 +186,14 @@
     }
 
     /// What a worker's module has learnt; all of them see about the same.
-    async fn learnt(&self) -> Option<Taught> {
+    async fn taught(&self) -> Taught {
         let (to, learnt) = bounded(1);
         self.orders.tell(Order::Asked(to)).await;
         let late = async {
             Timer::after(WITHIN / 3).await;
             None
         };
-        future::or(async { learnt.recv().await.ok() }, late).await
+        future::or(async { learnt.recv().await.ok() }, late).await.unwrap_or_default()
     }
 
     async fn share(&self, with: Shared) {
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -272,7 +272,7 @@
             (None, Some(keeper)) => keeper.marks(&log),
             (None, None) => Marks::default(),
         };
-        let taught = before.as_ref().and_then(|before| before.rest.learnt.clone());
+        let taught = before.as_ref().map(|before| before.rest.taught.clone()).unwrap_or_default();
         let (peers, takes_over) = (Peers::default(), before.is_some());
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -182,7 +182,7 @@
     pub known: Arc<List>,
     pub marks: Marks,
     /// What another process learnt in this one's place, for each worker.
-    pub taught: Option<Taught>,
+    pub taught: Taught,
     pub workers: usize,
     pub callers: Bound,
     pub links: Bound,
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -1,6 +1,6 @@
 //! Which servers are out by hand, and what of a sidecar outlives its process: a file, or a line to its successor.
 use crate::{read, List};
-use oakhollow::learnt::{Judged, Learnt};
+use oakhollow::learnt::Judged;
 use oakhollow::types::Micros;
 use oakhollow::Tally;
 use serde::{Deserialize, Serialize};
@@ -25,23 +25,11 @@
     back: BTreeMap<String, u64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     list: Option<List>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    learnt: Option<Figures>,
-}
-
-/// What a process has learnt, as written.
-#[derive(Clone, Serialize, Deserialize)]
-struct Figures {
-    level_us: Option<f64>,
-    width: f64,
-    steady: bool,
-    fleet: f64,
-    sends_ps: f64,
-    warm_ps: f64,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     servers: Vec<ServerFigures>,
 }
 
+/// What a process has learnt of a server, as written.
 #[derive(Clone, Serialize, Deserialize)]
 struct ServerFigures {
     name: String,
@@ -53,24 +41,19 @@
     aside_us: Option<u64>,
 }
 
-/// What an instance of the decisions begins with that another one learnt in its place.
-#[derive(Clone, Default, PartialEq, Debug)]
-pub struct Taught {
-    pub learnt: Learnt,
-    pub servers: Vec<(String, Judged)>,
-}
+/// What one instance of the decisions has learnt of each server, by name.
+pub type Taught = Vec<(String, Judged)>;
 
 /// What a successor is told beside the marks.
 #[derive(Clone, Default, Debug)]
 pub struct Rest {
     pub list: Option<List>,
-    pub learnt: Option<Taught>,
+    pub taught: Taught,
 }
 
-impl Figures {
-    fn of(taught: &Taught) -> Figures {
-        let Learnt { level, width, steady, fleet, sends_a_second, warm_a_second } = taught.learnt;
-        let server = |(name, judged): &(String, Judged)| ServerFigures {
+impl ServerFigures {
+    fn of((name, judged): &(String, Judged)) -> ServerFigures {
+        ServerFigures {
             name: name.clone(),
             ease: judged.ease,
             good: judged.record.good,
@@ -78,35 +61,16 @@
             answered: judged.answered,
             asides: judged.asides,
             aside_us: judged.aside.map(|until| until.0),
-        };
-        let servers = taught.servers.iter().map(server).collect();
-        Figures {
-            level_us: level,
-            width,
-            steady,
-            fleet,
-            sends_ps: sends_a_second,
-            warm_ps: warm_a_second,
-            servers,
         }
     }
 
     /// None where a figure means nothing.
-    fn read(self) -> Option<Taught> {
-        let Figures { level_us, width, steady, fleet, sends_ps, warm_ps, servers } = self;
-        let sound = |figure: f64| (0.0..1e9).contains(&figure);
-        let all = [level_us.unwrap_or(0.0), width, fleet, sends_ps, warm_ps].into_iter().all(sound);
-        let (sends_a_second, warm_a_second) = (sends_ps, warm_ps);
-        let learnt = Learnt { level: level_us, width, steady, fleet, sends_a_second, warm_a_second };
-        let server = |of: ServerFigures| {
-            let record = Tally { good: of.good, bad: of.bad };
-            let known = (0.01..=1.0).contains(&of.ease) && sound(of.good) && sound(of.bad);
-            let (answered, aside) = (of.answered, of.aside_us.map(Micros));
-            let judged = Judged { ease: of.ease, record, answered, asides: of.asides, aside };
-            known.then_some((of.name, judged))
-        };
-        let servers = servers.into_iter().filter_map(server).collect();
-        all.then_some(Taught { learnt, servers })
+    fn read(self) -> Option<(String, Judged)> {
+        let count = |figure: f64| (0.0..1e9).contains(&figure);
+        let sound = (0.01..=1.0).contains(&self.ease) && count(self.good) && count(self.bad);
+        let record = Tally { good: self.good, bad: self.bad };
+        let (answered, asides, aside) = (self.answered, self.asides, self.aside_us.map(Micros));
+        sound.then_some((self.name, Judged { ease: self.ease, record, answered, asides, aside }))
     }
 }
 
@@ -157,9 +121,9 @@
     /// `rest` goes to a successor only.
     pub fn to_json(&self, listen: SocketAddr, rest: Rest) -> String {
         let back = self.back.iter().map(|(name, at)| (name.clone(), at.0)).collect();
-        let learnt = rest.learnt.as_ref().map(Figures::of);
+        let servers = rest.taught.iter().map(ServerFigures::of).collect();
         let written =
-            Written { version: VERSION, listen, out: self.out.clone(), back, list: rest.list, learnt };
+            Written { version: VERSION, listen, out: self.out.clone(), back, list: rest.list, servers };
         serde_json::to_string(&written).unwrap_or_default()
     }
 
@@ -169,10 +133,9 @@
     /// let mut marks = Marks::default();
     /// marks.out.insert("s-1".into());
     /// assert_eq!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), here).unwrap().0, marks);
-    /// let mut taught = Taught::default();
-    /// taught.servers.push(("s-2".into(), oakhollow::learnt::Judged { ease: 0.5, ..Default::default() }));
-    /// let rest = Rest { learnt: Some(taught.clone()), ..Rest::default() };
-    /// assert_eq!(Marks::from_json(marks.to_json(here, rest).as_bytes(), here).unwrap().1.learnt, Some(taught));
+    /// let taught: Taught = vec![("s-2".into(), oakhollow::learnt::Judged { ease: 0.5, ..Default::default() })];
+    /// let rest = Rest { taught: taught.clone(), ..Rest::default() };
+    /// assert_eq!(Marks::from_json(marks.to_json(here, rest).as_bytes(), here).unwrap().1.taught, taught);
     /// assert!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), there).unwrap_err().starts_with("listen: "));
     /// ```
     pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Rest), String> {
@@ -184,8 +147,8 @@
             return Err(format!("listen: {} is another sidecar's", written.listen));
         }
         let back = written.back.into_iter().map(|(name, at)| (name, Micros(at))).collect();
-        let learnt = written.learnt.and_then(Figures::read);
-        Ok((Marks { out: written.out, back }, Rest { list: written.list, learnt }))
+        let taught = written.servers.into_iter().filter_map(ServerFigures::read).collect();
+        Ok((Marks { out: written.out, back }, Rest { list: written.list, taught }))
     }
 
     /// None where there is no file.
