Hops beyond the first keep within a stated budget in every window (rule five)

Cause: the module knows one budget only (BUDGET_SHARE, BUDGET_DEPTH in src/rules.rs): a fifth of first sends saved up to eight, spent in one burst when servers fail by turns, and a retry that waited in the queue is not asked again when it is sent. Nothing read the three settings.

Unset, nothing is read and no reply changes. On sockets the bound passes from one process of a sidecar to the next: the new one has none until the old parts, and for a window after; workers part the few hops among them.

--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -290,6 +290,7 @@
             ask,
             ids: Arc::default(),
             passed,
+            beside: takes_over,
         };
         let listeners = Arc::new(Mutex::new(listeners));
         let crew = Crew::hire(workers, move |hand| {
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -193,6 +193,8 @@
     pub ids: Arc<Ids>,
     /// The listener is the platform's: what waits in its queue is for whoever comes next.
     pub passed: bool,
+    /// Another process of this sidecar has told its snapshot and goes on beside this one.
+    pub beside: bool,
 }
 
 /// The whole life of a worker that carries calls.
@@ -222,6 +224,11 @@
 fn placed(mut place: Place, number: usize, workers: usize) -> Place {
     place.terms.number = place.terms.number.saturating_mul(workers as u32).saturating_add(number as u32);
     place.terms.sidecars = place.terms.sidecars.saturating_mul(workers as u32);
+    // The few hops on top of a share are the program's: parted among its workers, the odd ones to the first.
+    if let Some(bound) = &mut place.terms.beyond_first {
+        let (few, workers) = (bound.few, workers as f64);
+        bound.few = (few / workers).floor() + f64::from(u8::from((number as f64) < few % workers));
+    }
     place
 }
 
@@ -234,9 +241,24 @@
     };
     terms.number = terms.number.saturating_mul(sidecars).saturating_add(number);
     terms.sidecars = terms.sidecars.saturating_mul(sidecars);
+    shares_alone(terms, shared)
+}
+
+/// Hops beyond calls' first stay with the process that was there before, until it parts: guards against two that each grant
+/// them, and against a window that holds what the one sent and the other sends.
+fn shares_alone(mut terms: Terms, shared: Shared) -> Terms {
+    if shared == Shared::WithPredecessor {
+        none_beyond(&mut terms);
+    }
     terms
 }
 
+fn none_beyond(terms: &mut Terms) {
+    if let Some(bound) = &mut terms.beyond_first {
+        (bound.few, bound.share) = (0.0, 0.0);
+    }
+}
+
 /// What requests call things by.
 fn names_of(place: &mut Place, numbers: Vec<Numbers>) -> Names {
     Names {
@@ -269,10 +291,14 @@
         taught: kit.taught,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mut terms = place.terms.clone();
+    // Not to be left to the order that follows: a call may come before it.
+    let first = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
+    place.terms = shares_alone(place.terms, first);
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
     let names = names_of(&mut place, numbers);
-    let (mut terms, mut with) = (place.terms, Shared::Alone);
+    let mut with = first;
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
     let mut listener = Some(Rc::new(Async::listening(listener)?));
@@ -309,6 +335,11 @@
                     welcome.cancel().await;
                 }
                 listener = None;
+                if with != Shared::Alone && terms.beyond_first.is_some() {
+                    let mut last = shared(terms.clone(), with);
+                    none_beyond(&mut last);
+                    desk.tell(Note::Retuned(Box::new(last))).await;
+                }
                 door.part();
                 door.answer_by(by);
             }
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -29,6 +29,7 @@
 //!   connections to it that say no more
 //! - `sidecar ... passed`: its listening socket is held by us and passed on; `beside [KEY=VALUE ...]` starts another process
 //!   on it, which is the one spoken of from then on; `swap`: the other one is
+//! - `seen-all COUNT` requests at all servers; `beyond=FEW:SHARE:SECONDS` for `sidecar` and `beside`: the bound on hops
 //! - `forget NAME` its requests so far; `least NAME LEAST` requests since
 //! - `restarts`: killed, and started again with the same folder
 //! - `before LENGTH`: no more than that has passed since the last `stop` or `mark`
@@ -316,7 +317,7 @@
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
-            "rules":{{"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
+            "rules":{{{}"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
             get("listen", "127.0.0.1:0"),
             if words.contains(&"console") { r#""console":"127.0.0.1:0","# } else { "" },
@@ -331,6 +332,11 @@
                     r#""report":{"source":"answers","columns":["busy_reqs","pending"]},"family_info":{"warm_keys":true},"#,
                 _ => "",
             },
+            match get("beyond", "").split(':').collect::<Vec<_>>()[..] {
+                [few, share, window] =>
+                    format!(r#""spare_attempts":{few},"budget_share":{share},"extra_window_s":{window},"#),
+                _ => String::new(),
+            },
             get("ask", "10"),
             workload("view", "read_like"),
             workload("save", "idempotency_key"),
@@ -569,6 +575,10 @@
             ["opens", count, bytes] => self.open(count, bytes),
             ["drops"] => self.idle.clear(),
             ["seen", name, count] => self.counts(name, count, |seen| seen.requests),
+            ["seen-all", count] => {
+                let requests = |server: &Server| server.seen.lock().expect("seen").requests;
+                assert_eq!(self.servers.iter().map(requests).sum::<usize>().to_string(), count);
+            }
             ["links", name, count] => self.counts(name, count, |seen| seen.links),
             ["gone", name, least] => self.least(name, least, |seen| seen.gone),
             ["shut", name, least] => self.least(name, least, |seen| seen.shut),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,8 @@
 pub mod types;
 
 use nanorand::{Rng, WyRand};
-use types::Micros;
+use std::collections::VecDeque;
+use types::{BeyondFirst, Micros};
 
 /// A coarse histogram: two bins an octave from 1 ms up, halved by its owner now and then.
 ///
@@ -217,6 +218,96 @@
     }
 }
 
+/// Parts of a window in which calls taken are counted.
+const PARTS: u64 = 32;
+
+/// Hops beyond calls' first in a window that slides, against a bound. Calls are counted by whole parts that lie inside the
+/// window, hops a part longer than it: what it allows holds at every instant, and also by a clock that is a little off.
+///
+/// ```
+/// use oakhollow::{types::{BeyondFirst, Micros}, Sliding};
+/// let mut hops = Sliding::new(BeyondFirst { few: 1.0, share: 0.1, window: Micros::millis(2_000) });
+/// (0..10).for_each(|_| hops.take(Micros(0)));
+/// assert_eq!(hops.allowed(Micros(0)), 2.0);
+/// hops.spend(Micros(0));
+/// assert_eq!((hops.spent(Micros::millis(2_000)), hops.spent(Micros::millis(2_063))), (1, 0));
+/// assert_eq!(hops.allowed(Micros::millis(2_063)), 1.0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Sliding {
+    pub bound: BeyondFirst,
+    taken: [(u64, u32); PARTS as usize],
+    spent: VecDeque<Micros>,
+    /// What holds later, and from when.
+    next: Option<(Micros, BeyondFirst)>,
+}
+
+impl Sliding {
+    pub fn new(bound: BeyondFirst) -> Sliding {
+        Sliding { bound, taken: [(0, 0); PARTS as usize], spent: VecDeque::new(), next: None }
+    }
+
+    /// Another bound: what it takes holds at once, what it grants a window later. Guards against a window that holds what
+    /// two bounds, or two processes that follow each other, grant together.
+    pub fn retune(&mut self, bound: BeyondFirst, now: Micros) {
+        if self.next.map_or(self.bound, |(_, bound)| bound) == bound {
+            return;
+        }
+        if bound.window != self.bound.window {
+            self.taken = [(0, 0); PARTS as usize];
+        }
+        let longest = bound.window.max(self.bound.window);
+        self.next = Some((now + longest + Micros(longest.0 / PARTS), bound));
+        let (few, share) = (bound.few.min(self.bound.few), bound.share.min(self.bound.share));
+        self.bound = BeyondFirst { few, share, ..bound };
+    }
+
+    /// Time has passed.
+    fn pass(&mut self, now: Micros) {
+        if let Some((_, bound)) = self.next.filter(|(from, _)| now > *from) {
+            (self.bound, self.next) = (bound, None);
+        }
+    }
+
+    fn part(&self) -> u64 {
+        (self.bound.window.0 / PARTS).max(1)
+    }
+
+    /// A call is taken.
+    pub fn take(&mut self, now: Micros) {
+        let turn = now.0 / self.part();
+        let (stamp, count) = &mut self.taken[(turn % PARTS) as usize];
+        *count = if *stamp == turn { *count + 1 } else { 1 };
+        *stamp = turn;
+    }
+
+    pub fn spend(&mut self, now: Micros) {
+        self.spent.push_back(now);
+    }
+
+    /// Hops that any window may hold which ends now.
+    pub fn allowed(&mut self, now: Micros) -> f64 {
+        self.pass(now);
+        let turn = now.0 / self.part();
+        let inside = self.taken.iter().filter(|(stamp, _)| stamp + PARTS > turn);
+        self.bound.few + self.bound.share * inside.map(|(_, count)| f64::from(*count)).sum::<f64>()
+    }
+
+    /// Hops in the window that ends now.
+    pub fn spent(&mut self, now: Micros) -> usize {
+        let kept = self.bound.window + Micros(self.part());
+        while self.spent.front().is_some_and(|sent| *sent + kept < now) {
+            self.spent.pop_front();
+        }
+        self.spent.len()
+    }
+
+    /// Hops in the last part of this length.
+    pub fn spent_within(&self, length: Micros, now: Micros) -> usize {
+        self.spent.iter().rev().take_while(|sent| **sent + length > now).count()
+    }
+}
+
 /// How often something happens in a second, smoothed; the first whole beat counts in full.
 #[derive(Clone, Copy, Default, Debug)]
 pub struct Pace {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Class, Fleet};
 use crate::records::*;
 use crate::types::*;
-use crate::{Allowance, Chance, Pace, Slices, Tally};
+use crate::{Allowance, Chance, Pace, Slices, Sliding, Tally};
 use fnv::FnvHashMap;
 use std::collections::BTreeMap;
 use Effect::*;
@@ -16,6 +16,8 @@
 const MINIMUM_SAMPLES: u32 = 20;
 const BUDGET_SHARE: f64 = 0.2; // copies and retries for each first send
 const BUDGET_DEPTH: f64 = 8.0; // unspent budget kept, so that a burst of failures can be met
+const CHEAP_PART: f64 = 0.5; // the part of a bound on hops that a call of next to no payoff may use
+const HOP_SPREAD: f64 = 0.25; // in this part of the bound's window at most half of it is spent
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
@@ -102,6 +104,7 @@
     slices: Slices,
     crowd: Crowding,
     budget: f64,
+    beyond_first: Option<Sliding>, // where the place bounds the hops beyond calls' first
     outcomes: Tally,
     long_run: Tally,
     suppressed: bool,
@@ -130,6 +133,7 @@
             lots: Chance::new(!seed),
             fleet: Fleet::new(terms.near),
             purses: figures.shares.iter().map(|share| Allowance { left: 2.0 * share, seen: now }).collect(),
+            beyond_first: terms.beyond_first.map(Sliding::new),
             figures,
             slices: Slices::new(WINDOW, QUANTILE, MINIMUM_SAMPLES),
             budget: 2.0,
@@ -154,7 +158,7 @@
             Event::Ended(ending) => self.ended(ending, out),
             Event::Withdrawn { call } => self.step(call, Left, out),
             Event::Heard { server, strain } => self.heard(server, strain),
-            Event::Retuned(terms) => return self.figures = Figures::new(terms),
+            Event::Retuned(terms) => return self.retuned(terms),
             Event::Woke(POKED) => self.poked = false,
             Event::Woke(ASK) => self.ask(out),
             Event::Woke(HEART) => self.beat(out),
@@ -195,6 +199,18 @@
         out.push(Action::Wake { after, token: Token(u64::from(call.0) << 2 | what) });
     }
 
+    fn retuned(&mut self, terms: &Terms) {
+        self.figures = Figures::new(terms);
+        let now = self.now;
+        let known = self.beyond_first.take();
+        self.beyond_first = terms.beyond_first.map(|bound| {
+            let mut hops =
+                known.unwrap_or_else(|| Sliding::new(BeyondFirst { few: 0.0, share: 0.0, ..bound }));
+            hops.retune(bound, now);
+            hops
+        });
+    }
+
     // ---- API calls ----
 
     fn arrived(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -213,6 +229,7 @@
         worth *= if repeat { REPEAT_WORTH } else { 1.0 };
         let worth = (worth * 1000.0) as u32; // in thousandths, as the queue orders it
         self.arrivals += 1;
+        self.beyond_first.iter_mut().for_each(|hops| hops.take(self.now));
         let (hope, median) = (terms.quoted.min(left), self.crowd.recent.median().unwrap_or_default());
         let call = Call {
             workload,
@@ -243,6 +260,9 @@
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
     /// found a server that is ready, trusted, not crowded and within its cold budget.
     fn send(&mut self, id: CallId, copy: bool, out: &mut Vec<Action>) -> Option<Input> {
+        if !self.may_add(id) {
+            return Some(if copy { LostOne } else { LostAll });
+        }
         let Some(server) = self.pick(id) else {
             // Guards against parking a call that no server may take any more: it is answered at once.
             let call = &self.calls[&id];
@@ -259,6 +279,9 @@
         let call = self.calls.get_mut(&id)?;
         let give_up = call.abandon - now;
         let extra = !call.hops.is_empty();
+        if extra {
+            self.beyond_first.iter_mut().for_each(|hops| hops.spend(now));
+        }
         self.budget = if extra { self.budget - 1.0 } else { (self.budget + BUDGET_SHARE).min(BUDGET_DEPTH) };
         call.hops.push(Hop { server, place, cell, sent: now, ended: None, outlived: false, copy });
         out.push(Action::Send { call: id, server, give_up });
@@ -282,6 +305,20 @@
         None
     }
 
+    /// Rule five: a hop beyond the first fits the place's bound. The less a call is worth the sooner it stops,
+    /// and no short while takes all: guards against a first moment of trouble that leaves nothing for the rest.
+    fn may_add(&mut self, id: CallId) -> bool {
+        let (Some(hops), Some(call)) = (&mut self.beyond_first, self.calls.get(&id)) else { return true };
+        if call.hops.is_empty() {
+            return true;
+        }
+        let dearness = self.figures.workloads[call.workload].payoff / self.figures.dearest.max(1e-9);
+        let (allowed, now) = (hops.allowed(self.now), self.now);
+        let mine = allowed * (CHEAP_PART + (1.0 - CHEAP_PART) * dearness);
+        let of_late = hops.spent_within(hops.bound.window.times(HOP_SPREAD), now) as f64;
+        hops.spent(now) as f64 + 1.0 <= mine && of_late + 1.0 <= (0.5 * allowed).max(1.0)
+    }
+
     fn enqueue(&mut self, id: CallId, out: &mut Vec<Action>) -> Option<Input> {
         let call = &self.calls[&id];
         if self.now >= call.patience {
@@ -369,7 +406,7 @@
         let stuck = self.fleet.get(server).is_some_and(|server| server.trust != Trust::Fit);
         let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width();
         let may = self.figures.may_race && (calm || stuck) && !self.suppressed;
-        if may && self.budget >= 1.0 && self.pick(id).is_some() {
+        if may && self.budget >= 1.0 && self.may_add(id) && self.pick(id).is_some() {
             self.step(id, Outlived, out);
         } else {
             self.remind(id, COPY, threshold.min(left), out);
--- a/src/types.rs
+++ b/src/types.rs
@@ -84,6 +84,14 @@
     pub payoff: f64,
 }
 
+/// In any window of this length, hops beyond calls' first are at most `few` and `share` of the calls taken in it.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct BeyondFirst {
+    pub few: f64,
+    pub share: f64,
+    pub window: Micros,
+}
+
 /// What the place lays down for one instance at its start.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -101,6 +109,8 @@
     /// How much of the result hangs on the worst-served workload.
     pub worst_workload: f64,
     pub most_hops: u32,
+    /// The bound on hops beyond each call's first, where there is one.
+    pub beyond_first: Option<BeyondFirst>,
     pub may_cancel: bool,
     pub may_race: bool,
     /// The longest cool-down that clients are told of; zero where none is passed on.
--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -15,6 +15,12 @@
 /// let json = json.replace("sometimes", "idempotency_key");
 /// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(json.as_bytes()).unwrap_err();
 /// assert_eq!(fault, "workloads[0].group: must be all, zone or cell for idempotency_key, not \"\"");
+/// let part = json.replace("idempotency_key", "read_like").replace("fall_s", "spare_attempts\":3,\"budget_share\":0.1,\"fall_s");
+/// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(part.as_bytes()).unwrap_err();
+/// assert!(fault.starts_with("rules.extra_window_s: must be set where another"), "{fault}");
+/// let fault = part.replace("fall_s", "extra_window_s\":-2,\"fall_s");
+/// let fault = oakhollow_terms::read::<oakhollow_terms::Place>(fault.as_bytes()).unwrap_err();
+/// assert_eq!(fault, "rules.extra_window_s: must be over 0 and at most 3600");
 /// let place: oakhollow_terms::Place = oakhollow_terms::read(json.replace("idempotency_key", "read_like").as_bytes()).unwrap();
 /// assert_eq!(place.terms.most_hops, 3);
 /// assert_eq!(place.workloads[0].name, "view");
@@ -159,11 +165,46 @@
 struct Rules {
     #[serde(default)]
     ask_within_s: f64,
+    budget_share: Option<f64>,
     cold_from: f64,
+    extra_window_s: Option<f64>,
     fall_s: f64,
+    spare_attempts: Option<f64>,
     warm_within_s: f64,
 }
 
+/// The longest window of a bound on hops: an hour. One beyond it is a slip of units.
+const LONGEST_WINDOW_S: f64 = 3_600.0;
+/// The most hops that a bound may grant on top of its share.
+const MOST_SPARE: f64 = 1e6;
+
+impl Rules {
+    /// The bound on hops beyond each call's first: all three keys, or none.
+    fn beyond_first(&self) -> Result<Option<BeyondFirst>, String> {
+        let Rules { budget_share, spare_attempts, extra_window_s, .. } = self;
+        if budget_share.is_none() && spare_attempts.is_none() && extra_window_s.is_none() {
+            return Ok(None);
+        }
+        let within = |key: &str, figure: &Option<f64>, sound: fn(f64) -> bool, what: &str| {
+            match figure {
+            None => Err(format!(
+                ".rules.{key}: must be set where another of budget_share, spare_attempts and extra_window_s is"
+            )),
+            Some(figure) if sound(*figure) => Ok(*figure),
+            Some(_) => Err(format!(".rules.{key}: must be {what}")),
+        }
+        };
+        let share = |figure| (0.0..=1.0).contains(&figure);
+        let few = |figure: f64| (0.0..=MOST_SPARE).contains(&figure) && figure.fract() == 0.0;
+        let window = |figure| figure > 0.0 && figure <= LONGEST_WINDOW_S;
+        Ok(Some(BeyondFirst {
+            share: within("budget_share", budget_share, share, "a number from 0 to 1")?,
+            few: within("spare_attempts", spare_attempts, few, "a whole number from 0 to 1000000")?,
+            window: micros(within("extra_window_s", extra_window_s, window, "over 0 and at most 3600")?),
+        }))
+    }
+}
+
 #[derive(Deserialize)]
 struct Tenant {
     #[serde(default)]
@@ -227,6 +268,7 @@
                 beyond_share: told.overage_payoff,
                 worst_workload: told.goal.worst_class,
                 most_hops: bounds.most_hops,
+                beyond_first: rules.beyond_first()?,
                 may_cancel: bounds.cancel,
                 may_race: bounds.parallel_tries,
                 cool_down: if bounds.retry_after { micros(bounds.max_retry_after_s) } else { Micros(0) },
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,11 +1,11 @@
 //! Random days on the module: lists that churn, servers that fail in every way, calls of every kind, hosts that fall
-//! silent for seconds. A judge that knows nothing of the module's inside holds each action against the four rules. In this
+//! silent for seconds. A judge that knows nothing of the module's inside holds each action against the rules. In this
 //! build the module itself holds every pick against a plain walk over all servers.
 mod place;
 
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
-use oakhollow::Chance;
+use oakhollow::{Chance, Sliding};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::cmp::Reverse;
@@ -57,6 +57,9 @@
     due: BinaryHeap<Reverse<(Micros, u64, CallId, usize)>>,
     set: u64,
     world: Chance,
+    /// When calls were taken, and when hops beyond a call's first went out.
+    taken: Vec<Micros>,
+    added: Vec<Micros>,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +71,7 @@
     wrong: u32,
     churn: u32,
     calls: u32,
+    bound: Option<BeyondFirst>,
 }
 
 impl Day {
@@ -82,6 +86,7 @@
             beyond_share: 0.5,
             worst_workload: 0.2,
             most_hops: MOST_HOPS as u32,
+            beyond_first: shape.bound,
             warm_within: Micros::millis(4_000),
             ..place::terms(&[])
         };
@@ -96,6 +101,8 @@
             due: BinaryHeap::new(),
             set: 0,
             world: Chance::new(seed ^ 0xDA7),
+            taken: Vec::new(),
+            added: Vec::new(),
         };
         day.carry_out(actions, shape);
         let entries: Vec<Listing> =
@@ -134,7 +141,10 @@
         for action in actions {
             self.set += 1;
             match action {
-                Action::Send { call, server, give_up } => self.judge_send(call, server, give_up),
+                Action::Send { call, server, give_up } => {
+                    self.judge_send(call, server, give_up);
+                    self.judge_window(call, shape);
+                }
                 Action::Cancel { call, hop } => self.end(call, hop.0 as usize, Outcome::Cancelled, shape),
                 Action::Dismiss { call, .. } => {
                     let known = self.calls.get_mut(&call).expect("a call that was taken");
@@ -181,6 +191,16 @@
         self.due.push(Reverse((self.now + took.min(give_up), self.set, id, hop)));
     }
 
+    /// Rule five, by a plain count over the window that ends now.
+    fn judge_window(&mut self, id: CallId, shape: &Shape) {
+        let Some(bound) = shape.bound.filter(|_| self.calls[&id].hops.len() > 1) else { return };
+        self.added.push(self.now);
+        let inside =
+            |times: &[Micros]| times.iter().filter(|at| **at + bound.window > self.now).count() as f64;
+        let (added, taken) = (inside(&self.added), inside(&self.taken));
+        assert!(added <= bound.few + bound.share * taken, "{added} hops beyond the first, {taken} calls");
+    }
+
     fn end(&mut self, id: CallId, hop: usize, outcome: Outcome, shape: &Shape) {
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else { return };
@@ -244,6 +264,7 @@
         let abandon = self.now + LEFT;
         let known = Call { kind: KINDS[workload], abandon, hops: Vec::new(), answers: 0, left: false };
         self.calls.insert(call, known);
+        self.taken.push(self.now);
         let (workload, customer, repeat) = (WorkloadId(workload), CustomerId(0), self.world.draw() < 0.1);
         let arrival = Arrival { call, workload, left: LEFT, customer, repeat, key: None };
         self.tell(Event::Arrived(arrival), shape);
@@ -278,14 +299,21 @@
 }
 
 fn shape() -> impl Strategy<Value = Shape> {
-    (1..60_u32, 1..20_u32, any::<bool>(), 0..90_u32, 0..60_u32, 20..300_u32).prop_map(
-        |(servers, sidecars, near, wrong, churn, calls)| Shape {
+    let bound = (0..6_u32, 0.0..0.5, 1..3_000_u64).prop_map(|(few, share, window)| BeyondFirst {
+        few: f64::from(few),
+        share,
+        window: Micros::millis(window),
+    });
+    let bound = proptest::option::of(bound);
+    (1..60_u32, 1..20_u32, any::<bool>(), 0..90_u32, 0..60_u32, 20..300_u32, bound).prop_map(
+        |(servers, sidecars, near, wrong, churn, calls, bound)| Shape {
             servers,
             sidecars,
             near,
             wrong,
             churn,
             calls,
+            bound,
         },
     )
 }
@@ -295,8 +323,43 @@
         cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(14), max_shrink_iters: 200, ..ProptestConfig::default()
     })]
 
+    /// Whoever always wants one more stays inside the bound in every window, and misses no more of it than what came in
+    /// the window's oldest part; two that follow each other hold it together.
+    #[test]
+    fn windows_are_filled_and_never_over(
+        gaps in proptest::collection::vec((0..40_000_u64, 0..3_usize), 1..400),
+        few in 0..5_u32, share in 0.0..1.0, window in 1..1_500_u64, change in 0..400_usize,
+    ) {
+        let window = Micros::millis(window);
+        let bound = BeyondFirst { few: f64::from(few), share, window };
+        let mut hops = Sliding::new(bound);
+        let (mut now, mut taken, mut added) = (Micros::millis(5_000), Vec::new(), Vec::new());
+        for (at, (gap, calls)) in gaps.into_iter().enumerate() {
+            if at == change {
+                // Another process, beside one that sends no more.
+                hops = Sliding::new(BeyondFirst { few: 0.0, share: 0.0, ..bound });
+            } else if at == change + 50 {
+                hops.retune(bound, now); // the one before has parted
+            }
+            now = now + Micros(gap);
+            (0..calls).for_each(|_| { hops.take(now); taken.push(now); });
+            let inside = |times: &[Micros], length: Micros| times.iter().filter(|at| **at + length > now).count();
+            while hops.spent(now) as f64 + 1.0 <= hops.allowed(now) {
+                hops.spend(now);
+                added.push(now);
+                let most = bound.few + share * inside(&taken, window) as f64;
+                prop_assert!(inside(&added, window) as f64 <= most);
+            }
+            if at < change {
+                let part = Micros(window.0 / 32 + 1);
+                let sure = bound.few + share * inside(&taken, window - part - part) as f64;
+                prop_assert!(inside(&added, window + part + part) as f64 + 1.0 > sure);
+            }
+        }
+    }
+
     #[test]
-    fn the_four_rules_hold(shape in shape(), seed in any::<u64>()) {
+    fn the_rules_hold(shape in shape(), seed in any::<u64>()) {
         let mut day = Day::new(&shape, seed);
         for number in 0..shape.calls {
             day.arrive(number, &shape);
--- a/tests/place/mod.rs
+++ b/tests/place/mod.rs
@@ -16,6 +16,7 @@
         beyond_share: 1.0,
         worst_workload: 0.0,
         most_hops: 4,
+        beyond_first: None,
         may_cancel: true,
         may_race: true,
         cool_down: Micros::millis(500),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Plays every file in `tests/scenarios` on the module. The notation:
 //!
-//! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near, loads, tell, keys
+//! - `place KEY=VALUE ...` before all else: sidecars, number, hops, race, cancel, cool, ask, cold, warm, fall, customer, near, loads, tell, keys,
+//!   beyond=FEW:SHARE:WINDOW (the bound on hops beyond the first)
 //! - `workload NAME KIND QUOTED PAYOFF`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
 //! - `call ID WORKLOAD LEFT [customer=N] [key=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED [load=HELD:WAITING]`, `heard SERVER STRAIN`, `leaves ID`, `streams ID.HOP`
@@ -42,6 +43,14 @@
     Report { held: figure(held), waiting: figure(waiting), busy: None }
 }
 
+/// `FEW:SHARE:WINDOW`, or no.
+fn beyond(text: &str) -> Option<BeyondFirst> {
+    let parts: Vec<&str> = text.split(':').collect();
+    let [few, share, window] = parts[..] else { return None };
+    let number = |text: &str| text.parse().expect("a number");
+    Some(BeyondFirst { few: number(few), share: number(share), window: length(window) })
+}
+
 fn hop(text: &str) -> (CallId, HopNo) {
     let (call, hop) = text.split_once('.').expect("ID.HOP");
     (CallId(call.parse().expect("an id")), HopNo(hop.parse().expect("a hop")))
@@ -63,6 +72,7 @@
             beyond_share: 0.1,
             worst_workload: 0.0,
             most_hops: number("hops", "4") as u32,
+            beyond_first: beyond(&get("beyond", "no")),
             may_cancel: get("cancel", "yes") == "yes",
             may_race: get("race", "yes") == "yes",
             cool_down: length(&get("cool", "2s")),
