Crowding by each workload's own level; the width holds the mean and its scatter

A probe of each call turned away: 7,669 of 7,729 at the four first-tier sidecars, most of them not crowded, calls in flight equal to the width.

Causes: Crowding::measure took the median over all workloads, where work differs fivefold; weigh_width sized the floor by 1.4 times rate times median, which is the mean of an exponential only, and left no room for scatter (Erlang's loss at the second tier's two to three calls in flight). Ruled out: servers set aside (0 stuck), the pick.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 /// }
 /// let median = bins.median().unwrap();
 /// assert!(median > Micros::millis(15) && median < Micros::millis(27));
+/// assert!(bins.skew() > 3.0 && bins.skew() < 6.0); // the mean is 94 ms
 /// ```
 #[derive(Clone, Default, Debug)]
 pub struct Bins {
@@ -41,6 +42,13 @@
         self.total *= 0.5;
     }
 
+    /// The mean over the middle, as well as the bins tell it: 1 where nothing is known.
+    pub fn skew(&self) -> f64 {
+        let middle = |bin: usize| 2f64.powf((bin as f64 + 0.5) / 2.0) * 1000.0;
+        let sum: f64 = self.counts.iter().enumerate().map(|(bin, count)| count * middle(bin)).sum();
+        self.median().map_or(1.0, |median| sum / self.total / median.0.max(1) as f64)
+    }
+
     /// The middle, placed inside its bin by how many of the bin lie below it.
     pub fn median(&self) -> Option<Micros> {
         let mut below = 0.0;
--- a/src/records.rs
+++ b/src/records.rs
@@ -177,12 +177,53 @@
 /// A server that reports less of its cores busy has some to be had.
 const CORES_TO_BE_HAD: f64 = 0.9;
 
+/// How long calls take in the long run, and while nothing is crowded.
+#[derive(Default)]
+pub struct Level {
+    pub long: Bins,
+    pub level: Option<f64>, // in microseconds
+}
+
+impl Level {
+    /// Takes one answer's time. The level is the long-run median: it follows lower ones a fifth of the way and rises
+    /// by a thousandth at a time, so that a long crowd can't become what counts as uncrowded.
+    fn add(&mut self, waited: Micros, first: f64) {
+        self.long.add(waited);
+        let long = self.long.median().map(|long| long.0 as f64);
+        if self.long.total >= 128.0 {
+            self.level = self.level.zip(long).map(|(old, long)| (0.8 * old + 0.2 * long).min(1.001 * old));
+            self.long.halve();
+        }
+        if self.long.total >= first {
+            self.level = self.level.or(long);
+        }
+    }
+
+    /// For the beat: a first level from few answers, where more take long to come. Not for each answer, since
+    /// among the first few the short ones come before the long.
+    fn settle(&mut self) {
+        if self.long.total >= 16.0 {
+            self.level = self.level.or(self.long.median().map(|long| long.0 as f64));
+        }
+    }
+}
+
+/// Answers that make a level: over all workloads, and of one.
+const FIRST: f64 = 48.0;
+const FIRST_OF_ONE: f64 = 32.0;
+/// What stands in the ratios for a call that takes as long as its workload's level.
+const AS_LONG: f64 = 100_000.0;
+
 /// How crowded the servers are, as our own latency shows it.
 #[derive(Default)]
 pub struct Crowding {
     pub recent: Bins,
-    pub long: Bins,
-    pub level: Option<f64>,
+    pub all: Level,
+    /// Each workload's own.
+    own: Vec<Level>,
+    /// Recent answers' times over their own workload's level: guards against a change of mix alone, where workloads
+    /// differ in work, that reads as a crowd.
+    ratios: Bins,
     pub width: f64,
     pub crowded: bool,
     pub steady: bool,
@@ -228,31 +269,33 @@
         Some((held / at_work.max(1.0)).max(1.0))
     }
 
-    /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds. The level
-    /// is the long-run median: it follows lower ones a fifth of the way and rises by a thousandth at a time,
-    /// so that a long crowd can't become what counts as uncrowded.
-    pub fn measure(&mut self, waited: Micros) -> Option<(f64, f64)> {
+    /// Takes one answer's time; tells the recent median and the uncrowded level, in microseconds.
+    pub fn measure(&mut self, waited: Micros, workload: WorkloadId) -> Option<(f64, f64)> {
         self.recent.add(waited);
-        self.long.add(waited);
-        let (median, long) = (self.recent.median()?.0 as f64, self.long.median()?.0 as f64);
-        if self.recent.total >= 24.0 {
-            self.recent.halve();
+        self.all.add(waited, FIRST);
+        if self.own.len() <= workload.0 {
+            self.own.resize_with(workload.0 + 1, Level::default);
         }
-        if self.long.total >= 128.0 {
-            self.level = self.level.map(|old| (0.8 * old + 0.2 * long).min(1.001 * old));
-            self.long.halve();
+        let own = &mut self.own[workload.0];
+        own.add(waited, FIRST_OF_ONE);
+        if let Some(level) = own.level {
+            self.ratios.add(Micros((waited.0 as f64 / level.max(1.0) * AS_LONG) as u64));
         }
-        if self.long.total >= 48.0 {
-            self.level = self.level.or(Some(long));
+        let (median, long) = (self.recent.median()?.0 as f64, self.all.long.median()?.0 as f64);
+        for bins in [&mut self.recent, &mut self.ratios] {
+            if bins.total >= 24.0 {
+                bins.halve();
+            }
         }
-        Some((median, self.level.unwrap_or(long)))
+        Some((median, self.all.level.unwrap_or(long)))
+    }
+
+    /// How much longer recent calls took than others of their workload do while nothing is crowded.
+    pub fn strained(&self) -> f64 {
+        self.ratios.median().map_or(1.0, |median| median.0 as f64 / AS_LONG)
     }
 
-    /// For the beat: a first level from few answers, where more take long to come. Not for each answer, since
-    /// among the first few the short ones come before the long.
     pub fn settle(&mut self) {
-        if self.long.total >= 16.0 {
-            self.level = self.level.or(self.long.median().map(|long| long.0 as f64));
-        }
+        self.own.iter_mut().chain([&mut self.all]).for_each(Level::settle);
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,8 +21,10 @@
 const SUPPRESS_AT: f64 = 1.0;
 const TRIP_FLOOR: f64 = 0.05;
 const MINIMUM_CALLS: f64 = 10.0;
-const CROWDED: f64 = 1.65; // latency over its uncrowded level that counts as crowding
+const CROWDED: f64 = 1.65; // latency over its workload's uncrowded level that counts as crowding
 const EASED: f64 = 1.45; // and the one below which it is over
+const JAMMED: f64 = 2.4; // and the one from which the width leaves no room for scatter
+const SHOWS_CROWD: f64 = 24.0; // answers that show a crowd: who has them in a second sees one soon
 const PATIENCE: f64 = 0.6; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.1; // a repeat, which has lost part of its quoted time, against a first try
 const ASIDE: Micros = Micros::millis(1_500); // first time a server is set aside; doubled each time
@@ -305,8 +307,8 @@
         None
     }
 
-    /// Rule five: a hop beyond the first fits the place's bound. The less a call is worth the sooner it stops,
-    /// and no short while takes all: guards against a first moment of trouble that leaves nothing for the rest.
+    /// Rule five: a hop beyond the first fits the place's bound. The less a call is worth the sooner it
+    /// stops, and no short while takes all: guards against a first moment of trouble that leaves nothing.
     fn may_add(&mut self, id: CallId) -> bool {
         let (Some(hops), Some(call)) = (&mut self.beyond_first, self.calls.get(&id)) else { return true };
         if call.hops.is_empty() {
@@ -417,6 +419,7 @@
         let Ending { call: id, hop: HopNo(no), outcome, closed, .. } = ending;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let many = self.figures.workloads[call.workload].kind != Kind::OnceOnly;
+        let workload = WorkloadId(call.workload);
         let (state, abandon, more) = (call.state, call.abandon, call.hops.len() < call.most_hops);
         let Some(hop) = call.hops.get_mut(no as usize).filter(|hop| hop.open()) else { return };
         hop.ended = Some(outcome);
@@ -430,7 +433,7 @@
         }
         // A loser, and whatever ends after its call, is no evidence.
         if state != Over && outcome != Outcome::Cancelled && outcome != Outcome::NotSent {
-            self.evidence(server, &ending, outlived, out);
+            self.evidence(server, workload, &ending, outlived, out);
         }
         if state == Over && !open {
             self.calls.remove(&id);
@@ -605,13 +608,15 @@
         }
     }
 
-    fn evidence(&mut self, id: ServerId, ending: &Ending, outlived: bool, out: &mut Vec<Action>) {
+    fn evidence(
+        &mut self, id: ServerId, workload: WorkloadId, ending: &Ending, outlived: bool, out: &mut Vec<Action>,
+    ) {
         let Ending { outcome, waited, .. } = *ending;
         let good = outcome == Outcome::Succeeded;
         self.outcomes.add(good);
         self.long_run.add(good);
         // A server slower than the level for most of our calls holds fewer of them: it would tip first.
-        let slow = waited.0 as f64 > CROWDED * self.crowd.level.unwrap_or(f64::INFINITY);
+        let slow = waited.0 as f64 > CROWDED * self.crowd.all.level.unwrap_or(f64::INFINITY);
         let full = Some(STRAIN_FULL).filter(|_| outcome == Outcome::Full);
         let strain = full.or_else(|| ending.report.and_then(|report| self.crowd.strain(&report)));
         let strain = strain.filter(|_| self.figures.tells_load);
@@ -632,7 +637,7 @@
         self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
         if good {
             self.slices.add(self.now, waited);
-            self.weigh_width(waited, out);
+            self.weigh_width(waited, workload, out);
         }
         if !(good && outlived) {
             self.judge(id, good, out);
@@ -659,20 +664,27 @@
 
     /// Our own calls in flight are bounded by what latency shows: past a multiple of its uncrowded level,
     /// more only wait in servers, and tip them into the slow state. Never under what our usual rate needs.
-    fn weigh_width(&mut self, waited: Micros, out: &mut Vec<Action>) {
+    fn weigh_width(&mut self, waited: Micros, workload: WorkloadId, out: &mut Vec<Action>) {
         let (usable, left) = (self.fleet.usable(), self.left_of_fleet());
         let crowd = &mut self.crowd;
-        let Some((median, level)) = crowd.measure(waited) else { return };
-        let shown = median > level * if crowd.crowded { EASED } else { CROWDED };
+        let Some((median, level)) = crowd.measure(waited, workload) else { return };
+        let strained = crowd.strained();
+        let shown = strained > if crowd.crowded { EASED } else { CROWDED };
         let crowded = if self.figures.tells_load { crowd.thinned > 0.0 } else { shown };
-        let needed = self.sends.a_second * level / 1e6 * left;
-        let spread = if self.figures.tells_load { 1.0 + needed + 3.0 * needed.sqrt() } else { 0.0 };
-        let floor = (1.4 * needed + spread).max(2.0 * usable * self.figures.my_part).max(2.0);
+        // Little's law asks for the mean, and its scatter besides: guards against turning away, in calm, what
+        // a few long calls leave no room for. Told load acts on what is offered, and the width stands wider.
+        let (told, quick) = (self.figures.tells_load, (self.sends.a_second / SHOWS_CROWD).min(1.0));
+        let skew = if told { 1.0 } else { crowd.all.long.skew().clamp(1.0, 4.0) };
+        let needed = self.sends.a_second * level / 1e6 * left * skew;
+        let usual = if told { 1.0 + 2.4 * needed + 3.0 * needed.sqrt() } else { needed };
+        let floor = usual.max(2.0 * usable * self.figures.my_part).max(2.0);
         // Few answers a second show a crowd late: guards against the sum of many bounds that open meanwhile.
-        let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5) + 0.5;
+        let scatter = if told { 0.0 } else { needed.sqrt() * quick };
+        let ceiling = floor * (1.0 + self.sends.a_second / 80.0).min(1.5) + 0.5 + scatter;
         if crowded {
             crowd.steady = true;
-            crowd.width = (crowd.width * 0.97).max(floor);
+            let least = if strained > JAMMED { floor } else { floor + scatter };
+            crowd.width = (crowd.width * 0.97).max(least);
         } else if crowd.width < ceiling && f64::from(self.out) + 1.0 >= crowd.width * 0.8 {
             crowd.width += if crowd.steady { 2.0 / crowd.width } else { 0.1 };
         }
@@ -680,7 +692,10 @@
             crowd.crowded = crowded;
             let word = if crowded { "crowded" } else { "calm" };
             let (now, then, width) = (median / 1e3, level / 1e3, crowd.width);
-            out.push(Action::log(format!("{word}: median {now:.0} against {then:.0} ms, width {width:.1}")));
+            let text = format!(
+                "{word}: {strained:.2} of the level, median {now:.0} against {then:.0} ms, width {width:.1}"
+            );
+            out.push(Action::log(text));
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,7 +6,9 @@
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
 //! - `call ID WORKLOAD LEFT [customer=N] [key=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED [load=HELD:WAITING]`, `heard SERVER STRAIN`, `leaves ID`, `streams ID.HOP`
 //! - `wait LENGTH`: time passes, timers fire in order
-//! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send
+//! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send; several by turns as
+//!   WORKLOAD*N:TOOK+WORKLOAD*N:TOOK and `mixed` for TOOK; `dismissed LEAST..MOST` counts since `count`;
+//!   `slow SERVER TOOK`: so long for each hop there
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
 //!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
 //!
@@ -28,6 +30,9 @@
     done: Vec<String>,
     hops: BTreeMap<u32, u32>,
     sent: BTreeMap<String, u32>,
+    dismissed: u32,
+    /// Servers where each hop takes so long.
+    slow: BTreeMap<String, Micros>,
     next_call: u32,
 }
 
@@ -51,6 +56,13 @@
     Some(BeyondFirst { few: number(few), share: number(share), window: length(window) })
 }
 
+/// Holds a count against `LEAST..MOST`.
+fn within(range: &str, count: u32, what: &str) {
+    let (least, most) = range.split_once("..").expect("LEAST..MOST");
+    let range = least.parse().expect("least")..=most.parse().expect("most");
+    assert!(range.contains(&count), "{count} {what}");
+}
+
 fn hop(text: &str) -> (CallId, HopNo) {
     let (call, hop) = text.split_once('.').expect("ID.HOP");
     (CallId(call.parse().expect("an id")), HopNo(hop.parse().expect("a hop")))
@@ -131,6 +143,7 @@
                 }
                 Action::Cancel { call, hop } => format!("cancel {}.{}", call.0, hop.0),
                 Action::Dismiss { call, cool_down } => {
+                    self.dismissed += 1;
                     format!("dismiss {} {}", call.0, if cool_down < length("0.5s") { "soon" } else { "late" })
                 }
                 Action::Fail { call } => format!("fail {}", call.0),
@@ -221,25 +234,40 @@
         self.now = until;
     }
 
-    fn traffic(&mut self, count: u32, workload: &str, every: Micros, took: Micros) {
-        let mut out: Vec<(Micros, String)> = Vec::new();
-        let mut seen = self.done.len();
+    /// Who comes in turn, and how long each takes.
+    fn turns(&self, workload: &str, took: &str) -> Vec<(String, Micros)> {
+        if took != "mixed" {
+            return vec![(workload.to_string(), length(took))];
+        }
+        let part = |part: &str| {
+            let (name, took) = part.split_once(':').expect("WORKLOAD*N:TOOK");
+            let (name, times) = name.split_once('*').unwrap_or((name, "1"));
+            vec![(name.to_string(), length(took)); times.parse().expect("a number")]
+        };
+        workload.split('+').flat_map(part).collect()
+    }
+
+    fn traffic(&mut self, count: u32, every: Micros, turns: &[(String, Micros)]) {
+        let mut out: Vec<(Micros, String, Micros)> = Vec::new();
+        let (mut seen, first) = (self.done.len(), self.next_call);
         for turn in 0..=count {
             let start = self.now;
             if turn < count {
-                self.call(self.next_call, &[workload, "60s"]);
+                self.call(self.next_call, &[&turns[turn as usize % turns.len()].0, "60s"]);
                 self.next_call += 1;
             }
             let end = if turn < count { start + every } else { Micros::NEVER };
             loop {
-                let sends = self.done[seen..].iter().filter_map(|said| said.strip_prefix("send "));
-                out.extend(
-                    sends.map(|said| (self.now + took, said.split(' ').next().expect("hop").to_string())),
-                );
+                for said in self.done[seen..].iter().filter_map(|said| said.strip_prefix("send ")) {
+                    let (which, server) = said.split_once(' ').expect("hop and server");
+                    let usual = turns[(hop(which).0 .0.saturating_sub(first)) as usize % turns.len()].1;
+                    let took = self.slow.get(server).copied().unwrap_or(usual);
+                    out.push((self.now + took, which.to_string(), took));
+                }
                 seen = self.done.len();
-                let due = out.iter().enumerate().min_by_key(|(_, (at, _))| *at).map(|(index, _)| index);
+                let due = out.iter().enumerate().min_by_key(|(_, (at, ..))| *at).map(|(index, _)| index);
                 let Some(due) = due.filter(|&due| out[due].0 <= end) else { break };
-                let (at, which) = out.remove(due);
+                let (at, which, took) = out.remove(due);
                 self.wait(at);
                 self.ends(&which, "succeeded", took, None);
             }
@@ -276,14 +304,17 @@
             ["leaves", id] => self.tell(Event::Withdrawn { call: CallId(id.parse().expect("an id")) }),
             ["wait", time] => self.wait(self.now + length(time)),
             ["traffic", count, workload, every, took] => {
-                self.traffic(count.parse().expect("a count"), workload, length(every), length(took))
+                let turns = self.turns(workload, took);
+                self.traffic(count.parse().expect("a count"), length(every), &turns)
+            }
+            ["slow", server, took] => _ = self.slow.insert(server.to_string(), length(took)),
+            ["count"] => {
+                self.sent.clear();
+                self.dismissed = 0;
             }
-            ["count"] => self.sent.clear(),
+            ["dismissed", range] => within(range, self.dismissed, "dismissed"),
             ["sent", server, range] => {
-                let (least, most) = range.split_once("..").expect("LEAST..MOST");
-                let sent = self.sent.get(server).copied().unwrap_or(0);
-                let range: (u32, u32) = (least.parse().expect("least"), most.parse().expect("most"));
-                assert!(sent >= range.0 && sent <= range.1, "{sent} sent to {server}");
+                within(range, self.sent.get(server).copied().unwrap_or(0), &format!("sent to {server}"))
             }
             ["expect", ..] => {
                 let wanted = words[1..].join(" ");
