A workload whose calls drag everywhere is bounded beside the width

A probe of each of 26,606 calls turned away: width 3 to 5, not crowded (0.5 to 1.2 of the level), nothing stuck, all fit, and all but one of the hops in flight are of the one dragging workload (held=[0, 0, 3], width 3.7). Its calls hold the width for seconds, has_width turns away the others.

Ruled out: crowding, servers set aside, the bound on hops (room left).

--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -32,6 +32,7 @@
 //! - `seen-all COUNT` requests at all servers; `beyond=FEW:SHARE:SECONDS` for `sidecar` and `beside`: the bound on hops
 //! - `forget NAME` its requests so far; `least NAME LEAST` requests since
 //! - `restarts`: killed, and started again with the same folder
+//! - `alone`: it is linked to the C library at its start and has started no other program
 //! - `before LENGTH`: no more than that has passed since the last `stop` or `mark`
 //! - `ready STATUS`, `wait LENGTH`, `stop`, `exits CODE`, `says WORDS`, `unreachable`, `calm`: next to no CPU used
 //! - `refused FROM TO WORDS`: with FROM replaced in its file the program ends at once, with one line of WORDS
@@ -687,6 +688,20 @@
                 let (ticks, lived) = (ticks.sum::<u32>(), self.started.expect("a sidecar").elapsed());
                 assert!(f64::from(ticks) / 100.0 < 0.5 * lived.as_secs_f64(), "{ticks} ticks in {lived:?}");
             }
+            ["alone"] => {
+                let id = self.program.as_ref().expect("a sidecar").0.id();
+                let maps = std::fs::read_to_string(format!("/proc/{id}/maps")).expect("its maps");
+                assert!(maps.lines().any(|line| line.contains("/libc.so")), "not linked to the C library");
+                // A name may hold blanks: what counts comes after its bracket.
+                let parent = |stat: String| stat.rsplit(')').next()?.split(' ').nth(2)?.parse::<u32>().ok();
+                let all = std::fs::read_dir("/proc").expect("processes").flatten();
+                let stats = all.filter_map(|one| std::fs::read_to_string(one.path().join("stat")).ok());
+                assert_eq!(
+                    stats.filter_map(parent).filter(|parent| *parent == id).count(),
+                    0,
+                    "others started"
+                );
+            }
             ["operator", ..] => self.operator = format!("{}\n", words[1..].join(" ")),
             ["refused", from, to, ..] => {
                 let config = self.config(&[], "127.0.0.1:1");
@@ -785,6 +800,16 @@
     }
 }
 
+/// The platform starts a library of its own with the program, which reaches one process alone.
+#[test]
+fn the_deploy_file_runs_one_process() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/balancer.toml");
+    let text = std::fs::read_to_string(file).expect("the deploy file");
+    let run = text.lines().find_map(|line| line.strip_prefix("run = ")).expect("run");
+    let run = run.split('"').nth(1).expect("a command");
+    assert!(run.starts_with("exec ") && !run.contains(['|', '&', ';']), "{run}");
+}
+
 #[test]
 fn scenarios() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
--- a/src/records.rs
+++ b/src/records.rs
@@ -208,6 +208,16 @@
     }
 }
 
+/// What is known of one workload.
+#[derive(Default)]
+pub struct Own {
+    level: Level,
+    /// Its hops in flight.
+    pub held: u32,
+    /// How many of late came within the threshold, or outlived it.
+    pub late: Tally,
+}
+
 /// Answers that make a level: over all workloads, and of one.
 const FIRST: f64 = 48.0;
 const FIRST_OF_ONE: f64 = 32.0;
@@ -219,8 +229,7 @@
 pub struct Crowding {
     pub recent: Bins,
     pub all: Level,
-    /// Each workload's own.
-    own: Vec<Level>,
+    pub own: Vec<Own>,
     /// Recent answers' times over their own workload's level: guards against a change of mix alone, where workloads
     /// differ in work, that reads as a crowd.
     ratios: Bins,
@@ -273,10 +282,7 @@
     pub fn measure(&mut self, waited: Micros, workload: WorkloadId) -> Option<(f64, f64)> {
         self.recent.add(waited);
         self.all.add(waited, FIRST);
-        if self.own.len() <= workload.0 {
-            self.own.resize_with(workload.0 + 1, Level::default);
-        }
-        let own = &mut self.own[workload.0];
+        let own = &mut self.of(workload).level;
         own.add(waited, FIRST_OF_ONE);
         if let Some(level) = own.level {
             self.ratios.add(Micros((waited.0 as f64 / level.max(1.0) * AS_LONG) as u64));
@@ -290,12 +296,35 @@
         Some((median, self.all.level.unwrap_or(long)))
     }
 
+    pub fn of(&mut self, workload: WorkloadId) -> &mut Own {
+        if self.own.len() <= workload.0 {
+            self.own.resize_with(workload.0 + 1, Own::default);
+        }
+        &mut self.own[workload.0]
+    }
+
+    /// All calls of late, in time or not.
+    pub fn late(&self) -> Tally {
+        self.own.iter().map(|own| own.late).sum()
+    }
+
+    /// The one workload of whose calls more than this part are late, and of the others' under half as large a part.
+    pub fn alone_late(&self, part: f64) -> Option<WorkloadId> {
+        let all = self.late();
+        let alone = |own: &Own| {
+            let others = Tally { good: all.good - own.late.good, bad: all.bad - own.late.bad };
+            let known = own.late.bad >= 3.0 && others.good >= 3.0;
+            known && own.late.rate() > part && others.rate() < 0.5 * part
+        };
+        self.own.iter().position(alone).map(WorkloadId)
+    }
+
     /// How much longer recent calls took than others of their workload do while nothing is crowded.
     pub fn strained(&self) -> f64 {
         self.ratios.median().map_or(1.0, |median| median.0 as f64 / AS_LONG)
     }
 
     pub fn settle(&mut self) {
-        self.own.iter_mut().chain([&mut self.all]).for_each(Level::settle);
+        self.own.iter_mut().map(|own| &mut own.level).chain([&mut self.all]).for_each(Level::settle);
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,6 +24,8 @@
 const CROWDED: f64 = 1.65; // latency over its workload's uncrowded level that counts as crowding
 const EASED: f64 = 1.45; // and the one below which it is over
 const JAMMED: f64 = 2.4; // and the one from which the width leaves no room for scatter
+const DRAGS: f64 = 0.6; // so much of one workload outlives the threshold, and under half that of others
+const DRAGGED: f64 = 0.25; // what such a workload may hold, as a part of the width and beside it
 const SHOWS_CROWD: f64 = 24.0; // answers that show a crowd: who has them in a second sees one soon
 const PATIENCE: f64 = 0.6; // the part of the quoted time that may be spent in our own queue
 const REPEAT_WORTH: f64 = 0.1; // a repeat, which has lost part of its quoted time, against a first try
@@ -105,6 +107,7 @@
     purses: Vec<Allowance>,
     slices: Slices,
     crowd: Crowding,
+    dragging: Option<WorkloadId>, // whose calls alone are late, wherever they are sent
     budget: f64,
     beyond_first: Option<Sliding>, // where the place bounds the hops beyond calls' first
     outcomes: Tally,
@@ -228,7 +231,8 @@
         if purse.is_some_and(|purse| !purse.take(share, 2.0 * share.max(1.0), self.now)) {
             worth *= self.figures.beyond_share;
         }
-        worth *= if repeat { REPEAT_WORTH } else { 1.0 };
+        let drags = self.dragging == Some(WorkloadId(workload));
+        worth *= if repeat || drags { REPEAT_WORTH } else { 1.0 };
         let worth = (worth * 1000.0) as u32; // in thousandths, as the queue orders it
         self.arrivals += 1;
         self.beyond_first.iter_mut().for_each(|hops| hops.take(self.now));
@@ -249,6 +253,7 @@
         self.calls.insert(id, call);
         let room = self.queue.is_empty() && self.has_width() && self.pick(id).is_some();
         let input = if room { Room } else { Crowd };
+        let thinned = thinned || drags && f64::from(self.dragged()) >= (DRAGGED * self.crowd.width).max(1.0);
         self.step(id, if thinned || self.fleet.ready() == 0 { Hopeless } else { input }, out);
     }
 
@@ -256,7 +261,23 @@
     /// of a call is rounded by chance where sidecars outnumber servers: guards against all rounding up.
     fn has_width(&self) -> bool {
         let width = (self.crowd.width * self.left_of_fleet()).max(2.0) + self.dither;
-        f64::from(self.out - self.fleet.stuck()) + 1.0 <= width
+        f64::from(self.out.saturating_sub(self.fleet.stuck() + self.dragged())) + 1.0 <= width
+    }
+
+    fn dragged(&self) -> u32 {
+        self.dragging.and_then(|workload| self.crowd.own.get(workload.0)).map_or(0, |own| own.held)
+    }
+
+    /// One workload's calls drag everywhere, so that no server is at fault: they stand beside the width, are
+    /// few, last and not copied. Guards against a width full of them. Harms one that is slow by nature.
+    fn weigh_drag(&mut self, out: &mut Vec<Action>) {
+        let found = self.crowd.alone_late(DRAGS);
+        if found != self.dragging {
+            let text =
+                format!("drags everywhere: {found:?}, {:.2} of all calls late", self.crowd.late().rate());
+            out.push(Action::log(text));
+            self.dragging = found;
+        }
     }
 
     /// The one gate that every send passes: the call's kind, time and hop count allow it, and the pick has
@@ -288,6 +309,7 @@
         call.hops.push(Hop { server, place, cell, sent: now, ended: None, outlived: false, copy });
         out.push(Action::Send { call: id, server, give_up });
         self.out += 1;
+        self.crowd.of(WorkloadId(call.workload)).held += 1;
         self.peak = self.peak.max(f64::from(self.out));
         self.sends.seen += 1.0;
         self.fleet.change(server, |target| {
@@ -399,15 +421,19 @@
         if age < threshold {
             return self.remind(id, COPY, (threshold - age).min(left), out);
         }
-        let server = hop.server;
+        let (server, workload) = (hop.server, WorkloadId(call.workload));
         if !std::mem::replace(&mut hop.outlived, true) {
-            self.judge(server, false, out);
+            self.crowd.of(workload).late.add(false);
+            if self.dragging != Some(workload) {
+                self.judge(server, false, out);
+            }
         }
         // Guards against copying nearly everything when all servers slow together: the slice's threshold is
         // stale then, but the crowding measure is not. A hop at a server set aside is rescued all the same.
         let stuck = self.fleet.get(server).is_some_and(|server| server.trust != Trust::Fit);
         let calm = !self.crowd.crowded && self.queue.is_empty() && self.has_width();
         let may = self.figures.may_race && (calm || stuck) && !self.suppressed;
+        let may = may && self.dragging != Some(workload);
         if may && self.budget >= 1.0 && self.may_add(id) && self.pick(id).is_some() {
             self.step(id, Outlived, out);
         } else {
@@ -426,6 +452,7 @@
         let (server, outlived) = (hop.server, hop.outlived);
         let open = call.hops.iter().any(Hop::open);
         self.out -= 1;
+        self.crowd.of(workload).held -= 1;
         self.fleet.change(server, |known| known.out -= 1);
         let left = |known: &Server| known.out == 0 && known.listing.standing == Standing::Gone;
         if self.fleet.get(server).is_some_and(left) {
@@ -635,7 +662,10 @@
         let more = strain.map_or(0.0, |strain| THINS * (strain.min(STRAIN_FULL) / STRAINED).ln());
         self.crowd.thinned = (self.crowd.thinned + more).clamp(0.0, 0.9);
         self.warm_served.seen += f64::from(u8::from(good && warm == Some(true)));
-        if good {
+        if good && !outlived {
+            self.crowd.of(workload).late.add(true);
+        }
+        if good && self.dragging != Some(workload) {
             self.slices.add(self.now, waited);
             self.weigh_width(waited, workload, out);
         }
@@ -802,6 +832,8 @@
         self.sends.beat(BEAT, part);
         self.crowd.fleet *= 0.99;
         self.crowd.settle();
+        self.crowd.own.iter_mut().for_each(|own| own.late.fade(0.8));
+        self.weigh_drag(out);
         self.outcomes.fade(0.9);
         if self.long_run.total() > 2000.0 {
             self.long_run.fade(0.5);
