One start for levels; an unread figure, an unplayed command and a twin of terms out

Read again, behaviour unchanged: Figures.beyond_first was read by nothing; Level::add and Level::settle both set a first level; the medians of all long bins and every bin's power of two were worked out at each answer though used now and then; shares_alone was a step round none_beyond; the scenarios' command slow was played by none.

--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -241,18 +241,14 @@
     };
     terms.number = terms.number.saturating_mul(sidecars).saturating_add(number);
     terms.sidecars = terms.sidecars.saturating_mul(sidecars);
-    shares_alone(terms, shared)
-}
-
-/// Hops beyond calls' first stay with the process that was there before, until it parts: guards against two that each grant
-/// them, and against a window that holds what the one sent and the other sends.
-fn shares_alone(mut terms: Terms, shared: Shared) -> Terms {
     if shared == Shared::WithPredecessor {
         none_beyond(&mut terms);
     }
     terms
 }
 
+/// Hops beyond calls' first stay with the process that was there before, until it parts: guards against two that each grant
+/// them, and against a window that holds what the one sent and the other sends.
 fn none_beyond(terms: &mut Terms) {
     if let Some(bound) = &mut terms.beyond_first {
         (bound.few, bound.share) = (0.0, 0.0);
@@ -293,12 +289,13 @@
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let mut terms = place.terms.clone();
     // Not to be left to the order that follows: a call may come before it.
-    let first = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
-    place.terms = shares_alone(place.terms, first);
+    if kit.beside {
+        none_beyond(&mut place.terms);
+    }
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
     let names = names_of(&mut place, numbers);
-    let mut with = first;
+    let mut with = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
     let mut listener = Some(Rc::new(Async::listening(listener)?));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,7 +45,8 @@
     /// The mean over the middle, as well as the bins tell it: 1 where nothing is known.
     pub fn skew(&self) -> f64 {
         let middle = |bin: usize| 2f64.powf((bin as f64 + 0.5) / 2.0) * 1000.0;
-        let sum: f64 = self.counts.iter().enumerate().map(|(bin, count)| count * middle(bin)).sum();
+        let some = self.counts.iter().enumerate().filter(|(_, count)| **count > 0.0);
+        let sum: f64 = some.map(|(bin, count)| count * middle(bin)).sum();
         self.median().map_or(1.0, |median| sum / self.total / median.0.max(1) as f64)
     }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -119,7 +119,6 @@
     pub dearest: f64,
     pub lifted: f64,
     pub most_hops: usize,
-    pub beyond_first: Option<BeyondFirst>,
     pub may_cancel: bool,
     pub may_race: bool,
     pub cool_down: Micros,
@@ -146,7 +145,6 @@
             dearest: terms.workloads.iter().map(|workload| workload.payoff).fold(0.0, f64::max),
             lifted: terms.worst_workload,
             most_hops: terms.most_hops as usize,
-            beyond_first: terms.beyond_first,
             may_cancel: terms.may_cancel,
             may_race: terms.may_race,
             cool_down: terms.cool_down,
@@ -189,23 +187,24 @@
     /// by a thousandth at a time, so that a long crowd can't become what counts as uncrowded.
     fn add(&mut self, waited: Micros, first: f64) {
         self.long.add(waited);
-        let long = self.long.median().map(|long| long.0 as f64);
         if self.long.total >= 128.0 {
+            let long = self.median();
             self.level = self.level.zip(long).map(|(old, long)| (0.8 * old + 0.2 * long).min(1.001 * old));
             self.long.halve();
         }
-        if self.long.total >= first {
-            self.level = self.level.or(long);
-        }
+        self.begin(first);
     }
 
-    /// For the beat: a first level from few answers, where more take long to come. Not for each answer, since
-    /// among the first few the short ones come before the long.
-    fn settle(&mut self) {
-        if self.long.total >= 16.0 {
-            self.level = self.level.or(self.long.median().map(|long| long.0 as f64));
+    /// A first level, once so many answers have come.
+    fn begin(&mut self, least: f64) {
+        if self.level.is_none() && self.long.total >= least {
+            self.level = self.median();
         }
     }
+
+    fn median(&self) -> Option<f64> {
+        self.long.median().map(|long| long.0 as f64)
+    }
 }
 
 /// What is known of one workload.
@@ -221,6 +220,9 @@
 /// Answers that make a level: over all workloads, and of one.
 const FIRST: f64 = 48.0;
 const FIRST_OF_ONE: f64 = 32.0;
+/// And at a beat, where more take long to come. Not for each answer, since among the first few the short ones come
+/// before the long.
+const FIRST_AT_BEAT: f64 = 16.0;
 /// What stands in the ratios for a call that takes as long as its workload's level.
 const AS_LONG: f64 = 100_000.0;
 
@@ -287,13 +289,13 @@
         if let Some(level) = own.level {
             self.ratios.add(Micros((waited.0 as f64 / level.max(1.0) * AS_LONG) as u64));
         }
-        let (median, long) = (self.recent.median()?.0 as f64, self.all.long.median()?.0 as f64);
+        let median = self.recent.median()?.0 as f64;
         for bins in [&mut self.recent, &mut self.ratios] {
             if bins.total >= 24.0 {
                 bins.halve();
             }
         }
-        Some((median, self.all.level.unwrap_or(long)))
+        Some((median, self.all.level.or_else(|| self.all.median())?))
     }
 
     pub fn of(&mut self, workload: WorkloadId) -> &mut Own {
@@ -325,6 +327,7 @@
     }
 
     pub fn settle(&mut self) {
-        self.own.iter_mut().map(|own| &mut own.level).chain([&mut self.all]).for_each(Level::settle);
+        let levels = self.own.iter_mut().map(|own| &mut own.level).chain([&mut self.all]);
+        levels.for_each(|level| level.begin(FIRST_AT_BEAT));
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,8 +7,7 @@
 //! - `call ID WORKLOAD LEFT [customer=N] [key=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED [load=HELD:WAITING]`, `heard SERVER STRAIN`, `leaves ID`, `streams ID.HOP`
 //! - `wait LENGTH`: time passes, timers fire in order
 //! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send; several by turns as
-//!   WORKLOAD*N:TOOK+WORKLOAD*N:TOOK and `mixed` for TOOK; `dismissed LEAST..MOST` counts since `count`;
-//!   `slow SERVER TOOK`: so long for each hop there
+//!   WORKLOAD*N:TOOK+WORKLOAD*N:TOOK and `mixed` for TOOK; `dismissed LEAST..MOST` counts since `count`
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
 //!   `quiet`: none is left but logs, which then are forgotten; `sent SERVER LEAST..MOST` counts since `count`
 //!
@@ -31,8 +30,6 @@
     hops: BTreeMap<u32, u32>,
     sent: BTreeMap<String, u32>,
     dismissed: u32,
-    /// Servers where each hop takes so long.
-    slow: BTreeMap<String, Micros>,
     next_call: u32,
 }
 
@@ -259,9 +256,8 @@
             let end = if turn < count { start + every } else { Micros::NEVER };
             loop {
                 for said in self.done[seen..].iter().filter_map(|said| said.strip_prefix("send ")) {
-                    let (which, server) = said.split_once(' ').expect("hop and server");
-                    let usual = turns[(hop(which).0 .0.saturating_sub(first)) as usize % turns.len()].1;
-                    let took = self.slow.get(server).copied().unwrap_or(usual);
+                    let which = said.split(' ').next().expect("hop");
+                    let took = turns[(hop(which).0 .0.saturating_sub(first)) as usize % turns.len()].1;
                     out.push((self.now + took, which.to_string(), took));
                 }
                 seen = self.done.len();
@@ -307,7 +303,6 @@
                 let turns = self.turns(workload, took);
                 self.traffic(count.parse().expect("a count"), length(every), &turns)
             }
-            ["slow", server, took] => _ = self.slow.insert(server.to_string(), length(took)),
             ["count"] => {
                 self.sent.clear();
                 self.dismissed = 0;
