--- /dev/null
+++ b/accord/src/member.rs
@@ -0,0 +1,213 @@
+//! An instance as it asks for leases: which versions it keeps to, and until when it may act.
+use crate::{majority, Document, InstanceId, Micros, Version, Word, MOST_WAITING};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Whether an instance could act on the strictest of these contents; if not, why.
+pub type Judge = Arc<dyn Fn(&[Arc<str>]) -> Result<(), String> + Send + Sync>;
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Action {
+    Say(InstanceId, Word),
+    /// Act on the strictest of what [`Member::keeps_to`] gives: carried out before what comes behind it is said.
+    Act,
+    Log(String),
+}
+
+/// A lease, from when it was asked for.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct Lease {
+    from: Micros,
+    cleared: Version,
+}
+
+#[derive(Clone)]
+pub struct Member {
+    keepers: Vec<InstanceId>,
+    within: Micros,
+    judge: Judge,
+    /// All it keeps to: what holds, and what may come to hold.
+    documents: BTreeMap<Version, Arc<str>>,
+    refused: BTreeSet<Version>,
+    /// The earliest version that may still hold anywhere; none before a majority of keepers has said so.
+    base: Option<Version>,
+    turn: u64,
+    /// When each turn was asked, while a lease for it would live.
+    asked: BTreeMap<u64, Micros>,
+    leases: BTreeMap<InstanceId, Lease>,
+    next: Micros,
+}
+
+impl std::fmt::Debug for Member {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let known = (self.documents.keys().collect::<Vec<_>>(), &self.refused, self.base);
+        write!(to, "{known:?} {} {:?} {:?} {:?}", self.turn, self.asked, self.leases, self.next)
+    }
+}
+
+impl Member {
+    /// How often it asks within the length of a lease.
+    const ASKS: f64 = 4.0;
+
+    pub fn new(keepers: Vec<InstanceId>, within: Micros, judge: Judge) -> Member {
+        Member {
+            keepers,
+            within,
+            judge,
+            documents: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            base: None,
+            turn: 0,
+            asked: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next: Micros(0),
+        }
+    }
+
+    /// What its own file says; false if that is not taken.
+    pub fn written(&mut self, now: Micros, document: Document, out: &mut Vec<Action>) -> bool {
+        let version = document.version;
+        let latest = self.documents.keys().next_back().copied();
+        if let Some(latest) = latest.filter(|latest| version.place() < latest.place()) {
+            out.push(Action::Log(format!("version {version} not taken: {latest} is known, which is later")));
+            return false;
+        }
+        self.learn(now, document, out) && self.documents.contains_key(&version)
+    }
+
+    pub fn on(&mut self, now: Micros, from: InstanceId, word: Word, out: &mut Vec<Action>) {
+        match word {
+            Word::Grant { turn, cleared } => self.granted(now, from, turn, cleared, out),
+            Word::Want(versions) => {
+                let known = versions.iter().filter_map(|version| self.documents.get_key_value(version));
+                let known: Vec<_> = known.map(|(version, text)| (*version, text.clone())).collect();
+                if !known.is_empty() {
+                    out.push(Action::Say(from, Word::Documents(known)));
+                    self.ask(now, out);
+                }
+            }
+            Word::Documents(documents) => {
+                let before = (self.documents.len(), self.refused.len());
+                for (version, text) in documents {
+                    self.learn(now, Document { version, text }, out);
+                }
+                if (self.documents.len(), self.refused.len()) == before {
+                    return;
+                }
+                self.ask(now, out);
+            }
+            Word::News => self.ask(now, out),
+            Word::Ask { .. } => {}
+        }
+    }
+
+    /// To be called at [`Member::due`].
+    pub fn woke(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if now >= self.next {
+            self.ask(now, out);
+        }
+    }
+
+    pub fn due(&self) -> Micros {
+        self.next
+    }
+
+    /// Until when it may act on what it keeps to; nothing before a majority's leases live.
+    pub fn until(&self) -> Micros {
+        let mut ends: Vec<Micros> = self.leases.values().map(|lease| lease.from + self.within).collect();
+        ends.sort_unstable_by(|one, other| other.cmp(one));
+        ends.get(majority(self.keepers.len()) - 1).copied().unwrap_or_default()
+    }
+
+    /// What it keeps to, the earliest first.
+    pub fn keeps_to(&self) -> impl Iterator<Item = (&Version, &Arc<str>)> {
+        self.documents.iter()
+    }
+
+    /// What holds, as far as it knows.
+    pub fn base(&self) -> Option<Version> {
+        self.base
+    }
+
+    /// False if it can't take it, which is said once.
+    fn learn(&mut self, now: Micros, document: Document, out: &mut Vec<Action>) -> bool {
+        let Document { version, text } = document;
+        if self.documents.contains_key(&version) || self.refused.contains(&version) {
+            return !self.refused.contains(&version);
+        }
+        if let Some(base) = self.base {
+            if version.place() == base.place() {
+                out.push(Action::Log(format!(
+                    "version {version} not taken: {base} holds under the same number, with another content"
+                )));
+                self.refuse(version);
+                return false;
+            }
+            if version < base {
+                return false;
+            }
+        }
+        if let Some(twin) = self.documents.keys().find(|other| other.place() == version.place()) {
+            out.push(Action::Log(format!(
+                "versions {twin} and {version} have one number and two contents: neither comes to hold, a higher number must"
+            )));
+        }
+        let texts: Vec<Arc<str>> = self.documents.values().cloned().chain([text.clone()]).collect();
+        let full = if texts.len() > MOST_WAITING { Err("too many versions wait".into()) } else { Ok(()) };
+        if let Err(why) = full.and_then(|()| (self.judge)(&texts)) {
+            out.push(Action::Log(format!("version {version} refused: {why}")));
+            self.refuse(version);
+            return false;
+        }
+        self.documents.insert(version, text);
+        out.push(Action::Act);
+        self.ask(now, out);
+        true
+    }
+
+    fn refuse(&mut self, version: Version) {
+        self.refused.insert(version);
+        // Guards against a writer without end; the lowest are the least likely to be told again.
+        while self.refused.len() > MOST_WAITING {
+            self.refused.pop_first();
+        }
+    }
+
+    fn ask(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.next = now + self.within.times(1.0 / Self::ASKS);
+        let within = self.within;
+        self.asked.retain(|_, at| *at + within > now);
+        self.turn += 1;
+        self.asked.insert(self.turn, now);
+        let knows: Vec<Version> = self.documents.keys().copied().collect();
+        let refuses: Vec<Version> = self.refused.iter().copied().collect();
+        let ask = Word::Ask { turn: self.turn, knows, refuses };
+        out.extend(self.keepers.iter().map(|keeper| Action::Say(*keeper, ask.clone())));
+    }
+
+    fn granted(&mut self, now: Micros, from: InstanceId, turn: u64, cleared: Version, out: &mut Vec<Action>) {
+        // Counted from when it was asked for, whenever the answer comes.
+        let Some(&at) = self.asked.get(&turn).filter(|at| **at + self.within > now) else { return };
+        let known = self.documents.contains_key(&cleared) && self.keepers.contains(&from);
+        if !known || self.leases.get(&from).is_some_and(|lease| lease.from >= at) {
+            return;
+        }
+        self.leases.insert(from, Lease { from: at, cleared });
+        self.leases.retain(|_, lease| lease.from + self.within > now);
+        let mut held: Vec<Version> = self.leases.values().map(|lease| lease.cleared).collect();
+        held.sort_unstable_by(|one, other| other.cmp(one));
+        let agreed = held.get(majority(self.keepers.len()) - 1).copied();
+        if let Some(agreed) = agreed.filter(|agreed| Some(*agreed) > self.base) {
+            self.base = Some(agreed);
+            let loosened = self.documents.keys().next().is_some_and(|first| *first < agreed);
+            self.documents = self.documents.split_off(&agreed);
+            self.refused = self.refused.split_off(&agreed);
+            // Guards against acting by a lease of one for whom something earlier holds.
+            self.leases.retain(|_, lease| lease.cleared >= agreed);
+            out.push(Action::Log(format!("version {agreed} holds")));
+            if loosened {
+                out.push(Action::Act);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/accord/tests/days.rs
@@ -0,0 +1,133 @@
+//! Seeded days of many instances: words lost, late, twice and out of order, changes one upon another, keepers and others
+//! started again, clocks that run up to 1 % apart. At every moment no two that act may contradict each other.
+mod world;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+use world::{Crooked, Message, World, WITHIN};
+
+/// A small generator, so that a day is told by its seed alone.
+struct Chance(u64);
+
+impl Chance {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let mixed = (self.0 ^ (self.0 >> 29)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        mixed ^ (mixed >> 32)
+    }
+    fn below(&mut self, most: usize) -> usize {
+        (self.next() % most as u64) as usize
+    }
+    fn part(&mut self) -> f64 {
+        (self.next() % 10_000) as f64 / 10_000.0
+    }
+}
+
+/// What a day came to.
+struct Day {
+    contradicts: Option<String>,
+    /// Instances that acted on the last version alone at its end, after a calm.
+    settled: usize,
+    said: usize,
+}
+
+fn day(seed: u64, keepers: usize, instances: usize, crooked: Crooked) -> Day {
+    let (mut chance, mut world) = (Chance(seed), World::new(keepers, instances, crooked));
+    for at in 0..instances {
+        world.instances[at].pace = 0.01 * (2.0 * chance.part() - 1.0);
+        world.write(at, 1);
+    }
+    for at in 0..keepers {
+        world.keeper_pace[at] = 0.01 * (2.0 * chance.part() - 1.0);
+    }
+    // Troubled links: a word on them is lost more often, and late.
+    let lossy: Vec<f64> = (0..instances).map(|_| if chance.below(4) == 0 { 0.7 } else { 0.05 }).collect();
+    let (mut wire, mut old, mut number, mut said): (Vec<(f64, Message)>, Vec<Message>, u64, usize) =
+        (Vec::new(), Vec::new(), 1, 0);
+    let (troubled, length) = (8.0 * WITHIN.0 as f64, 14.0 * WITHIN.0 as f64);
+    while world.now < length {
+        world.now += 10.0;
+        let trouble = world.now < troubled;
+        if trouble && chance.below(40) == 0 && number < 9 {
+            number += 1;
+            world.write(chance.below(instances), number);
+        }
+        if trouble && chance.below(60) == 0 {
+            world.restart_keeper(chance.below(keepers));
+        }
+        if trouble && chance.below(60) == 0 {
+            let file = 1 + chance.below(number as usize) as u64;
+            world.restart_instance(chance.below(instances), file);
+        }
+        if trouble && chance.below(10) == 0 && !old.is_empty() {
+            let again = old[chance.below(old.len())].clone();
+            world.deliver(again);
+        }
+        world.wake();
+        let due: Vec<(f64, Message)>;
+        (due, wire) = wire.into_iter().partition(|(at, _)| *at <= world.now);
+        for (_, message) in due {
+            old.push(message.clone());
+            let told = match &message {
+                Message::ToKeeper(..) => None,
+                Message::ToMember(at, ..) => Some(*at),
+            };
+            world.deliver(message);
+            if let Some(pair) = told.and_then(|at| Some((at, world.contradicts(at)?))) {
+                let acts_on = |at: usize| &world.instances[at].acts_on;
+                let what = format!("{pair:?}: {:?} and {:?}", acts_on(pair.0), acts_on(pair.1));
+                return Day { contradicts: Some(what), settled: 0, said };
+            }
+        }
+        for message in std::mem::take(&mut world.said) {
+            said += 1;
+            let who = match &message {
+                Message::ToKeeper(_, (who, _), _) => *who as usize,
+                Message::ToMember(who, ..) => *who,
+            };
+            let lost = trouble && chance.part() < lossy[who];
+            let delay = if trouble { 5.0 + 200.0 * chance.part().powi(4) } else { 5.0 };
+            if !lost {
+                wire.push((world.now + delay, message));
+            }
+        }
+    }
+    let last = |at: &usize| world.acts(*at) && world.instances[*at].acts_on.len() == 1;
+    let settled = (0..instances).filter(last).count();
+    Day { contradicts: None, settled, said }
+}
+
+fn all_days(cases: u32, keepers: usize, instances: usize) {
+    let mut runner = TestRunner::new_with_rng(
+        Config { cases, failure_persistence: None, ..Config::default() },
+        proptest::test_runner::TestRng::deterministic_rng(proptest::test_runner::RngAlgorithm::ChaCha),
+    );
+    let held = runner.run(&any::<u64>(), |seed| {
+        let day = day(seed, keepers, instances, Crooked::Not);
+        prop_assert_eq!(day.contradicts, None);
+        // Once the trouble is over all agree again, in a few lengths of a lease.
+        prop_assert_eq!(day.settled, instances);
+        prop_assert!(day.said > instances);
+        Ok(())
+    });
+    held.unwrap_or_else(|fault| panic!("{fault}"));
+}
+
+#[test]
+fn five_instances_never_contradict_each_other() {
+    all_days(300, 3, 5);
+}
+
+#[test]
+fn fifty_instances_never_contradict_each_other() {
+    all_days(6, 5, 50);
+}
+
+#[test]
+fn each_crooked_rule_is_found() {
+    for crooked in [Crooked::FromTheAnswer, Crooked::WakesAtOnce, Crooked::IgnoresWhatWaits] {
+        let found = (0..400).find(|seed| day(*seed, 3, 5, crooked).contradicts.is_some());
+        assert!(found.is_some(), "{crooked:?} is not found");
+        println!("{crooked:?} by day {found:?}");
+    }
+}
--- /dev/null
+++ b/lab/src/judge.rs
@@ -0,0 +1,138 @@
+//! Reads what servers and callers saw, and says for how long sidecars acted on rules that contradict each other.
+//! The evidence is what a sidecar does: a hop that some versions of the settings allow and others forbid.
+use crate::scene::{Expected, Kind, Scene};
+use std::collections::{BTreeMap, HashMap};
+
+/// A hop as a server saw it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Hop {
+    /// In seconds from the start of the load.
+    pub at: f64,
+    pub sidecar: usize,
+    pub workload: String,
+    /// The call that it belongs to.
+    pub id: String,
+}
+
+/// An answer as a caller saw it; no status where there was none.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Answered {
+    pub at: f64,
+    pub sidecar: usize,
+    pub status: Option<u16>,
+}
+
+/// How long one sidecar did what a later version forbids after another had acted on that.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Contradiction {
+    pub length: f64,
+    pub later: (usize, u64),
+    pub earlier: (usize, u64),
+    pub workload: String,
+}
+
+/// The earliest and the latest version that allow a hop; none if no version does.
+fn allowed(scene: &Scene, hop: &Hop, repeat: bool) -> Option<(u64, u64)> {
+    let allows = |workloads: &Vec<(String, Kind)>| {
+        let offered = workloads.iter().find(|(name, _)| *name == hop.workload);
+        offered.is_some_and(|(_, kind)| !repeat || *kind == Kind::Read)
+    };
+    let mut by = scene.versions.iter().filter(|(_, workloads)| allows(workloads)).map(|(number, _)| *number);
+    let first = by.next()?;
+    Some((first, by.next_back().unwrap_or(first)))
+}
+
+/// The longest contradiction; a hop that no version allows is told as a fault.
+pub fn longest(scene: &Scene, hops: &[Hop]) -> Result<Option<Contradiction>, String> {
+    let mut hops: Vec<&Hop> = hops.iter().collect();
+    hops.sort_by(|one, other| one.at.total_cmp(&other.at));
+    let mut seen: HashMap<&str, ()> = HashMap::new();
+    // Since when a version, or a later one, was acted on, and by whom.
+    let mut since: BTreeMap<u64, (f64, usize)> = BTreeMap::new();
+    let mut longest: Option<Contradiction> = None;
+    for hop in hops {
+        let repeat = seen.insert(&hop.id, ()).is_some();
+        let Some((earliest, latest)) = allowed(scene, hop, repeat) else {
+            let what = if repeat { "a repeat" } else { "a hop" };
+            return Err(format!(
+                "{what} of {} by n{} at {:.3} s that no version allows",
+                hop.workload, hop.sidecar, hop.at
+            ));
+        };
+        let others = since.range(latest + 1..).filter(|(_, (_, by))| *by != hop.sidecar);
+        for (version, (from, by)) in others {
+            let length = hop.at - from;
+            if longest.as_ref().is_none_or(|longest| length > longest.length) {
+                longest = Some(Contradiction {
+                    length,
+                    later: (*by, *version),
+                    earlier: (hop.sidecar, latest),
+                    workload: hop.workload.clone(),
+                });
+            }
+        }
+        since.entry(earliest).or_insert((hop.at, hop.sidecar));
+    }
+    Ok(longest)
+}
+
+/// What of the scene's expectations does not hold, a line each.
+pub fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered]) -> Vec<String> {
+    let mut faults = Vec::new();
+    let contradiction = match longest(scene, hops) {
+        Ok(contradiction) => contradiction,
+        Err(fault) => {
+            faults.push(fault);
+            None
+        }
+    };
+    let sent = |who: usize, from: f64, to: f64| {
+        hops.iter().filter(|hop| hop.sidecar == who && (from..to).contains(&hop.at)).count()
+    };
+    for expected in &scene.expected {
+        let fault = match *expected {
+            Expected::Contradiction(most) => {
+                contradiction.as_ref().filter(|found| found.length > most).map(|found| {
+                    let ((later, on), (earlier, still)) = (found.later, found.earlier);
+                    format!(
+                    "contradiction of {:.3} s: n{earlier} sent {} by version {still}, n{later} acted on {on}",
+                    found.length, found.workload
+                )
+                })
+            }
+            Expected::Holds(who, version, by) => {
+                let acts = |hop: &&Hop| {
+                    hop.sidecar == who
+                        && hop.at <= by
+                        && allowed(scene, hop, false).is_some_and(|(first, _)| first >= version)
+                };
+                hops.iter()
+                    .find(acts)
+                    .is_none()
+                    .then(|| format!("n{who} does not act on version {version} by {by} s"))
+            }
+            Expected::Silent(who, from, to) => match sent(who, from, to) {
+                0 => None,
+                count => {
+                    Some(format!("n{who} sends {count} hops from {from} s to {to} s, none were expected"))
+                }
+            },
+            Expected::Serves(who, from, to) => {
+                (sent(who, from, to) == 0).then(|| format!("n{who} sends nothing from {from} s to {to} s"))
+            }
+        };
+        faults.extend(fault);
+    }
+    let missing: Vec<&Answered> = answers.iter().filter(|answer| answer.status.is_none()).collect();
+    let excused = |answer: &&Answered| {
+        scene.events.iter().any(|(at, who, fault)| {
+            use crate::scene::Fault::{Kill, Stop};
+            *who == answer.sidecar && matches!(fault, Kill | Stop) && answer.at + 3.0 > *at
+        })
+    };
+    let lost = missing.iter().filter(|answer| !excused(answer)).count();
+    if lost > 0 {
+        faults.push(format!("{lost} calls without an answer"));
+    }
+    faults
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,89 @@
+//! `oakhollow-lab`: plays scenes with many processes of the program.
+use clap::{Parser, Subcommand};
+use oakhollow_lab::play::{play, Arm, Report};
+use oakhollow_lab::scene::Scene;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A rig for many processes of oakhollow, with faults between them.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays scenes; the exit is not 0 if anything they expect does not hold.
+    Play {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Moves the script's times by up to 0.1 s; 0 leaves them.
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+        /// The figures as JSON, an object a line.
+        #[arg(long)]
+        json: bool,
+        /// Each sidecar acts on its own file alone, as without `[accord]`.
+        #[arg(long)]
+        alone: bool,
+        /// The program; beside this one if it is not named.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Prints the sidecars' logs.
+        #[arg(long)]
+        logs: bool,
+    },
+}
+
+fn tell(file: &str, scene: &Scene, report: &Report, json: bool) {
+    let length = report.contradiction.as_ref().map_or(0.0, |found| found.length);
+    if json {
+        let line = serde_json::json!({
+            "scene": file, "longest_contradiction_s": length, "within_s": scene.within, "hops": report.hops,
+            "answers": report.answers, "unanswered": report.unanswered, "faults": report.faults,
+        });
+        return println!("{line}");
+    }
+    report.faults.iter().for_each(|fault| println!("{file}: {fault}"));
+    println!(
+        "{file}: {} hops, {} answers, {} calls without one",
+        report.hops, report.answers, report.unanswered
+    );
+    println!("{file}: longest contradiction {length:.3} s of {:.3} s", scene.within);
+}
+
+fn main() -> ExitCode {
+    let Command::Play { files, seed, json, alone, program, logs } = Args::parse().command;
+    let beside = || std::env::current_exe().map(|own| own.with_file_name("oakhollow")).unwrap_or_default();
+    let program = program.unwrap_or_else(beside);
+    let mut sound = true;
+    for file in files {
+        let name = file.display().to_string();
+        let read = std::fs::read_to_string(&file).map_err(|fault| fault.to_string());
+        let played = read.and_then(|text| {
+            let scene = Scene::read(&text)?;
+            let report = play(&scene, &Arm { program: &program, agreed: !alone, seed })?;
+            Ok((scene, report))
+        });
+        match played {
+            Ok((scene, report)) => {
+                if logs {
+                    report.logs.iter().for_each(|(name, log)| println!("--- {name}\n{log}"));
+                }
+                tell(&name, &scene, &report, json);
+                sound &= report.faults.is_empty();
+            }
+            Err(why) => {
+                eprintln!("oakhollow-lab: {name}: {why}");
+                sound = false;
+            }
+        }
+    }
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/lab/src/play.rs
@@ -0,0 +1,266 @@
+//! Plays one scene: starts everything, carries the script out on time, and has the judge read what was seen.
+use crate::judge::{self, Contradiction};
+use crate::processes::{free, Sidecar};
+use crate::relay::Relay;
+use crate::scene::{Fault, Kind, Scene};
+use crate::stand::{self, Notes};
+use nanorand::{Rng, WyRand};
+use rustix::process::Signal;
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Servers of a scene.
+const SERVERS: usize = 3;
+/// How long all may take until they serve.
+const STARTS: Duration = Duration::from_secs(20);
+/// By how much the script's times are moved by the seed, at most, in seconds.
+const JITTER: f64 = 0.1;
+
+/// What came of a scene.
+pub struct Report {
+    pub contradiction: Option<Contradiction>,
+    /// What did not hold, a line each.
+    pub faults: Vec<String>,
+    pub hops: usize,
+    pub answers: usize,
+    pub unanswered: usize,
+    /// Each sidecar's log.
+    pub logs: Vec<(String, String)>,
+}
+
+/// With what a scene is played.
+pub struct Arm<'a> {
+    pub program: &'a Path,
+    /// Whether the instances agree; each acts on its own file alone otherwise.
+    pub agreed: bool,
+    pub seed: u64,
+}
+
+struct Rig {
+    sidecars: Vec<Sidecar>,
+    /// From each instance to each keeper.
+    relays: Vec<Vec<Relay>>,
+    discoveries: Vec<SocketAddr>,
+    list: String,
+    seed: u64,
+    agreed: bool,
+    folder: PathBuf,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.sidecars.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Rig {
+    fn build(scene: &Scene, arm: &Arm, begun: Instant, notes: &Arc<Notes>) -> std::io::Result<Rig> {
+        let unique = format!(
+            "oakhollow-lab-{}-{:x}",
+            std::process::id(),
+            begun.elapsed().as_nanos() as u64 ^ arm.seed
+        );
+        let folder = std::env::temp_dir().join(unique);
+        let servers: Vec<SocketAddr> =
+            (0..SERVERS).map(|_| stand::server(begun, notes.clone())).collect::<std::io::Result<_>>()?;
+        let entries: Vec<String> = servers.iter().enumerate().map(|(at, address)| {
+            format!(r#"{{"name":"s{at}","address":"{address}","zone":"a","group":{at},"status":"active","weight":1.0,"since_ms":0}}"#)
+        }).collect();
+        let list = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","));
+        let mut rig = Rig {
+            sidecars: Vec::new(),
+            relays: Vec::new(),
+            discoveries: Vec::new(),
+            list,
+            seed: arm.seed,
+            agreed: arm.agreed,
+            folder,
+        };
+        let keepers: Vec<SocketAddr> = (0..scene.keepers).map(|_| free()).collect::<std::io::Result<_>>()?;
+        let first = *scene.versions.keys().next().unwrap_or(&1);
+        for at in 0..scene.sidecars {
+            let mut sidecar = Sidecar::new(arm.program, &format!("n{at}"), &rig.folder)?;
+            rig.discoveries.push(stand::discovery(rig.list.clone())?);
+            let relays: Vec<Relay> =
+                keepers.iter().map(|to| Relay::start(*to)).collect::<std::io::Result<_>>()?;
+            if arm.agreed {
+                let instances = (0..scene.sidecars).map(|other| {
+                    // Its own keeper is no link away; those who keep nothing are dialled by nobody.
+                    let address = match keepers.get(other) {
+                        Some(own) if other == at => *own,
+                        Some(_) => relays[other].address,
+                        None => SocketAddr::from(([127, 0, 0, 1], 1)),
+                    };
+                    format!("n{other} = \"{address}\"")
+                });
+                let instances: Vec<String> = instances.collect();
+                let names: Vec<String> = (0..scene.keepers).map(|keeper| format!("\"n{keeper}\"")).collect();
+                sidecar.write_operator(&format!(
+                    "[accord]\nwithin = {:?}\nunsure = \"{}\"\nkeepers = [{}]\n[accord.instances]\n{}\n",
+                    scene.within,
+                    scene.unsure,
+                    names.join(", "),
+                    instances.join("\n")
+                ))?;
+            }
+            rig.relays.push(relays);
+            rig.sidecars.push(sidecar);
+            rig.sidecars[at].write(&rig.file(scene, at, first))?;
+        }
+        for sidecar in &mut rig.sidecars {
+            sidecar.start()?;
+        }
+        Ok(rig)
+    }
+
+    fn file(&self, scene: &Scene, at: usize, number: u64) -> String {
+        let workload = |(name, kind): &(String, Kind)| {
+            let semantics = match kind {
+                Kind::Read => "read_like",
+                Kind::Once => "non_idempotent",
+            };
+            format!(
+                r#"{{"name":"{name}","semantics":"{semantics}","quoted_time_s":1,"abandon_time_s":2,"payoff":1}}"#
+            )
+        };
+        let workloads: Vec<String> = scene.versions[&number].iter().map(workload).collect();
+        let sidecar = &self.sidecars[at];
+        format!(
+            r#"{{"name":"{}","listen":"{}","console":"{}","discovery":"{}","seed":"{:x}","version":{{"number":{number}}},
+            "known":{},"settings":{{"me":{at},"balancers":{},"zones":["a"],"discovery":"on_request",
+            "bounds":{{"most_hops":3,"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0}},
+            "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},"workloads":[{}]}}}}"#,
+            sidecar.name,
+            sidecar.listen,
+            sidecar.console,
+            self.discoveries[at],
+            self.seed.wrapping_mul(31).wrapping_add(at as u64),
+            self.list,
+            scene.sidecars,
+            workloads.join(",")
+        )
+    }
+
+    /// All answer that they serve.
+    fn serves(&mut self) -> Result<(), String> {
+        let begun = Instant::now();
+        for at in 0..self.sidecars.len() {
+            while !healthy(self.sidecars[at].console) {
+                let sidecar = &mut self.sidecars[at];
+                if sidecar.ended() || begun.elapsed() > STARTS {
+                    return Err(format!("{} does not serve:\n{}", sidecar.name, sidecar.log()));
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+
+    /// All links of an instance that lead to others, and whether they lead from it.
+    fn links(&self, who: usize) -> impl Iterator<Item = (&Relay, bool)> {
+        let own = self.relays[who].iter().enumerate();
+        let own = own.filter(move |(keeper, _)| *keeper != who).map(|(_, relay)| (relay, true));
+        let others = self.relays.iter().enumerate().filter(move |(at, _)| *at != who);
+        own.chain(others.filter_map(move |(_, relays)| Some((relays.get(who)?, false))))
+    }
+
+    fn strike(&mut self, scene: &Scene, who: usize, fault: &Fault) -> std::io::Result<()> {
+        match fault {
+            Fault::Tell(number) => {
+                self.sidecars[who].write(&self.file(scene, who, *number))?;
+                self.sidecars[who].signal(Signal::HUP);
+            }
+            Fault::Spoil => {
+                self.sidecars[who].spoil()?;
+                self.sidecars[who].signal(Signal::HUP);
+            }
+            Fault::Cut => self.links(who).for_each(|(relay, _)| relay.cut(true, true)),
+            Fault::CutTo => self.links(who).for_each(|(relay, own)| relay.cut(own, !own)),
+            Fault::CutFrom => self.links(who).for_each(|(relay, own)| relay.cut(!own, own)),
+            Fault::Heal => self.links(who).for_each(|(relay, _)| relay.cut(false, false)),
+            Fault::Delay(length) => {
+                self.links(who).for_each(|(relay, _)| relay.delay(Duration::from_millis(*length)));
+            }
+            Fault::Reset => self.links(who).for_each(|(relay, _)| relay.reset()),
+            Fault::Stop => self.sidecars[who].signal(Signal::STOP),
+            Fault::Continue => self.sidecars[who].signal(Signal::CONT),
+            Fault::Kill => self.sidecars[who].kill(),
+            Fault::Start => self.sidecars[who].start()?,
+        }
+        debug_assert!(self.agreed || self.relays.len() == self.sidecars.len());
+        Ok(())
+    }
+}
+
+fn healthy(console: SocketAddr) -> bool {
+    use std::io::Write;
+    let asked = || {
+        let mut stream = TcpStream::connect(console).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.write_all(b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+        Some(stand::read_head(&mut stream)?.starts_with("HTTP/1.1 200"))
+    };
+    asked() == Some(true)
+}
+
+/// Plays a scene. An error means that the rig could not be built, or ran late: there is no figure then.
+pub fn play(scene: &Scene, arm: &Arm) -> Result<Report, String> {
+    let (building, notes) = (Instant::now(), Arc::new(Notes::default()));
+    let mut rig = Rig::build(scene, arm, building, &notes).map_err(|fault| fault.to_string())?;
+    rig.serves()?;
+    let offset = building.elapsed().as_secs_f64();
+    let begun = Instant::now();
+    let mut random = WyRand::new_seed(arm.seed);
+    let struck = thread::scope(|scope| {
+        for (at, sidecar) in rig.sidecars.iter().enumerate() {
+            for workload in scene.workloads() {
+                let (to, notes) = (sidecar.listen, &notes);
+                scope.spawn(move || stand::caller(to, (at, workload), scene.rate, begun, scene.until, notes));
+            }
+        }
+        let rig = &mut rig;
+        let mut late: f64 = 0.0;
+        for (time, who, fault) in &scene.events {
+            let due = time + if arm.seed == 0 { 0.0 } else { random.generate::<f64>() * JITTER };
+            let now = begun.elapsed().as_secs_f64();
+            late = late.max(now - due);
+            thread::sleep(Duration::from_secs_f64((due - now).max(0.0)));
+            rig.strike(scene, *who, fault).map_err(|fault| fault.to_string())?;
+        }
+        if late > JITTER {
+            Err(format!("the script ran {late:.3} s late"))
+        } else {
+            Ok(())
+        }
+    });
+    struck?;
+    let mut faults = Vec::new();
+    let killed = |at: usize| scene.events.iter().any(|(_, who, fault)| *who == at && *fault == Fault::Kill);
+    for (at, sidecar) in rig.sidecars.iter_mut().enumerate() {
+        if sidecar.ended() && !killed(at) {
+            faults.push(format!("{} has ended", sidecar.name));
+        }
+    }
+    let hops = std::mem::take(&mut *notes.hops.lock().unwrap_or_else(PoisonError::into_inner));
+    let hops: Vec<_> = hops.into_iter().map(|hop| judge::Hop { at: hop.at - offset, ..hop }).collect();
+    let answers = std::mem::take(&mut *notes.answers.lock().unwrap_or_else(PoisonError::into_inner));
+    faults.extend(judge::broken(scene, &hops, &answers));
+    let late = *notes.late.lock().unwrap_or_else(PoisonError::into_inner);
+    let stops = scene.events.iter().any(|(_, _, fault)| matches!(fault, Fault::Stop | Fault::Kill));
+    // Callers of a process that stands still wait for it.
+    if late * 10 > answers.len() && !stops {
+        return Err(format!("{late} of {} calls went out late: no figure", answers.len()));
+    }
+    Ok(Report {
+        contradiction: judge::longest(scene, &hops).ok().flatten(),
+        faults,
+        hops: hops.len(),
+        answers: answers.len(),
+        unanswered: answers.iter().filter(|answer| answer.status.is_none()).count(),
+        logs: rig.sidecars.iter().map(|sidecar| (sidecar.name.clone(), sidecar.log())).collect(),
+    })
+}
--- /dev/null
+++ b/lab/src/processes.rs
@@ -0,0 +1,102 @@
+//! Processes of the program: started, signalled and ended by their own ids alone, and never left behind: each dies with
+//! the thread that started it, whatever ends that.
+use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// One process of the program, with a folder of its own.
+pub struct Sidecar {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub console: SocketAddr,
+    program: PathBuf,
+    folder: PathBuf,
+    operator: bool,
+    child: Option<Child>,
+}
+
+/// An address that nobody has at the moment, and that stays the process's when it is started again.
+pub fn free() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Sidecar {
+    pub fn new(program: &Path, name: &str, folder: &Path) -> std::io::Result<Sidecar> {
+        let folder = folder.join(name);
+        fs::create_dir_all(&folder)?;
+        Ok(Sidecar {
+            name: name.into(),
+            listen: free()?,
+            console: free()?,
+            program: program.into(),
+            folder,
+            operator: false,
+            child: None,
+        })
+    }
+
+    /// Writes its file whole, or not at all.
+    pub fn write(&self, text: &str) -> std::io::Result<()> {
+        fs::write(self.folder.join("new.json"), text)?;
+        fs::rename(self.folder.join("new.json"), self.folder.join("sidecar.json"))
+    }
+
+    /// Leaves half of its file.
+    pub fn spoil(&self) -> std::io::Result<()> {
+        let text = fs::read_to_string(self.folder.join("sidecar.json"))?;
+        fs::write(self.folder.join("sidecar.json"), &text[..text.len() / 2])
+    }
+
+    pub fn write_operator(&mut self, text: &str) -> std::io::Result<()> {
+        self.operator = true;
+        fs::write(self.folder.join("operator.toml"), text)
+    }
+
+    pub fn start(&mut self) -> std::io::Result<()> {
+        let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let mut command = Command::new(&self.program);
+        command.arg(self.folder.join("sidecar.json"));
+        if self.operator {
+            command.arg("--operator").arg(self.folder.join("operator.toml"));
+        }
+        command.env("TMPDIR", &self.folder).env_remove("RELAY_PASSED_SOCKET");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        // SAFETY: one system call, which allocates nothing.
+        unsafe {
+            command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?));
+        }
+        self.child = Some(command.spawn()?);
+        Ok(())
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Killed outright; none is left.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = (child.kill(), child.wait());
+        }
+    }
+
+    /// Has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/lab/src/scene.rs
@@ -0,0 +1,162 @@
+//! Scenes, as written in small text files. `#` begins a comment; times are in seconds from the start of the load.
+//!
+//! - `sidecars N keepers K within S [unsure HOW]`: instances n0, n1 ...; the first K of them are keepers
+//! - `version N NAME:KIND ...`: the workloads of a state of the settings, KIND one of read, once; all of them start with
+//!   the first. Servers answer calls of a workload whose name begins with `fails` with an error
+//! - `load RATE`: calls a second of each workload at each sidecar
+//! - `at T WHAT ...`: `tell A N` (its file and SIGHUP), `spoil A` (half a file and SIGHUP), `cut A`, `cut-to A` (it hears, and
+//!   is not heard), `cut-from A`, `heal A`, `delay A MS`, `reset A`, `stop A`, `continue A`, `kill A`, `start A`
+//! - `until T`
+//! - `expect contradiction S`: at most; `expect A holds N by T`; `expect A silent T1 T2`: it sends nothing on between;
+//!   `expect A serves T1 T2`
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Kind {
+    Read,
+    Once,
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Fault {
+    Tell(u64),
+    Spoil,
+    Cut,
+    CutTo,
+    CutFrom,
+    Heal,
+    Delay(u64),
+    Reset,
+    Stop,
+    Continue,
+    Kill,
+    Start,
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Expected {
+    Contradiction(f64),
+    Holds(usize, u64, f64),
+    Silent(usize, f64, f64),
+    Serves(usize, f64, f64),
+}
+
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Scene {
+    pub sidecars: usize,
+    pub keepers: usize,
+    pub within: f64,
+    pub unsure: String,
+    pub rate: f64,
+    pub versions: BTreeMap<u64, Vec<(String, Kind)>>,
+    pub events: Vec<(f64, usize, Fault)>,
+    pub until: f64,
+    pub expected: Vec<Expected>,
+}
+
+impl Scene {
+    /// Reads a scene; a fault names the line.
+    ///
+    /// ```
+    /// use oakhollow_lab::scene::Scene;
+    /// let text = "sidecars 4 keepers 3 within 1.0\nversion 1 old:read\nload 20\nat 2 cut n9\nuntil 4";
+    /// assert_eq!(Scene::read(text).unwrap_err(), "line 4: there is no n9");
+    /// assert!(Scene::read(&text.replace("n9", "n3")).is_ok());
+    /// assert_eq!(Scene::read(&text.replace("cut n9", "bend n3")).unwrap_err(), "line 4: not understood: at 2 bend n3");
+    /// ```
+    pub fn read(text: &str) -> Result<Scene, String> {
+        let mut scene = Scene { rate: 20.0, unsure: "refuse".into(), ..Scene::default() };
+        for (at, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            if !line.is_empty() {
+                scene.line(line).map_err(|why| format!("line {}: {why}", at + 1))?;
+            }
+        }
+        scene.events.sort_by(|one, other| one.0.total_cmp(&other.0));
+        match () {
+            _ if scene.sidecars == 0 => Err("sidecars: missing".into()),
+            _ if scene.versions.is_empty() => Err("version: missing".into()),
+            _ if scene.until <= 0.0 => Err("until: missing".into()),
+            _ => Ok(scene),
+        }
+    }
+
+    fn line(&mut self, line: &str) -> Result<(), String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let odd = || format!("not understood: {line}");
+        let number = |word: &str| word.parse::<f64>().map_err(|_| format!("no number: {word}"));
+        let whole = |word: &str| word.parse::<u64>().map_err(|_| format!("no whole number: {word}"));
+        let sidecars = self.sidecars;
+        let instance = |word: &str| {
+            let at = word.strip_prefix('n').and_then(|at| at.parse::<usize>().ok());
+            at.filter(|at| *at < sidecars).ok_or_else(|| format!("there is no {word}"))
+        };
+        match words[..] {
+            ["sidecars", count, "keepers", keepers, "within", within, ref rest @ ..] => {
+                (self.sidecars, self.keepers) = (whole(count)? as usize, whole(keepers)? as usize);
+                self.within = number(within)?;
+                match rest {
+                    [] => {}
+                    ["unsure", how] => self.unsure = how.to_string(),
+                    _ => return Err(odd()),
+                }
+            }
+            ["version", number, ref workloads @ ..] => {
+                let mut all = Vec::new();
+                for workload in workloads {
+                    let (name, kind) = match workload.split_once(':') {
+                        Some((name, "read")) => (name, Kind::Read),
+                        Some((name, "once")) => (name, Kind::Once),
+                        _ => return Err(odd()),
+                    };
+                    all.push((name.to_string(), kind));
+                }
+                self.versions.insert(whole(number)?, all);
+            }
+            ["load", rate] => self.rate = number(rate)?,
+            ["until", time] => self.until = number(time)?,
+            ["at", time, what, who, ref rest @ ..] => {
+                let fault = match (what, rest) {
+                    ("tell", [version]) if self.versions.contains_key(&whole(version)?) => {
+                        Fault::Tell(whole(version)?)
+                    }
+                    ("spoil", []) => Fault::Spoil,
+                    ("cut", []) => Fault::Cut,
+                    ("cut-to", []) => Fault::CutTo,
+                    ("cut-from", []) => Fault::CutFrom,
+                    ("heal", []) => Fault::Heal,
+                    ("delay", [length]) => Fault::Delay(whole(length)?),
+                    ("reset", []) => Fault::Reset,
+                    ("stop", []) => Fault::Stop,
+                    ("continue", []) => Fault::Continue,
+                    ("kill", []) => Fault::Kill,
+                    ("start", []) => Fault::Start,
+                    _ => return Err(odd()),
+                };
+                self.events.push((number(time)?, instance(who)?, fault));
+            }
+            ["expect", "contradiction", most] => {
+                self.expected.push(Expected::Contradiction(number(most)?));
+            }
+            ["expect", who, "holds", version, "by", time] => {
+                self.expected.push(Expected::Holds(instance(who)?, whole(version)?, number(time)?));
+            }
+            ["expect", who, "silent", from, to] => {
+                self.expected.push(Expected::Silent(instance(who)?, number(from)?, number(to)?));
+            }
+            ["expect", who, "serves", from, to] => {
+                self.expected.push(Expected::Serves(instance(who)?, number(from)?, number(to)?));
+            }
+            _ => return Err(odd()),
+        }
+        Ok(())
+    }
+
+    /// All workloads of any version.
+    pub fn workloads(&self) -> Vec<&str> {
+        let mut names: Vec<&str> = self.versions.values().flatten().map(|(name, _)| name.as_str()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+}
--- /dev/null
+++ b/sidecar/src/accord.rs
@@ -0,0 +1,476 @@
+//! The instances that agree on settings, on sockets: each dials the keepers, a line of JSON for each word, and keeps
+//! asking for leases. What is agreed is carried out before it is said to be known. The rules are those of the package
+//! `oakhollow_accord`; without `[accord]` in the operator's file nothing here runs.
+use crate::board::{lock, Shared as Board};
+use crate::lease::Lease;
+use crate::timers::Clock;
+use crate::workers::{Order, Orders};
+use async_channel::{bounded, Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::io::{self, AsyncBufReadExt, AsyncReadExt, BufReader, ReadHalf};
+use futures_lite::{future, AsyncWriteExt};
+use oakhollow::types::Micros;
+use oakhollow_accord::{
+    Action, Document, Holder, InstanceId, Judge, Keeper, Member, Version, Word, MOST_WAITING,
+};
+use oakhollow_terms::{read, Accord as Operated, Greeting, Own, Start, Unsure};
+use slog::{info, warn, Logger};
+use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The longest line that is taken: as many documents as may wait.
+const MOST_LINE: u64 = 4 * 1024 * 1024;
+/// The longest document: guards against lines that nobody takes.
+const MOST_DOCUMENT: usize = MOST_LINE as usize / (2 * MOST_WAITING);
+/// Words that may wait for one that does not read; what comes beyond them is lost, and asked for again.
+const MOST_WORDS: usize = 64;
+/// Words of all others that may wait for us.
+const MOST_INPUTS: usize = 1024;
+/// After a link that could not be made, or broke.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long a foreign connection may take to say who it is.
+const GREETS: Duration = Duration::from_secs(1);
+
+type Incoming = BufReader<ReadHalf<Async<TcpStream>>>;
+
+enum Input {
+    /// This instance's file was read.
+    Written(Box<Start>),
+    /// A member's link to our keeper stands, by this way, or is gone.
+    Linked(Holder, Sender<Word>),
+    Gone(Holder),
+    ToKeeper(Holder, Word),
+    ToMember(InstanceId, Word),
+}
+
+/// What the console shows, and the way for a file that was read.
+#[derive(Clone)]
+pub struct Accord {
+    inputs: Sender<Input>,
+    status: Arc<Mutex<String>>,
+}
+
+impl Accord {
+    /// Takes a file that was read; false if it can't be one that instances agree on.
+    pub async fn written(&self, start: Start) -> Result<(), String> {
+        numbered(&start)?;
+        let _ = self.inputs.send(Input::Written(Box::new(start))).await;
+        Ok(())
+    }
+
+    pub fn status(&self) -> String {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// The common part of a file's settings as a document, and what is this instance's own.
+fn numbered(start: &Start) -> Result<(Own, Document), String> {
+    let number = start.version.ok_or("version: missing, and instances agree on settings")?;
+    let (own, common) = Own::part(&start.settings).map_err(|fault| format!("settings.{fault}"))?;
+    if common.text.len() > MOST_DOCUMENT {
+        return Err(format!("settings: over {MOST_DOCUMENT} bytes, the most that is passed on"));
+    }
+    let version = Version { epoch: number.epoch, number: number.number, hash: common.hash };
+    Ok((own, Document { version, text: common.text.into() }))
+}
+
+/// What it works on.
+pub struct Parts {
+    pub operated: Operated,
+    pub lease: Lease,
+    pub orders: Orders,
+    pub board: Board,
+    pub clock: Clock,
+    pub log: Logger,
+}
+
+struct Running {
+    parts: Parts,
+    names: Vec<String>,
+    me: InstanceId,
+    member: Member,
+    own: Arc<Mutex<Own>>,
+    keeper: Option<Keeper>,
+    /// The ways to the keepers, and to those that our keeper has heard of.
+    to_keepers: HashMap<InstanceId, Sender<Word>>,
+    to_members: HashMap<Holder, Sender<Word>>,
+    status: Arc<Mutex<String>>,
+    /// What was last said of acting or not.
+    acted: bool,
+}
+
+/// Begins to agree; the future that is given runs for as long as the program.
+pub fn begin(start: &Start, parts: Parts) -> Result<(Accord, impl Future<Output = ()>), String> {
+    let (own, document) = numbered(start)?;
+    let names: Vec<String> = parts.operated.instances.keys().cloned().collect();
+    let id = |name: &String| names.iter().position(|other| other == name).map(|at| InstanceId(at as u32));
+    let me = id(&start.name).ok_or_else(|| format!("name: {:?} is not in accord.instances", start.name))?;
+    let keepers: Vec<InstanceId> = parts.operated.keepers.iter().filter_map(id).collect();
+    let within = oakhollow_terms::micros(parts.operated.within);
+    let own = Arc::new(Mutex::new(own));
+    let judge: Judge = {
+        let own = own.clone();
+        Arc::new(move |texts: &[Arc<str>]| place(&own, texts).map(|_| ()))
+    };
+    let (inputs, incoming) = bounded(MOST_INPUTS);
+    let status = Arc::<Mutex<String>>::default();
+    let running = Running {
+        keeper: keepers.contains(&me).then(|| Keeper::new(parts.clock.now(), within)),
+        member: Member::new(keepers.clone(), within, judge),
+        names,
+        me,
+        own,
+        to_keepers: HashMap::new(),
+        to_members: HashMap::new(),
+        status: status.clone(),
+        acted: false,
+        parts,
+    };
+    let accord = Accord { inputs: inputs.clone(), status };
+    Ok((accord, running.run(document, keepers, (inputs, incoming))))
+}
+
+fn place(own: &Mutex<Own>, texts: &[Arc<str>]) -> Result<oakhollow_terms::Place, String> {
+    let texts: Vec<&str> = texts.iter().map(|text| &**text).collect();
+    own.lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .place(&texts)
+        .map_err(|fault| format!("settings.{fault}"))
+}
+
+impl Running {
+    async fn run(
+        mut self, first: Document, keepers: Vec<InstanceId>, inputs: (Sender<Input>, Receiver<Input>),
+    ) {
+        let (inputs, incoming) = inputs;
+        let greeting = Greeting::new(&self.names[self.me.0 as usize], self.parts.clock.now().0).to_json();
+        let silence = Duration::from_secs_f64(self.parts.operated.within.max(1.0));
+        let mut links = Vec::new();
+        for keeper in keepers {
+            let (to, words) = bounded(MOST_WORDS);
+            self.to_keepers.insert(keeper, to);
+            let address = self.parts.operated.instances[&self.names[keeper.0 as usize]];
+            links.push(dial(keeper, address, greeting.clone(), words, inputs.clone(), silence));
+        }
+        let executor = async_executor::LocalExecutor::new();
+        links.into_iter().for_each(|link| executor.spawn(link).detach());
+        if self.keeper.is_some() {
+            let at = self.parts.operated.instances[&self.names[self.me.0 as usize]];
+            let listening =
+                listen(at, self.names.clone(), inputs, self.parts.log.clone(), silence * 4, &executor);
+            future::or(listening, executor.run(self.agree(first, incoming))).await;
+        } else {
+            executor.run(self.agree(first, incoming)).await;
+        }
+    }
+
+    async fn agree(&mut self, first: Document, incoming: Receiver<Input>) {
+        let mut actions = Vec::new();
+        self.member.written(self.parts.clock.now(), first, &mut actions);
+        self.carry_out(actions).await;
+        loop {
+            let now = self.parts.clock.now();
+            let keeper = self.keeper.as_ref().and_then(|keeper| keeper.due(now));
+            let lapses = Some(self.member.until()).filter(|until| *until > now);
+            let due = [Some(self.member.due()), keeper, lapses].into_iter().flatten().min().unwrap_or(now);
+            let woke = async {
+                Timer::at(self.parts.clock.instant(due)).await;
+                None
+            };
+            let heard = async { Some(incoming.recv().await) };
+            match future::or(heard, woke).await {
+                Some(Ok(input)) => self.take(input).await,
+                Some(Err(_)) => return,
+                None => {
+                    let (now, mut actions, mut out) = (self.parts.clock.now(), Vec::new(), Vec::new());
+                    self.member.woke(now, &mut actions);
+                    if let Some(keeper) = &mut self.keeper {
+                        keeper.woke(now, &mut out);
+                    }
+                    self.pass_on(out);
+                    self.carry_out(actions).await;
+                }
+            }
+            self.tell_status();
+        }
+    }
+
+    async fn take(&mut self, input: Input) {
+        let (now, mut actions, mut out) = (self.parts.clock.now(), Vec::new(), Vec::new());
+        match input {
+            // It was read by the same check before.
+            Input::Written(start) => {
+                if let Ok((own, document)) = numbered(&start) {
+                    *self.own.lock().unwrap_or_else(PoisonError::into_inner) = own;
+                    if self.member.written(now, document, &mut actions) {
+                        actions.push(Action::Act);
+                    }
+                }
+            }
+            Input::Linked(holder, to) => _ = self.to_members.insert(holder, to),
+            Input::Gone(holder) => {
+                // Unless it has come again by another way meanwhile.
+                if self.to_members.get(&holder).is_some_and(Sender::is_closed) {
+                    self.to_members.remove(&holder);
+                }
+            }
+            Input::ToKeeper(holder, word) => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.on(now, holder, word, &mut out);
+                }
+            }
+            Input::ToMember(keeper, word) => self.member.on(now, keeper, word, &mut actions),
+        }
+        self.pass_on(out);
+        self.carry_out(actions).await;
+    }
+
+    fn pass_on(&self, out: Vec<(Holder, Word)>) {
+        for (holder, word) in out {
+            self.to_members.get(&holder).map(|to| to.try_send(word));
+        }
+    }
+
+    /// In order: what is kept to from now on holds at every worker before anybody is told that it is known.
+    async fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Say(keeper, word) => {
+                    self.to_keepers.get(&keeper).map(|to| to.try_send(word));
+                }
+                Action::Act => {
+                    let texts: Vec<Arc<str>> = self.member.keeps_to().map(|(_, text)| text.clone()).collect();
+                    match place(&self.own, &texts) {
+                        Ok(place) => {
+                            let place = Arc::new(place);
+                            self.parts.orders.have_done(|done| Order::Retuned(place, done)).await;
+                            info!(self.parts.log, "keeps to {}", self.kept());
+                        }
+                        // Each was judged together with the others before it was taken.
+                        Err(fault) => warn!(self.parts.log, "agreed settings can't be read: {}", fault),
+                    }
+                }
+                Action::Log(text) => info!(self.parts.log, "{}", text),
+            }
+        }
+        let until = match self.parts.operated.unsure {
+            // Once it has heard what holds, it goes on by that.
+            Unsure::Hold if self.member.base().is_some() => Micros::NEVER,
+            _ => self.member.until(),
+        };
+        self.parts.lease.set(until);
+        let acts = until > self.parts.clock.now();
+        if acts != self.acted {
+            self.acted = acts;
+            lock(&self.parts.board).sure = acts || self.parts.operated.unsure != Unsure::Refuse;
+            match acts {
+                true => info!(self.parts.log, "sure: a majority's leases live, keeps to {}", self.kept()),
+                false => {
+                    warn!(self.parts.log, "unsure: no majority's leases, {:?}", self.parts.operated.unsure)
+                }
+            }
+            self.parts.orders.tell(Order::Look).await;
+        }
+    }
+
+    fn kept(&self) -> String {
+        self.member.keeps_to().map(|(version, _)| version.to_string()).collect::<Vec<_>>().join(" ")
+    }
+
+    /// Version by version and instance by instance, a line each.
+    fn tell_status(&self) {
+        let (now, name) = (self.parts.clock.now(), |id: InstanceId| &self.names[id.0 as usize]);
+        let left = |until: Micros| format!("{:.2} s", (until - now).secs());
+        let holds = self.member.base().map_or("nothing yet".to_string(), |base| base.to_string());
+        let mut text = format!(
+            "{} holds {holds}, keeps to {}, lease for {}\n",
+            name(self.me),
+            self.kept(),
+            left(self.member.until())
+        );
+        if let Some(keeper) = &self.keeper {
+            let cleared = keeper.cleared().map_or("nothing yet".to_string(), |cleared| cleared.to_string());
+            text += &format!("keeper: {cleared} holds here\n");
+            for (holder, until, knows) in keeper.leases() {
+                let knows: Vec<String> = knows.map(|version| version.to_string()).collect();
+                text += &format!(
+                    "lease: {} for {}, knows {}\n",
+                    name(holder.instance),
+                    left(until),
+                    knows.join(" ")
+                );
+            }
+            for waiting in keeper.pending(now).iter().flat_map(|(version, waiting)| {
+                waiting.iter().map(move |one| {
+                    let how = if one.refuses { "which refuses it" } else { "or its lease" };
+                    format!(
+                        "pending: {version} waits for {}, {how}, {}\n",
+                        name(one.holder.instance),
+                        left(one.until)
+                    )
+                })
+            }) {
+                text += &waiting;
+            }
+        }
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = text;
+    }
+}
+
+async fn say(writes: &mut (impl AsyncWriteExt + Unpin), line: String) -> bool {
+    writes.write_all(format!("{line}\n").as_bytes()).await.is_ok()
+}
+
+/// The next line, if it comes before the silence has lasted that long.
+async fn line(reads: &mut Incoming, silence: Duration) -> Option<String> {
+    let read = async {
+        let mut line = String::new();
+        let count = reads.take(MOST_LINE).read_line(&mut line).await.ok()?;
+        (count > 0 && line.ends_with('\n')).then_some(line)
+    };
+    let late = async {
+        Timer::after(silence).await;
+        None
+    };
+    future::or(read, late).await
+}
+
+/// Carries words both ways until the link breaks, falls silent or says what makes no sense.
+async fn carry(
+    stream: Async<TcpStream>, words: &Receiver<Word>, silence: Duration, inputs: &Sender<Input>,
+    heard: impl Fn(Word) -> Input,
+) -> Option<String> {
+    let (reads, mut writes) = io::split(stream);
+    let mut reads = BufReader::new(reads);
+    let hears = async {
+        loop {
+            let line = line(&mut reads, silence).await?;
+            match read::<Word>(line.trim().as_bytes()) {
+                Ok(word) => _ = inputs.send(heard(word)).await,
+                Err(fault) => return Some(fault),
+            }
+        }
+    };
+    let says = async {
+        while let Ok(word) = words.recv().await {
+            if !say(&mut writes, oakhollow_terms::to_json(&word)).await {
+                break;
+            }
+        }
+        None
+    };
+    future::or(hears, says).await
+}
+
+/// A link to a keeper, made again for as long as the program lives.
+async fn dial(
+    keeper: InstanceId, at: SocketAddr, greeting: String, words: Receiver<Word>, inputs: Sender<Input>,
+    silence: Duration,
+) {
+    loop {
+        let linked = async {
+            let mut stream = Async::<TcpStream>::connect(at).await.ok()?;
+            let _ = stream.get_ref().set_nodelay(true);
+            // What waited for a link that broke is old.
+            while words.try_recv().is_ok() {}
+            say(&mut stream, greeting.clone()).await.then_some(stream)
+        };
+        let late = async {
+            Timer::after(silence).await;
+            None
+        };
+        if let Some(stream) = future::or(linked, late).await {
+            carry(stream, &words, silence, &inputs, |word| Input::ToMember(keeper, word)).await;
+        }
+        Timer::after(PAUSE).await;
+    }
+}
+
+/// Takes in the links of members to our keeper.
+async fn listen(
+    at: SocketAddr, names: Vec<String>, inputs: Sender<Input>, log: Logger, silence: Duration,
+    executor: &async_executor::LocalExecutor<'_>,
+) {
+    let mut said = false;
+    let listener = loop {
+        // The process before this one may have it still: its keeper serves us too.
+        match Async::<TcpListener>::bind(at) {
+            Ok(listener) => break listener,
+            Err(fault) if !std::mem::replace(&mut said, true) => {
+                warn!(log, "accord: {}: {}, trying on", at, fault);
+            }
+            Err(_) => {}
+        }
+        Timer::after(PAUSE).await;
+    };
+    let mut foreign = BTreeMap::new();
+    let open = Arc::new(());
+    let (strangers, tell) = bounded::<String>(MOST_WORDS);
+    loop {
+        // Each instance has one link, or two while a process replaces another.
+        if Arc::strong_count(&open) > 4 * names.len() + 8 {
+            Timer::after(PAUSE).await;
+            continue;
+        }
+        while let Ok(stranger) = tell.try_recv() {
+            // Once for each, and not for ever more of them.
+            if foreign.len() < MOST_WORDS && foreign.insert(stranger.clone(), ()).is_none() {
+                warn!(log, "accord: a link not taken: {}", stranger);
+            }
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(PAUSE).await;
+            continue;
+        };
+        let (names, inputs, strangers, open) =
+            (names.clone(), inputs.clone(), strangers.clone(), open.clone());
+        executor
+            .spawn(async move {
+                let _open = open;
+                let _ = stream.get_ref().set_nodelay(true);
+                match welcome(stream, &names, &inputs, silence).await {
+                    Ok(()) => {}
+                    Err(why) => _ = strangers.try_send(why),
+                }
+            })
+            .detach();
+    }
+}
+
+async fn welcome(
+    stream: Async<TcpStream>, names: &[String], inputs: &Sender<Input>, silence: Duration,
+) -> Result<(), String> {
+    let mut greeting = Vec::new();
+    let greets = async {
+        // Byte by byte: what comes behind the greeting is for others to read.
+        while greeting.last() != Some(&b'\n') && greeting.len() < 1024 {
+            let mut byte = [0];
+            if (&stream).read(&mut byte).await.ok()? == 0 {
+                return None;
+            }
+            greeting.push(byte[0]);
+        }
+        Some(())
+    };
+    let late = async {
+        Timer::after(GREETS).await;
+        None
+    };
+    // Gone, or silent: nobody's.
+    if future::or(greets, late).await.is_none() {
+        return Ok(());
+    }
+    let greeting = Greeting::read(greeting.trim_ascii())?;
+    let at = names.iter().position(|name| *name == greeting.name);
+    let at = at.ok_or_else(|| format!("name: {:?} is not in accord.instances", greeting.name))?;
+    let holder = Holder { instance: InstanceId(at as u32), life: greeting.life };
+    let (to, words) = bounded(MOST_WORDS);
+    let _ = inputs.send(Input::Linked(holder, to)).await;
+    let odd = carry(stream, &words, silence, inputs, |word| Input::ToKeeper(holder, word)).await;
+    words.close();
+    let _ = inputs.send(Input::Gone(holder)).await;
+    odd.map_or(Ok(()), |fault| Err(format!("{}: {fault}", greeting.name)))
+}
--- a/sidecar/src/board.rs
+++ b/sidecar/src/board.rs
@@ -28,6 +28,8 @@
     pub settled: bool,
     /// Workers take callers in, and the program is not leaving.
     pub able: bool,
+    /// A majority's leases live, where instances agree on settings.
+    pub sure: bool,
 }
 
 /// The board as the program's threads share it.
@@ -39,7 +41,7 @@
 
 impl Board {
     pub fn new(known: &List, marks: Marks) -> Board {
-        let mut board = Board { marks, ..Board::default() };
+        let mut board = Board { marks, sure: true, ..Board::default() };
         board.take(known);
         board
     }
@@ -95,7 +97,7 @@
     /// Whether a call would be served at once.
     pub fn serves(&self) -> bool {
         let mut usable = self.entries.values().filter(|entry| entry.ready());
-        self.able && self.settled && usable.any(|entry| !self.marks.out.contains(&entry.name))
+        self.able && self.sure && self.settled && usable.any(|entry| !self.marks.out.contains(&entry.name))
     }
 }
 
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -1,5 +1,6 @@
 //! The second address, for operators alone: asks whether this process serves, and takes servers out by hand or puts them
 //! back. It has a thread, a reactor and descriptors of its own, so that it answers however busy the workers are.
+use crate::accord::Accord;
 use crate::board::{lock, Mark, Refused, Shared};
 use crate::folder::Keeper;
 use crate::http1::answers::Answer;
@@ -37,15 +38,18 @@
     pub log: Logger,
     pub keeper: Option<Arc<Keeper>>,
     pub peers: Peers,
+    pub accord: Option<Accord>,
 }
 
 /// What may be asked, as the paths have it.
 const HEALTH: &str = "/healthcheck";
+const ACCORD: &str = "/accord";
 const SERVERS: &str = "/endpoints/";
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Call<'a> {
     Health,
+    Accord,
     Mark { name: &'a str, out: bool },
 }
 
@@ -56,6 +60,7 @@
             (Call::Mark { name, out: word == "maint" }, "PUT")
         }
         _ if path == HEALTH => (Call::Health, "GET"),
+        _ if path == ACCORD => (Call::Accord, "GET"),
         _ => return Err(none),
     };
     let fits = method == wanted || (method == "HEAD" && wanted == "GET");
@@ -130,6 +135,10 @@
         match read_call(method, target.split('?').next().unwrap_or_default())? {
             Call::Health if lock(&self.board).serves() => Ok(Answer::plain(200, "serving")),
             Call::Health => Ok(Answer::plain(503, "not serving")),
+            Call::Accord => match &self.accord {
+                Some(accord) => Ok(Answer::plain(200, accord.status())),
+                None => Err(Fault { status: 404, why: "instances agree on nothing here" }),
+            },
             Call::Mark { name, out } => {
                 let name = plain(name).ok_or(Fault { status: 400, why: "the name is malformed" })?;
                 self.mark(&name, out).await
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -3,6 +3,8 @@
 //! knows no protocol but through [`Protocol`].
 use crate::board::Mark;
 use crate::bounds::Gauge;
+use crate::generations::{ClassId, Left};
+use crate::lease::Lease;
 use crate::oneshot::{self, oneshot};
 use crate::roster::{self, Roster};
 use crate::tasks::Tasks;
@@ -13,7 +15,7 @@
 use futures_lite::{future, StreamExt};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
-use oakhollow_terms::{List, Marks, Place, Taught};
+use oakhollow_terms::{List, Marks, Place, Taught, Unsure};
 use slog::{info, Logger};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -66,6 +68,7 @@
 /// What the decisions need to know of an API call.
 pub struct Ask {
     pub workload: WorkloadId,
+    pub class: ClassId,
     pub customer: CustomerId,
     pub repeat: bool,
     pub abandon: Micros,
@@ -93,8 +96,10 @@
     Listed(ListKind, Arc<List>),
     /// A server is out by hand, or back; the sender is dropped when that holds.
     Marked(Mark, Sender<()>),
-    /// What holds from now on.
-    Retuned(Box<Terms>),
+    /// What holds from now on, what is left of workloads that no more do, and who waits for it.
+    Retuned(Box<Terms>, FnvHashMap<ClassId, Left>, Option<Sender<()>>),
+    /// The lease has begun or run out.
+    Look,
     /// What the module has learnt is asked for.
     Asked(Sender<Taught>),
 }
@@ -141,6 +146,7 @@
 }
 
 struct Call<P: Protocol> {
+    class: ClassId,
     content: Rc<P::Content>,
     abandon: Micros,
     most_hops: usize,
@@ -150,6 +156,7 @@
 
 struct Hop {
     sent: Micros,
+    went_out: bool,
     running: Option<Task<()>>,
 }
 
@@ -168,6 +175,13 @@
     ends: VecDeque<(CallId, HopNo, Outcome)>,
     /// Load reports that could not be read.
     odd: u64,
+    lease: Lease,
+    /// Nothing may be sent on, as the module was last told.
+    held_back: bool,
+    /// What calls of workloads that are offered no more, or otherwise, may still do.
+    left: FnvHashMap<ClassId, Left>,
+    most_hops: usize,
+    warm_within: Micros,
 }
 
 /// What goes into the making of a [`Decider`].
@@ -178,13 +192,14 @@
     pub log: Logger,
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
+    pub lease: Lease,
     /// What another process learnt in our place.
     pub taught: Taught,
 }
 
 impl<P: Protocol> Decider<P> {
     pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
-        let Parts { protocol, desk, tasks, log, ask, taught } = parts;
+        let Parts { protocol, desk, tasks, log, ask, lease, taught } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut decider = Decider {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
@@ -193,6 +208,11 @@
             calls: FnvHashMap::default(),
             ends: VecDeque::new(),
             odd: 0,
+            lease,
+            held_back: false,
+            left: FnvHashMap::default(),
+            most_hops: place.terms.most_hops as usize,
+            warm_within: place.terms.warm_within,
             actions,
             protocol,
             desk,
@@ -219,7 +239,10 @@
             let due = async { self.timers.next().await.map(Ok) };
             let note = async { notes.recv().await.ok().map(Err) };
             match future::or(due, note).await {
-                Some(Ok(token)) => self.on(Event::Woke(token)),
+                Some(Ok(token)) => {
+                    self.look();
+                    self.on(Event::Woke(token));
+                }
                 Some(Err(note)) => {
                     self.hear(note);
                     // What came meanwhile, before the timers are looked at again.
@@ -233,12 +256,24 @@
         }
     }
 
+    /// Has the module hold everything back, or no more, as the lease has it now: to it every server drains meanwhile.
+    fn look(&mut self) {
+        let held_back = self.lease.refuses(|| self.desk.clock.now());
+        if held_back != self.held_back {
+            self.held_back = held_back;
+            let told = self.roster.hold_back(held_back);
+            self.listed(ListKind::Cached, told);
+        }
+    }
+
     fn hear(&mut self, note: Note<P>) {
+        self.look();
         match note {
             Note::Taken(Taken { call, ask, content, verdict }) => {
-                let Ask { workload, customer, repeat, abandon, most_hops, key } = ask;
+                let Ask { workload, class, customer, repeat, abandon, most_hops, key } = ask;
                 let left = abandon - self.desk.clock.now();
-                let known = Call { content, abandon, most_hops, verdict: Some(verdict), hops: Vec::new() };
+                let known =
+                    Call { class, content, abandon, most_hops, verdict: Some(verdict), hops: Vec::new() };
                 self.calls.insert(call, known);
                 self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key }));
             }
@@ -270,10 +305,14 @@
                 let servers = self.sidecar.judged().map(named).collect();
                 let _ = to.try_send(servers);
             }
-            Note::Retuned(terms) => {
+            Note::Look => {}
+            Note::Retuned(terms, left, done) => {
+                self.left = left;
+                (self.most_hops, self.warm_within) = (terms.most_hops as usize, terms.warm_within);
                 self.on(Event::Retuned(&terms));
                 let told = self.roster.all();
                 self.listed(ListKind::Cached, told);
+                drop(done);
             }
             Note::Marked(mark, done) => {
                 let told = self.roster.mark(&mark);
@@ -385,12 +424,30 @@
         self.actions = actions;
     }
 
+    /// Whether what all have agreed on allows this hop, whatever held when its call began.
+    fn allowed(&self, call: CallId, server: ServerId, now: Micros) -> bool {
+        let Some(call) = self.calls.get(&call) else { return false };
+        let first = call.hops.iter().all(|hop| !hop.went_out);
+        let left = match self.left.get(&call.class) {
+            None => true,
+            Some(Left::FirstHops) => first,
+            Some(Left::Nothing) => false,
+        };
+        let sure = match self.lease.lapsed(|| now) {
+            None | Some(Unsure::Hold) => true,
+            Some(Unsure::Refuse) => false,
+            Some(Unsure::Strictest) => first && !self.roster.cold(server, now, self.warm_within),
+        };
+        left && sure && call.hops.len() < self.most_hops
+    }
+
     /// Sends a hop, as the simulator did: never one for a call that is over, out of time or out of hops.
     fn send(&mut self, id: CallId, server: ServerId, give_up: Micros) {
         let now = self.desk.clock.now();
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get(&id) else { return };
         let (no, left) = (HopNo(call.hops.len() as u32), call.abandon - now);
         let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < call.most_hops;
+        let sound = sound && (!self.lease.on() || self.allowed(id, server, now));
         let address = self.roster.address(server).filter(|_| sound);
         let running = address.and_then(|address| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
@@ -403,6 +460,9 @@
         if running.is_none() {
             self.ends.push_back((id, no, Outcome::NotSent));
         }
-        call.hops.push(Hop { sent: now, running });
+        let went_out = running.is_some();
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.hops.push(Hop { sent: now, went_out, running });
+        }
     }
 }
--- a/sidecar/src/generations.rs
+++ b/sidecar/src/generations.rs
@@ -1,5 +1,6 @@
 //! Workloads numbered once and for all, through all the settings that a sidecar is told: an open call keeps the rules that
 //! it began with by its number. No sockets, no clock.
+use fnv::FnvHashMap;
 use oakhollow::types::*;
 
 /// A workload's number, and that of its twin for calls whose body is not kept: nothing of those may be sent twice.
@@ -9,6 +10,48 @@
     pub long: WorkloadId,
 }
 
+/// What a call that began under a workload as it was may still do, where it allows what is now forbidden.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Left {
+    FirstHops,
+    Nothing,
+}
+
+impl Left {
+    /// None if what was allowed then is allowed now; `now` is the workload of that name, if it is offered still.
+    fn of(then: Kind, now: Option<Kind>) -> Option<Left> {
+        match (then, now) {
+            (_, None) => Some(Left::Nothing),
+            (Kind::OnceOnly, _) | (_, Some(Kind::Repeatable)) => None,
+            (then, Some(now)) if then == now => None,
+            // Repeats in another group, or after a shorter memory, may be told for no repeat.
+            _ => Some(Left::FirstHops),
+        }
+    }
+}
+
+/// A workload by name and kind, numbered once and for all.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Default, Debug)]
+pub struct ClassId(usize);
+
+/// All names that were ever offered, with their kinds.
+#[derive(Default)]
+pub struct Classes(Vec<(String, Kind)>);
+
+impl Classes {
+    /// The numbers of what is offered from now on, in order, and what is left to calls of all others.
+    pub fn take(&mut self, offered: &[(String, Kind)]) -> (Vec<ClassId>, FnvHashMap<ClassId, Left>) {
+        let new = offered.iter().filter(|one| !self.0.contains(one)).cloned().collect::<Vec<_>>();
+        self.0.extend(new);
+        let number = |one| ClassId(self.0.iter().position(|other| other == one).unwrap_or_default());
+        let numbers = offered.iter().map(number).collect();
+        let now = |name: &String| offered.iter().find(|(other, _)| other == name).map(|(_, kind)| *kind);
+        let all = self.0.iter().enumerate();
+        let left = all.filter_map(|(at, (name, kind))| Some((ClassId(at), Left::of(*kind, now(name))?)));
+        (numbers, left.collect())
+    }
+}
+
 /// All that was ever offered. One record for each different workload of a file: as many as a person writes.
 #[derive(Default)]
 pub struct Generations(Vec<Workload>);
@@ -60,6 +103,27 @@
         read::<Place>(json.as_bytes()).expect("settings").terms
     }
 
+    #[test]
+    fn open_calls_keep_what_is_not_forbidden_by_now() {
+        let (view, tagged) =
+            (Kind::Repeatable, |ms| Kind::Tagged { group: Group::Cell, memory: Micros::millis(ms) });
+        let named = |all: &[(&str, Kind)]| {
+            all.iter().map(|(name, kind)| (name.to_string(), *kind)).collect::<Vec<_>>()
+        };
+        let mut classes = Classes::default();
+        let (first, left) =
+            classes.take(&named(&[("view", view), ("save", tagged(5)), ("pay", Kind::OnceOnly)]));
+        assert!(left.is_empty());
+        let (second, left) = classes.take(&named(&[("view", Kind::OnceOnly), ("save", tagged(4))]));
+        let of = |class| left.get(&class).copied();
+        assert_eq!(
+            first.iter().map(|class| of(*class)).collect::<Vec<_>>(),
+            [Some(Left::FirstHops), Some(Left::FirstHops), Some(Left::Nothing)]
+        );
+        assert!(second.iter().all(|class| of(*class).is_none()));
+        assert_eq!(classes.take(&named(&[("view", view), ("save", view), ("pay", view)])).1.len(), 0);
+    }
+
     #[test]
     fn what_is_the_same_keeps_its_number_and_what_is_dropped_keeps_its_rules() {
         let mut generations = Generations::default();
--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -10,14 +10,14 @@
     Passed(Reply),
     Worded {
         status: u16,
-        text: &'static str,
+        text: Cow<'static, str>,
         retry_after: Option<Micros>,
     },
 }
 
 impl Answer {
-    pub fn plain(status: u16, text: &'static str) -> Answer {
-        Answer::Worded { status, text, retry_after: None }
+    pub fn plain(status: u16, text: impl Into<Cow<'static, str>>) -> Answer {
+        Answer::Worded { status, text: text.into(), retry_after: None }
     }
 
     pub fn ready(ready: bool) -> Answer {
@@ -83,7 +83,7 @@
             Verdict::Succeeded(answer) => Answer::Passed(answer),
             Verdict::Dismissed { cool_down } => Answer::Worded {
                 status: 503,
-                text: "dismissed: trying again is harmless",
+                text: "dismissed: trying again is harmless".into(),
                 retry_after: Some(cool_down).filter(|time| time.0 > 0),
             },
             Verdict::Errored => Answer::plain(502, "errored"),
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -287,6 +287,7 @@
         let known = |name| names.customers.iter().position(|customer| customer == name);
         let ask = Ask {
             workload: names.numbers[workload].usual,
+            class: names.classes[workload],
             most_hops: names.most_hops,
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -3,6 +3,7 @@
 use super::load;
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
+use super::Fence;
 use crate::decider::{End, Told};
 use crate::reactor::{Async, Timer};
 use crate::timers::duration;
@@ -181,12 +182,12 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: SocketAddr, give_up: Micros, tells_load: bool,
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: (SocketAddr, Fence), give_up: Micros, tells_load: bool,
 ) -> End<Reply> {
     let written = Cell::new(None);
     let exchange = async {
         let give_up = content.upload.as_ref().map_or(give_up, |upload| upload.left);
-        let exchanged = exchange(&pool, &content, to, give_up, &written).await;
+        let exchanged = exchange(&pool, &content, &to, give_up, &written).await;
         exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
@@ -204,8 +205,10 @@
 }
 
 async fn exchange(
-    pool: &Rc<Pool>, content: &Outgoing, to: SocketAddr, give_up: Micros, written: &Cell<Option<Instant>>,
+    pool: &Rc<Pool>, content: &Outgoing, to: &(SocketAddr, Fence), give_up: Micros,
+    written: &Cell<Option<Instant>>,
 ) -> Result<Reply, Outcome> {
+    let (to, fence) = (to.0, &to.1);
     // What a hop before this one has passed on is gone.
     if content.upload.as_ref().is_some_and(|upload| upload.parts.borrow().is_none()) {
         return Err(Outcome::NotSent);
@@ -214,6 +217,9 @@
         Some(link) => link,
         None => pool.connect(to).await?,
     };
+    if fence.shut() {
+        return Err(Outcome::NotSent);
+    }
     let mut inbox = Assembler::new(Side::Answers);
     let sent = write(&link.stream, &content.bytes(give_up)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -11,7 +11,9 @@
 pub mod watch;
 
 use crate::decider::{End, Protocol};
-use crate::generations::Numbers;
+use crate::generations::{ClassId, Numbers};
+use crate::lease::Lease;
+use crate::timers::Clock;
 use oakhollow::types::Micros;
 use oakhollow_terms::Named;
 use std::future::Future;
@@ -23,6 +25,20 @@
     pub pool: Rc<pool::Pool>,
     /// Whether servers tell their load with answers.
     pub tells_load: bool,
+    pub fence: Fence,
+}
+
+/// Looked at before a hop's first byte: guards against a hop of a process that was stopped for longer than its lease.
+#[derive(Clone)]
+pub struct Fence {
+    pub lease: Lease,
+    pub clock: Clock,
+}
+
+impl Fence {
+    pub fn shut(&self) -> bool {
+        self.lease.refuses(|| self.clock.now())
+    }
 }
 
 /// What requests call things by.
@@ -30,6 +46,7 @@
     pub workloads: Vec<Named>,
     /// Their numbers, in the same order.
     pub numbers: Vec<Numbers>,
+    pub classes: Vec<ClassId>,
     pub customers: Vec<String>,
     /// Whether a request's key is of use.
     pub warm_keys: bool,
@@ -43,7 +60,7 @@
     fn hop(
         &self, content: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros,
     ) -> impl Future<Output = End<hop::Reply>> + 'static {
-        hop::hop(self.pool.clone(), content, to, give_up, self.tells_load)
+        hop::hop(self.pool.clone(), content, (to, self.fence.clone()), give_up, self.tells_load)
     }
 
     fn retire(&self, at: SocketAddr) {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -2,6 +2,7 @@
 //! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`decider`])
 //! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`phases`]; calls are
 //! carried by [`workers`], each a thread of its own.
+pub mod accord;
 pub mod board;
 pub mod bounds;
 pub mod console;
@@ -9,6 +10,7 @@
 pub mod folder;
 pub mod generations;
 pub mod http1;
+pub mod lease;
 pub mod logging;
 pub mod oneshot;
 pub mod peers;
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,9 +1,11 @@
 //! The program's life from start to exit, as named phases of one object.
+use crate::accord::{self, Accord};
 use crate::board::{lock, Board, Shared};
 use crate::bounds::Bound;
 use crate::console::{self, Console};
 use crate::folder::Keeper;
 use crate::http1::watch::Watch;
+use crate::lease::Lease;
 use crate::peers::{self, Linking, Peers, Predecessor};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
@@ -125,6 +127,8 @@
     shape: Shape,
     board: Shared,
     peers: Peers,
+    /// How instances agree on settings, where they do.
+    accord: Option<Accord>,
     /// Another process serves meanwhile.
     takes_over: bool,
     /// Another process serves from now on.
@@ -173,7 +177,7 @@
             start.known = list;
         }
         let program = Program::build(start, operator, log, tasks, (listeners, passed), (keeper, before));
-        program.map_err(|fault| format!("cannot start: {fault}"))?.live(reread, words).await
+        program?.live(reread, words).await
     }))
 }
 
@@ -253,11 +257,14 @@
     fn build(
         start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: (Vec<TcpListener>, bool),
         kept: (Option<Arc<Keeper>>, Option<Predecessor>),
-    ) -> Result<Program> {
+    ) -> std::result::Result<Program, String> {
+        let failed = |fault: Error| format!("cannot start: {fault}");
         let ((listeners, passed), (keeper, before)) = (listeners, kept);
+        let lease = operator.accord.as_ref().map_or_else(Lease::off, |operated| Lease::none(operated.unsure));
+        let agrees = operator.accord.clone().map(|operated| (operated, start.clone()));
         let Start { place, limits, known, .. } = start;
         let workers = operator.workers;
-        info!(log, "listening on {}", listeners[0].local_addr()?; "tier" => &place.tier, "workers" => workers);
+        info!(log, "listening on {}", listeners[0].local_addr().map_err(failed)?; "tier" => &place.tier, "workers" => workers);
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
         let by_memory = (limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
         let consoles = start.console.map_or(0, |_| console::SOCKETS);
@@ -287,6 +294,7 @@
             links: bounds[1].clone(),
             clock,
             log: log.clone(),
+            lease: lease.clone(),
             ask,
             ids: Arc::default(),
             passed,
@@ -297,12 +305,24 @@
             // Each worker takes one; none has been there before.
             let listener = listeners.lock().ok().and_then(|mut listeners| listeners.pop());
             carry(kit.clone(), hand, listener.ok_or(ErrorKind::AddrNotAvailable)?)
-        })?;
+        })
+        .map_err(failed)?;
         let most_line = (limits.memory_mb * 1024.0 * 1024.0 * LINE_PART) as usize;
         let orders = crew.orders();
+        let mut agreed = None;
+        if let Some((operated, start)) = agrees {
+            lock(&board).sure = false;
+            let (orders, board, log) = (orders.clone(), board.clone(), log.clone());
+            let parts = accord::Parts { operated, lease, orders, board, clock, log };
+            let (accord, agreeing) = accord::begin(&start, parts)?;
+            tasks.run(agreeing);
+            agreed = Some(accord);
+        }
         if let Some(at) = start.console {
             let (board, orders, peers) = (board.clone(), orders.clone(), peers.clone());
-            Console { board, orders, clock, log: log.clone(), keeper: keeper.clone(), peers }.listen(at)?;
+            let (keeper, accord) = (keeper.clone(), agreed.clone());
+            let console = Console { board, orders, clock, log: log.clone(), keeper, peers, accord };
+            console.listen(at).map_err(failed)?;
         }
         if let Some(keeper) = keeper.filter(|_| passed) {
             let (peers, board, orders) = (peers.clone(), board.clone(), orders.clone());
@@ -325,6 +345,7 @@
             lost: None,
             board,
             peers,
+            accord: agreed,
             takes_over,
             parts: false,
             log,
@@ -410,10 +431,20 @@
             Effect::Shut => self.orders.have_done(Order::Shut).await,
             Effect::Reread => match reread(&self.shape) {
                 Ok(start) => {
+                    if let Some(accord) = &self.accord {
+                        if let Err(fault) = accord.written(start.clone()).await {
+                            warn!(self.log, "file not taken, all stays as it was: {}", fault);
+                            return;
+                        }
+                    }
                     let longest = longest(&start.place);
                     (self.longest, self.grace) = (duration(longest), grace(longest));
                     self.shape = start.shape;
-                    self.orders.tell(Order::Retuned(Arc::new(start.place))).await;
+                    // Where instances agree, the settings hold once that is settled.
+                    if self.accord.is_none() {
+                        let place = Arc::new(start.place);
+                        self.orders.have_done(|done| Order::Retuned(place, done)).await;
+                    }
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
                     let _ = self.moves.send(start.discovery).await;
                 }
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -16,6 +16,8 @@
     given: u32,
     /// Out by hand, or back, over whatever the list says.
     marks: Marks,
+    /// Nothing may be sent on: to the module every server drains.
+    held_back: bool,
 }
 
 struct Known {
@@ -52,6 +54,16 @@
         Told { retired, ..self.all() }
     }
 
+    /// Holds everything back, or no more: all that is known, as it stands by that.
+    pub fn hold_back(&mut self, held_back: bool) -> Told {
+        self.held_back = held_back;
+        let known: Vec<Entry> = self.known.values().map(|known| known.entry.clone()).collect();
+        for entry in known {
+            self.enter(&entry, &mut Vec::new(), &mut Vec::new());
+        }
+        self.all()
+    }
+
     /// All that is known, as it stands.
     pub fn all(&self) -> Told {
         let entries = self.known.values().map(|known| known.listing.clone()).collect();
@@ -61,7 +73,7 @@
     /// What the list says of a server, as it stands by the marks.
     fn listing(&self, entry: &Entry, server: ServerId) -> Listing {
         let mut listing = entry.listing(server, &self.zones);
-        if listing.standing == Standing::Ready && self.marks.out.contains(&entry.name) {
+        if listing.standing == Standing::Ready && (self.held_back || self.marks.out.contains(&entry.name)) {
             listing.standing = Standing::Draining;
         }
         // Whoever puts a server back has started it anew.
@@ -160,6 +172,11 @@
         self.known.get(&server).map(|known| known.entry.address)
     }
 
+    /// Whether it is cold still, by how long servers take to warm up.
+    pub fn cold(&self, server: ServerId, now: Micros, warm_within: Micros) -> bool {
+        self.known.get(&server).is_some_and(|known| known.listing.started + warm_within > now)
+    }
+
     pub fn name(&self, server: ServerId) -> &str {
         self.known.get(&server).map_or("a server that has left", |known| &known.entry.name)
     }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -4,15 +4,17 @@
 use crate::board::Mark;
 use crate::bounds::{Bound, Gauge, Share};
 use crate::decider::Parts;
-use crate::generations::{Generations, Numbers};
+use crate::generations::{ClassId, Classes, Generations, Left, Numbers};
 use crate::http1::door::{Door, Ids};
 use crate::http1::pool::Pool;
-use crate::http1::{Decider, Desk, Http1, Names, Note};
+use crate::http1::{Decider, Desk, Fence, Http1, Names, Note};
+use crate::lease::Lease;
 use crate::reactor::{self, Async};
 use crate::tasks::Tasks;
 use crate::timers::Clock;
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
+use fnv::FnvHashMap;
 use futures_lite::future;
 use oakhollow::types::{ListKind, Micros, Terms};
 use oakhollow_terms::{List, Marks, Place, Taught};
@@ -38,8 +40,10 @@
     Open(Sender<()>),
     /// What the modules have learnt is asked for.
     Asked(Sender<Taught>),
-    /// Settings that hold from now on.
-    Retuned(Arc<Place>),
+    /// Settings that hold from now on. Its sender is dropped when they do.
+    Retuned(Arc<Place>, Sender<()>),
+    /// The lease has begun or run out.
+    Look,
     /// What is shared out with another process of this sidecar.
     Shared(Shared),
     /// Take nobody in any more, and end each connection with its next answer, due by then.
@@ -188,6 +192,7 @@
     pub links: Bound,
     pub clock: Clock,
     pub log: Logger,
+    pub lease: Lease,
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     pub ids: Arc<Ids>,
@@ -255,11 +260,19 @@
     }
 }
 
+/// What is offered from now on by name, and what is left to calls of all else.
+fn classes_of(classes: &mut Classes, place: &Place) -> (Vec<ClassId>, FnvHashMap<ClassId, Left>) {
+    let kinds = place.terms.workloads.iter().map(|workload| workload.kind);
+    let named: Vec<_> = place.workloads.iter().map(|named| named.name.clone()).zip(kinds).collect();
+    classes.take(&named)
+}
+
 /// What requests call things by.
-fn names_of(place: &mut Place, numbers: Vec<Numbers>) -> Names {
+fn names_of(place: &mut Place, numbers: Vec<Numbers>, classes: Vec<ClassId>) -> Names {
     Names {
         workloads: std::mem::take(&mut place.workloads),
         numbers,
+        classes,
         customers: std::mem::take(&mut place.customers),
         warm_keys: place.terms.warm_keys,
         most_hops: place.terms.most_hops as usize,
@@ -269,7 +282,8 @@
 async fn obey(kit: Kit, hand: Hand, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
     let Hand { number, orders, gauges } = hand;
     let mut place = placed(kit.place, number, kit.workers);
-    let mut generations = Generations::default();
+    let (mut generations, mut classes) = (Generations::default(), Classes::default());
+    let (named, mut left) = classes_of(&mut classes, &place);
     let numbers;
     (place.terms, numbers) = generations.take(place.terms);
     let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
@@ -279,11 +293,16 @@
     // One watch feeds all: the first asks for all of them, and they hear the same.
     let ask = if number == 0 { kit.ask } else { bounded(1).0 };
     let parts = Parts {
-        protocol: Rc::new(Http1 { pool: pool.clone(), tells_load: place.terms.tells_load }),
+        protocol: Rc::new(Http1 {
+            pool: pool.clone(),
+            tells_load: place.terms.tells_load,
+            fence: Fence { lease: kit.lease.clone(), clock: kit.clock },
+        }),
         desk: desk.clone(),
         tasks: tasks.clone(),
         log: log.clone(),
         ask,
+        lease: kit.lease,
         taught: kit.taught,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
@@ -294,7 +313,7 @@
     }
     let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
     tasks.run(decider.run(notes));
-    let names = names_of(&mut place, numbers);
+    let names = names_of(&mut place, numbers, named);
     let mut with = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
     let callers = (Share::of(kit.callers), gauges.connections);
     let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
@@ -311,20 +330,24 @@
                 drop(done);
             }
             Order::Asked(to) => desk.tell(Note::Asked(to)).await,
-            Order::Retuned(place) => {
+            Order::Look => desk.tell(Note::Look).await,
+            Order::Retuned(place, done) => {
                 let mut place = placed(Place::clone(&place), number, kit.workers);
-                let numbers;
+                let (numbers, named);
+                (named, left) = classes_of(&mut classes, &place);
                 (place.terms, numbers) = generations.take(place.terms);
                 pool.retune(place.connect_within, place.idle_close);
-                let names = names_of(&mut place, numbers);
+                let names = names_of(&mut place, numbers, named);
                 terms = place.terms;
                 // The module first: a call that comes by the new names must find its number there.
-                desk.tell(Note::Retuned(Box::new(shared(terms.clone(), with)))).await;
+                let terms = Box::new(shared(terms.clone(), with));
+                desk.tell(Note::Retuned(terms, left.clone(), Some(done))).await;
                 door.rename(names);
             }
             Order::Shared(now) => {
                 with = now;
-                desk.tell(Note::Retuned(Box::new(shared(terms.clone(), with)))).await;
+                let terms = Box::new(shared(terms.clone(), with));
+                desk.tell(Note::Retuned(terms, left.clone(), None)).await;
                 door.give_way();
             }
             Order::Part(by) => {
@@ -335,7 +358,7 @@
                 if with != Shared::Alone && terms.beyond_first.is_some() {
                     let mut last = shared(terms.clone(), with);
                     none_beyond(&mut last);
-                    desk.tell(Note::Retuned(Box::new(last))).await;
+                    desk.tell(Note::Retuned(Box::new(last), left.clone(), None)).await;
                 }
                 door.part();
                 door.answer_by(by);
--- a/src/types.rs
+++ b/src/types.rs
@@ -4,7 +4,7 @@
 use std::ops::{Add, Sub};
 
 /// A point in time or a length of time, in whole microseconds.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Debug)]
 pub struct Micros(pub u64);
 
 impl Micros {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -1,22 +1,27 @@
 //! The one place where what a sidecar is told at its start is read, checked and given defaults: the settings
 //! object ([`Place`]), the file of a sidecar on sockets ([`Start`]) and the list of servers ([`List`]). Whoever
 //! finds a fault is told the key, as in `settings.workloads[1].payoff: must not be negative`.
+mod agreed;
 mod list;
 mod marks;
 mod operator;
 mod place;
 mod shape;
 mod start;
+mod stricter;
 
+pub use agreed::{Common, Greeting, Own};
 pub use list::{Entry, List, Version};
 pub use marks::{Line, Marks, Rest, Taught, Told};
-pub use operator::Operator;
+pub use operator::{Accord, Operator, Unsure};
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use shape::Shape;
-pub use start::{Limits, Start};
+pub use start::{Limits, Numbered, Start};
+pub use stricter::stricter;
 
 use fnv::FnvHasher;
 use serde::de::DeserializeOwned;
+use serde::Serialize;
 use std::hash::Hasher;
 
 /// Reads JSON; a fault names the key it lies at.
@@ -36,6 +41,11 @@
     Ok(read)
 }
 
+/// As one line of JSON.
+pub fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
 /// A number without meaning that every process has for this server's name alike.
 ///
 /// ```
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -1,5 +1,5 @@
 //! Which servers are out by hand, and what of a sidecar outlives its process: a file, or a line to its successor.
-use crate::{read, List};
+use crate::{read, to_json, List};
 use oakhollow::learnt::Judged;
 use oakhollow::types::Micros;
 use oakhollow::Tally;
@@ -93,7 +93,7 @@
 
 impl Line {
     pub fn to_json(&self) -> String {
-        serde_json::to_string(self).unwrap_or_default()
+        to_json(self)
     }
 }
 
@@ -124,7 +124,7 @@
         let servers = rest.taught.iter().map(ServerFigures::of).collect();
         let written =
             Written { version: VERSION, listen, out: self.out.clone(), back, list: rest.list, servers };
-        serde_json::to_string(&written).unwrap_or_default()
+        to_json(&written)
     }
 
     /// ```
--- a/terms/src/operator.rs
+++ b/terms/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operator's own file: what is turned on beyond what the platform lays down. All of it may be left out.
 use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 
 /// What the operator has set.
@@ -9,7 +11,7 @@
 /// assert_eq!(Operator::from_toml("", 8).unwrap().workers, 1);
 /// let fault = |text: &str| Operator::from_toml(text, 8).unwrap_err();
 /// assert_eq!(fault("workers = 0"), "line 1: workers: must be a whole number from 1 to 32 (four for each of 8 cores), not 0");
-/// assert_eq!(fault("\nworker = 2"), "line 2: unknown field `worker`, expected `workers`");
+/// assert_eq!(fault("\nworker = 2"), "line 2: unknown field `worker`, expected `workers` or `accord`");
 /// assert!(fault("workers = \"many\"").starts_with("line 1: workers: invalid type: string \"many\""));
 /// ```
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -17,11 +19,77 @@
 pub struct Operator {
     /// Threads that carry calls, each with a listener and an instance of the decisions of its own.
     pub workers: usize,
+    /// How instances agree on settings; each acts on its own file alone without it.
+    pub accord: Option<Accord>,
 }
 
 impl Default for Operator {
     fn default() -> Operator {
-        Operator { workers: 1 }
+        Operator { workers: 1, accord: None }
+    }
+}
+
+/// The instances that agree, and how.
+///
+/// ```
+/// use oakhollow_terms::Operator;
+/// let fault = |keepers: &str, within: &str| {
+///     let text = format!("[accord]\nwithin = {within}\nkeepers = [{keepers}]\ninstances = {{ a = \"127.0.0.1:1\", b = \"127.0.0.1:2\", c = \"127.0.0.1:3\" }}");
+///     Operator::from_toml(&text, 8).map(|_| ()).unwrap_err()
+/// };
+/// assert_eq!(fault(r#""a", "b""#, "2.0"), "line 3: accord.keepers: must be 1, 3 or 5 of the instances, not 2");
+/// assert_eq!(fault(r#""a", "b", "a""#, "2.0"), "line 3: accord.keepers: \"a\" stands twice");
+/// assert_eq!(fault(r#""a", "b", "d""#, "2.0"), "line 3: accord.keepers: \"d\" is none of the instances");
+/// assert_eq!(fault(r#""a", "b", "c""#, "0.01"), "line 2: accord.within: must be from 0.2 to 60 seconds, not 0.01");
+/// ```
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accord {
+    /// By the `name` in a sidecar's file: where its keeper listens, as seen from this instance.
+    pub instances: BTreeMap<String, SocketAddr>,
+    /// Those of them that grant leases.
+    pub keepers: Vec<String>,
+    /// How long a lease lives, in seconds.
+    pub within: f64,
+    #[serde(default)]
+    pub unsure: Unsure,
+}
+
+/// What an instance does without a majority's leases.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Unsure {
+    /// Calls are dismissed at once.
+    #[default]
+    Refuse,
+    /// First hops alone, none to a cold server.
+    Strictest,
+    /// It acts on what it knew last, and may contradict others.
+    Hold,
+}
+
+impl Accord {
+    /// Leases shorter than this would run out by an ordinary pause of a busy machine.
+    const LEAST_S: f64 = 0.2;
+    const MOST_S: f64 = 60.0;
+
+    /// The key that is at fault, and why.
+    fn fault(&self) -> Option<(&'static str, String)> {
+        let Accord { instances, keepers, within, .. } = self;
+        let twice = keepers.iter().enumerate().find(|(at, keeper)| keepers[..*at].contains(keeper));
+        let foreign = keepers.iter().find(|keeper| !instances.contains_key(*keeper));
+        match () {
+            _ if !(Self::LEAST_S..=Self::MOST_S).contains(within) => {
+                let why = format!("must be from {} to {} seconds, not {within}", Self::LEAST_S, Self::MOST_S);
+                Some(("within", why))
+            }
+            _ if twice.is_some() => Some(("keepers", format!("{:?} stands twice", twice?.1))),
+            _ if foreign.is_some() => Some(("keepers", format!("{:?} is none of the instances", foreign?))),
+            _ if ![1, 3, 5].contains(&keepers.len()) => {
+                Some(("keepers", format!("must be 1, 3 or 5 of the instances, not {}", keepers.len())))
+            }
+            _ => None,
+        }
     }
 }
 
@@ -53,10 +121,16 @@
             let key = if inner.message().starts_with("unknown field") { String::new() } else { key };
             tell(inner.span().map(|span| span.start), &key, inner.message())
         })?;
+        let place = |key: &str| {
+            let at = text.lines().position(|line| line.trim_start().starts_with(key));
+            at.map(|at| text.lines().take(at).map(|line| line.len() + 1).sum())
+        };
+        if let Some((key, why)) = read.accord.as_ref().and_then(Accord::fault) {
+            return Err(tell(place(key), &format!("accord.{key}"), &why));
+        }
         let most = Self::MOST_A_CORE * cores.max(1);
         if !(1..=most).contains(&read.workers) {
-            let at = text.lines().position(|line| line.trim_start().starts_with("workers"));
-            let at = at.map(|at| text.lines().take(at).map(|line| line.len() + 1).sum());
+            let at = place("workers");
             let why = format!(
                 "must be a whole number from 1 to {most} (four for each of {cores} cores), not {}",
                 read.workers
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -29,11 +29,26 @@
     pub known: List,
     #[serde(rename = "settings")]
     pub place: Place,
+    /// What the writer of the settings calls them, where instances agree on them.
+    #[serde(default)]
+    pub version: Option<Numbered>,
+    /// The settings as they stood there, as text.
+    #[serde(skip)]
+    pub settings: String,
     /// Which keys it was read from.
     #[serde(skip)]
     pub shape: Shape,
 }
 
+/// The writer's number of a state of the settings; one who numbers anew begins a higher epoch.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Numbered {
+    #[serde(default)]
+    pub epoch: u64,
+    pub number: u64,
+}
+
 /// What the machine allows.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
@@ -70,15 +85,9 @@
         let json = std::fs::read(path).map_err(|fault| named(fault.to_string()))?;
         let mut start: Start = read(&json).map_err(named)?;
         start.shape = Shape::of(&json);
-        // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
-        let terms = &mut start.place.terms;
-        terms.must_ask = true;
-        if terms.ask_within.0 == 0 {
-            terms.ask_within = Self::ASK_WITHIN;
-        }
-        if let Some(mixed) = &start.place.mixed {
-            return Err(named(format!("settings.{mixed}")));
-        }
+        start.place = Self::on_sockets(start.place).map_err(|fault| named(format!("settings.{fault}")))?;
+        let whole: serde_json::Value = read(&json).map_err(named)?;
+        start.settings = whole["settings"].to_string();
         match () {
             _ if start.limits.sockets < Self::FEWEST_SOCKETS => {
                 Err(named(format!("limits.sockets: must be {} or more", Self::FEWEST_SOCKETS)))
@@ -86,10 +95,24 @@
             _ if start.limits.memory_mb < Self::LEAST_MEMORY_MB => {
                 Err(named(format!("limits.memory_mb: must be {} or more", Self::LEAST_MEMORY_MB)))
             }
-            _ => match start.place.workloads.iter().position(|workload| workload.name.is_empty()) {
-                Some(at) => Err(named(format!("settings.workloads[{at}].name: missing"))),
-                None => Ok(start),
-            },
+            _ => Ok(start),
+        }
+    }
+
+    /// The settings as a program on sockets takes them.
+    pub(crate) fn on_sockets(mut place: Place) -> Result<Place, String> {
+        // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
+        let terms = &mut place.terms;
+        terms.must_ask = true;
+        if terms.ask_within.0 == 0 {
+            terms.ask_within = Self::ASK_WITHIN;
+        }
+        if let Some(mixed) = &place.mixed {
+            return Err(mixed.clone());
+        }
+        match place.workloads.iter().position(|workload| workload.name.is_empty()) {
+            Some(at) => Err(format!("workloads[{at}].name: missing")),
+            None => Ok(place),
         }
     }
 }
