A file that was refused once is refused with a line each time it is read

Seen in reading accord.rs again: a version that the member had refused was said once, and at the next SIGHUP the file counted as taken (phases.rs: discovery moved, "file read again"), since no line of the member's came with the no. Off without [accord].

--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -211,10 +211,12 @@
                         actions.push(Action::Act);
                     } else {
                         *lock() = before;
+                        // Said once by the member; whoever reads the file again is told all the same.
                         let why = actions.iter().position(|action| matches!(action, Action::Log(_)));
-                        if let Some(Action::Log(why)) = why.map(|at| actions.remove(at)) {
-                            let _ = refused.try_send(why);
-                        }
+                        let _ = refused.try_send(match why.map(|at| actions.remove(at)) {
+                            Some(Action::Log(why)) => why,
+                            _ => "version: refused before, see the log".into(),
+                        });
                     }
                 }
             }
