--- /dev/null
+++ b/accord/src/facts.rs
@@ -0,0 +1,171 @@
+//! What lists and operators say of servers, as it spreads among instances. Each instance says what it was told itself; a
+//! keeper knows of each subject the most that any who lives says, and tells that to all. Two contents are told apart, and
+//! what lies between them found, by a hash of all they hold.
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+/// Of whom something is said.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Subject {
+    Server(Arc<str>),
+    /// A server's mark by hand.
+    Mark(Arc<str>),
+}
+
+impl Subject {
+    pub fn name(&self) -> &Arc<str> {
+        let (Subject::Server(name) | Subject::Mark(name)) = self;
+        name
+    }
+}
+
+/// What is said of it. Of two facts the greater one holds: a later life over an earlier, and within one life what
+/// forbids over what allows.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct Fact {
+    /// When the server last started, or when the mark was set.
+    pub since: u64,
+    /// Nothing new is to be sent there.
+    pub out: bool,
+    /// Whoever says it was told so by its own list, not by others.
+    pub first_hand: bool,
+    /// How the list words it, where that is passed on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<Arc<str>>,
+}
+
+impl Fact {
+    /// Whether it forbids what was allowed by what is known.
+    fn forbids_beyond(&self, known: Option<&Fact>) -> bool {
+        self.out && known.is_none_or(|known| !known.out || known.since < self.since)
+    }
+}
+
+pub type Facts = BTreeMap<Subject, Fact>;
+/// What is said of a subject from now on; nothing more where none.
+pub type Change = (Subject, Option<Fact>);
+
+/// Subjects of which something may be said at a time: guards against a list without end.
+pub const MOST_FACTS: usize = 8_192;
+/// Changes that are remembered; whoever lacks more is told all there is.
+const MOST_PAST: usize = 4_096;
+
+fn hash_of(subject: &Subject, fact: &Fact) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    (subject, fact).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A hash that does not depend on the order; zero of nothing.
+pub fn hash_all(facts: &Facts) -> u64 {
+    facts.iter().fold(0, |hash, (subject, fact)| hash ^ hash_of(subject, fact))
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+struct Past {
+    /// Of what was known before it.
+    hash: u64,
+    subject: Subject,
+    at: Micros,
+    forbids: bool,
+}
+
+/// Facts with what they were before.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Ledger {
+    facts: Facts,
+    hash: u64,
+    past: VecDeque<Past>,
+}
+
+impl Ledger {
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// False if nothing changes by it.
+    pub fn set(&mut self, now: Micros, subject: &Subject, fact: Option<Fact>) -> bool {
+        let known = self.facts.get(subject);
+        if known == fact.as_ref() {
+            return false;
+        }
+        let forbids = fact.as_ref().is_some_and(|fact| fact.forbids_beyond(known));
+        let known = known.map_or(0, |known| hash_of(subject, known));
+        self.past.push_back(Past { hash: self.hash, subject: subject.clone(), at: now, forbids });
+        if self.past.len() > MOST_PAST {
+            self.past.pop_front();
+        }
+        self.hash ^= known ^ fact.as_ref().map_or(0, |fact| hash_of(subject, fact));
+        match fact {
+            Some(fact) => _ = self.facts.insert(subject.clone(), fact),
+            None => _ = self.facts.remove(subject),
+        }
+        true
+    }
+
+    /// What has changed since the content had that hash, if that is remembered.
+    fn after(&self, hash: u64) -> Option<impl Iterator<Item = &Past>> {
+        let place = match hash {
+            _ if hash == self.hash => self.past.len(),
+            _ => self.past.iter().rposition(|past| past.hash == hash)?,
+        };
+        Some(self.past.range(place..))
+    }
+
+    /// From which hash on, and what whoever has that content lacks; from nothing on where that is not remembered.
+    pub fn since(&self, hash: u64) -> (u64, Vec<Change>) {
+        let Some(after) = self.after(hash) else {
+            let all = self.facts.iter().map(|(subject, fact)| (subject.clone(), Some(fact.clone())));
+            return (0, all.collect());
+        };
+        let mut subjects: Vec<&Subject> = after.map(|past| &past.subject).collect();
+        subjects.sort_unstable();
+        subjects.dedup();
+        let changes = subjects.iter().map(|subject| ((*subject).clone(), self.facts.get(*subject).cloned()));
+        (hash, changes.collect())
+    }
+
+    /// For how long whoever has the content of that hash lacks something that forbids; none if that can't be told.
+    pub fn behind(&self, hash: u64, now: Micros) -> Option<Micros> {
+        match self.after(hash) {
+            Some(mut after) => Some(after.find(|past| past.forbids).map_or(Micros(0), |past| now - past.at)),
+            None if self.facts.values().any(|fact| fact.out) => None,
+            None => Some(Micros(0)),
+        }
+    }
+
+    /// Takes what another's ledger has become; false if that does not follow from what is known here.
+    pub fn follow(&mut self, now: Micros, from: u64, to: u64, changes: Vec<Change>) -> bool {
+        if from != 0 && from != self.hash {
+            return false;
+        }
+        if from == 0 {
+            *self = Ledger::default();
+        }
+        for (subject, fact) in changes {
+            self.set(now, &subject, fact);
+        }
+        if self.hash != to {
+            *self = Ledger::default();
+        }
+        self.hash == to
+    }
+}
+
+/// Of each subject the most that is said by any.
+pub fn most<'a>(all: impl Iterator<Item = &'a Facts>) -> BTreeMap<&'a Subject, &'a Fact> {
+    let mut most: BTreeMap<&Subject, &Fact> = BTreeMap::new();
+    for (subject, fact) in all.flatten() {
+        let known = most.entry(subject).or_insert(fact);
+        *known = (*known).max(fact);
+    }
+    most
+}
--- a/accord/src/keeper.rs
+++ b/accord/src/keeper.rs
@@ -1,11 +1,11 @@
 //! One that grants leases, and lets a version hold once no lease stands in its way. It forgets all at a new start.
+use crate::facts::{hash_all, most, Change, Fact, Facts, Ledger, Subject, MOST_FACTS};
 use crate::{Holder, Micros, Version, Word, MOST_WAITING, UNEVEN};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Eq, Debug)]
 struct Lease {
-    turn: u64,
     until: Micros,
     knows: BTreeSet<Version>,
     refuses: BTreeSet<Version>,
@@ -18,6 +18,26 @@
     }
 }
 
+/// What one who asks says of servers, by the hash of it, and has heard of them from here.
+#[derive(Clone, PartialEq, Eq, Debug)]
+struct Says {
+    turn: u64,
+    hash: u64,
+    /// What it has told since, and will ask with.
+    offered: u64,
+    heard: u64,
+    until: Micros,
+}
+
+/// What one asks with.
+struct Asked {
+    turn: u64,
+    knows: BTreeSet<Version>,
+    refuses: BTreeSet<Version>,
+    says: u64,
+    heard: u64,
+}
+
 /// For whom a version that does not hold yet waits.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Waiting {
@@ -36,6 +56,13 @@
     documents: BTreeMap<Version, Arc<str>>,
     cleared: Option<Version>,
     leases: BTreeMap<Holder, Lease>,
+    says: BTreeMap<Holder, Says>,
+    /// What is said, by its hash: most say the same.
+    said: BTreeMap<u64, Facts>,
+    /// The most that any says of each server.
+    ledger: Ledger,
+    /// Numbers what is told of servers, over all lives of this keeper.
+    told: u64,
 }
 
 impl Keeper {
@@ -43,14 +70,28 @@
     pub fn new(now: Micros, within: Micros) -> Keeper {
         let span = within.times(1.0 + UNEVEN);
         // Guards against clearing what a lease that this keeper granted before it was started again stands against.
-        Keeper { awake: now + span, span, documents: BTreeMap::new(), cleared: None, leases: BTreeMap::new() }
+        Keeper {
+            awake: now + span,
+            span,
+            documents: BTreeMap::new(),
+            cleared: None,
+            leases: BTreeMap::new(),
+            says: BTreeMap::new(),
+            said: BTreeMap::new(),
+            ledger: Ledger::default(),
+            told: 0,
+        }
     }
 
     pub fn on(&mut self, now: Micros, from: Holder, word: Word, out: &mut Vec<(Holder, Word)>) {
         match word {
-            Word::Ask { turn, knows, refuses } => {
-                self.ask(now, from, (turn, knows.into_iter().collect(), refuses.into_iter().collect()), out)
+            Word::Ask { turn, knows, refuses, says, heard, after } => {
+                // Guards against a keeper that starts again with its clock behind: none would hear it.
+                self.told = self.told.max(after);
+                let (knows, refuses) = (knows.into_iter().collect(), refuses.into_iter().collect());
+                self.ask(now, from, Asked { turn, knows, refuses, says, heard }, out)
             }
+            Word::Says { from: base, to, changes, .. } => self.take(from, (base, to), changes),
             Word::Documents(documents) => {
                 let before = self.documents.len();
                 for (version, text) in documents {
@@ -63,7 +104,7 @@
                 }
             }
             // Only a member is told these.
-            Word::Grant { .. } | Word::Want(_) | Word::News => {}
+            Word::Grant { .. } | Word::Want(_) | Word::News | Word::Lacks { .. } => {}
         }
         self.clear(now, out);
     }
@@ -108,13 +149,10 @@
         later && !self.documents.contains_key(&version)
     }
 
-    fn ask(
-        &mut self, now: Micros, from: Holder, asked: (u64, BTreeSet<Version>, BTreeSet<Version>),
-        out: &mut Vec<(Holder, Word)>,
-    ) {
-        let (turn, knows, refuses) = asked;
+    fn ask(&mut self, now: Micros, from: Holder, asked: Asked, out: &mut Vec<(Holder, Word)>) {
+        let Asked { turn, knows, refuses, says, heard } = asked;
         // Guards against an ask that comes late, or twice, by which its sender would know less or more than it does.
-        if self.leases.get(&from).is_some_and(|lease| lease.turn >= turn) {
+        if self.says.get(&from).is_some_and(|says| says.turn >= turn) {
             return;
         }
         // Guards against asking again and again for what there is no room for.
@@ -132,27 +170,116 @@
         let cleared = self.cleared.filter(|cleared| knows.contains(cleared));
         // Guards against renewing for ever what a later version waits for: whoever lacks it learns it first.
         let granted = cleared.filter(|_| lacking.is_empty() && now >= self.awake);
+        // Guards against a lease for one who has heard what is not known here: others' leases must wait for that.
+        let said = self.hears(now, (from, turn), (says, heard), out);
+        let behind = self.ledger.behind(heard, now).filter(|behind| *behind < self.span && said);
+        let granted = granted.zip(behind);
         if !lacking.is_empty() {
             out.push((from, Word::Documents(lacking)));
         }
         let until = granted.map(|_| now + self.span);
         match self.leases.get_mut(&from) {
             Some(lease) => {
-                (lease.turn, lease.knows, lease.refuses) = (turn, knows, refuses);
+                (lease.knows, lease.refuses) = (knows, refuses);
                 lease.until = until.unwrap_or(lease.until);
             }
             None => {
                 if let Some(until) = until {
-                    self.leases.insert(from, Lease { turn, until, knows, refuses });
+                    self.leases.insert(from, Lease { until, knows, refuses });
                 }
             }
         }
-        out.extend(granted.map(|cleared| (from, Word::Grant { turn, cleared })));
+        let grant = |(cleared, behind): (Version, Micros)| Word::Grant { turn, cleared, behind: behind.0 };
+        out.extend(granted.map(|granted| (from, grant(granted))));
+    }
+
+    /// Takes which content one who asks says, and tells it what it lacks; false if that content is not known here.
+    fn hears(
+        &mut self, now: Micros, (from, turn): (Holder, u64), (hash, heard): (u64, u64),
+        out: &mut Vec<(Holder, Word)>,
+    ) -> bool {
+        let until = now + self.span;
+        let known = hash == 0 || self.said.contains_key(&hash);
+        let (before, offered) = self.says.get(&from).map_or((0, 0), |says| (says.hash, says.offered));
+        let hash = if known { hash } else { before };
+        self.says.insert(from, Says { turn, hash, offered, heard, until });
+        if !known {
+            out.push((from, Word::Lacks { have: before }));
+        }
+        if hash != before {
+            self.weigh(now, out);
+        }
+        if heard != self.ledger.hash() {
+            self.tell_facts(now, from, out);
+        }
+        known
+    }
+
+    /// Takes what one says of servers, as it follows from what it said before.
+    fn take(&mut self, from: Holder, (base, to): (u64, u64), changes: Vec<Change>) {
+        let base = if base == 0 { Some(Facts::new()) } else { self.said.get(&base).cloned() };
+        let (Some(mut facts), Some(says)) = (base, self.says.get_mut(&from)) else { return };
+        for (subject, fact) in changes {
+            match fact {
+                Some(fact) => _ = facts.insert(subject, fact),
+                None => _ = facts.remove(&subject),
+            }
+        }
+        // Whoever says something else than it means to is asked again.
+        // What is told late must not undo what was asked with since: it counts once it is asked with.
+        if facts.len() <= MOST_FACTS && hash_all(&facts) == to {
+            says.offered = to;
+            self.said.insert(to, facts);
+        }
+    }
+
+    /// Weighs anew what all say, and tells what has changed by it to all who ask here.
+    fn weigh(&mut self, now: Micros, out: &mut Vec<(Holder, Word)>) {
+        let Keeper { says, said, ledger, .. } = self;
+        let in_use: BTreeSet<u64> = says.values().map(|says| says.hash).collect();
+        let offered: BTreeSet<u64> = says.values().map(|says| says.offered).collect();
+        said.retain(|hash, _| in_use.contains(hash) || offered.contains(hash));
+        let most = most(in_use.iter().filter_map(|hash| said.get(hash)));
+        let over = ledger.facts().keys().filter(|subject| !most.contains_key(subject));
+        let mut changes: Vec<(Subject, Option<Fact>)> = over.map(|subject| (subject.clone(), None)).collect();
+        let fresh = most.iter().filter(|(subject, fact)| ledger.facts().get(subject) != Some(fact));
+        changes.extend(fresh.map(|(subject, fact)| ((*subject).clone(), Some((*fact).clone()))));
+        let mut changed = false;
+        for (subject, fact) in changes {
+            // Guards against lists that have nothing in common.
+            if fact.is_none() || ledger.facts().len() < 2 * MOST_FACTS {
+                changed |= ledger.set(now, &subject, fact);
+            }
+        }
+        if changed {
+            let all: Vec<Holder> = self.says.keys().copied().collect();
+            all.into_iter().for_each(|holder| self.tell_facts(now, holder, out));
+        }
+    }
+
+    fn tell_facts(&mut self, now: Micros, holder: Holder, out: &mut Vec<(Holder, Word)>) {
+        // Guards against one that starts again unsaying what it told in its earlier life, by which leases are held.
+        let Some(says) = self.says.get_mut(&holder).filter(|_| now >= self.awake) else { return };
+        let (from, changes) = self.ledger.since(says.heard);
+        // If that is lost it says so when it asks again.
+        says.heard = self.ledger.hash();
+        self.told = self.told.max(now.0) + 1;
+        out.push((holder, Word::Says { at: self.told, from, to: self.ledger.hash(), changes }));
+    }
+
+    /// What is said of servers here.
+    pub fn facts(&self) -> &Facts {
+        self.ledger.facts()
     }
 
     /// Lets the latest version hold against which no lease stands.
     fn clear(&mut self, now: Micros, out: &mut Vec<(Holder, Word)>) {
         self.leases.retain(|_, lease| lease.until > now);
+        let before = self.says.len();
+        self.says.retain(|_, says| says.until > now);
+        if self.says.len() < before {
+            self.weigh(now, out);
+        }
         if now < self.awake {
             return;
         }
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -2,11 +2,16 @@
 //! contradict each other. A few named instances are keepers. Every instance, a [`Member`], asks them for leases and acts
 //! only while a majority's leases live; a [`Keeper`] lets a new version hold once each lease that it granted is held by
 //! one that knows that version, or has run out. Whoever knows versions that need not hold yet acts on the strictest of
-//! all it knows. `docs/accord.md` has the argument why that suffices. No I/O, no clock, no threads: the time is handed in.
+//! all it knows. What one hears of a server that drains is spread to all, and by the same leases nobody acts for long who
+//! has not heard it. `docs/accord.md` has the argument why that suffices. No I/O, no clock, no threads: the time is handed in.
+mod facts;
 mod keeper;
+mod lists;
 mod member;
 
+pub use facts::{Change, Fact, Facts, Subject, MOST_FACTS};
 pub use keeper::{Keeper, Waiting};
+pub use lists::Listed;
 pub use member::{Action, Judge, Member};
 
 pub use oakhollow::types::Micros;
@@ -61,11 +66,31 @@
         turn: u64,
         knows: Vec<Version>,
         refuses: Vec<Version>,
+        /// The hash of what it says of servers, and of what it has heard of them from this keeper.
+        says: u64,
+        heard: u64,
+        /// How that keeper numbered what was last heard from it.
+        after: u64,
     },
     /// The lease for that turn, and what holds at this keeper.
     Grant {
         turn: u64,
         cleared: Version,
+        /// For how long, in microseconds, it has lacked something that this keeper knows to be forbidden: its lease is
+        /// shorter by that.
+        behind: u64,
+    },
+    /// What a member says of servers is not known here; what has this hash is.
+    Lacks {
+        have: u64,
+    },
+    /// What whoever says this says of servers, as changes from the content of one hash to that of another.
+    /// A keeper numbers what it tells: what comes late must not undo what came before it.
+    Says {
+        at: u64,
+        from: u64,
+        to: u64,
+        changes: Vec<Change>,
     },
     /// Whoever hears this knows versions that the one who says it does not.
     Want(Vec<Version>),
@@ -80,6 +105,12 @@
 /// By how much a keeper's clock may run faster than a member's, as a part: the keeper counts a lease longer by it.
 pub const UNEVEN: f64 = 0.03;
 
+/// How long a lease lives where the promise is that what one hears holds for all `within`: one length of a lease passes at
+/// most until a keeper has heard it, or whoever heard it acts no more, and another until nobody acts without it.
+pub fn lease(within: Micros) -> Micros {
+    within.times(0.5 / (1.0 + UNEVEN))
+}
+
 /// How many of the keepers have a word that two such groups can't have without sharing one.
 pub fn majority(keepers: usize) -> usize {
     keepers / 2 + 1
--- /dev/null
+++ b/accord/src/lists.rs
@@ -0,0 +1,223 @@
+//! What an instance knows of servers: by its own list, by marks at its console, and by what keepers tell of the others.
+use crate::facts::{most, Change, Fact, Facts, Ledger, Subject, MOST_FACTS};
+use crate::{InstanceId, Micros};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// What the own list tells: whole, or what has changed; no entries if it is there, and nothing has.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    /// What its writer numbers it.
+    pub index: u64,
+    pub whole: bool,
+    /// Of a server that has left, none.
+    pub entries: Vec<(Arc<str>, Option<Fact>)>,
+}
+
+/// Servers that left a list and are remembered as gone.
+const MOST_GONE: usize = 1_024;
+/// Marks that stand at a time, and returns that are remembered.
+const MOST_MARKS: usize = 4_096;
+
+#[derive(Clone, Debug, Default)]
+struct Heard {
+    ledger: Ledger,
+    /// What it was numbered by that keeper.
+    number: u64,
+    /// When that keeper last said anything.
+    at: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Lists {
+    /// Whether who may be sent to is passed on as well, and not only who may not.
+    pub whole: bool,
+    index: u64,
+    own: BTreeMap<Arc<str>, Fact>,
+    /// Those of them that have left, in that order.
+    gone: VecDeque<Arc<str>>,
+    says: Ledger,
+    heard: BTreeMap<InstanceId, Heard>,
+    /// The most that any keeper tells.
+    view: Facts,
+    full: bool,
+}
+
+impl Lists {
+    /// What it says itself.
+    pub fn says(&self) -> &Ledger {
+        &self.says
+    }
+
+    /// The hash of what was heard from that keeper, and how it numbered that.
+    pub fn heard_of(&self, keeper: InstanceId) -> (u64, u64) {
+        self.heard.get(&keeper).map_or((0, 0), |heard| (heard.ledger.hash(), heard.number))
+    }
+
+    /// Servers to which nothing new may go, by others, and the life of theirs for which that was said.
+    pub fn out(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let said = self.view.iter().chain(self.says.facts().iter().filter(|(_, fact)| !fact.first_hand));
+        said.filter_map(|(subject, fact)| match subject {
+            Subject::Server(name) if fact.out => Some((name, fact.since)),
+            _ => None,
+        })
+    }
+
+    /// Servers as others' lists word them, where this instance's own does not name them in that life.
+    pub fn unknown(&self) -> impl Iterator<Item = &Arc<str>> {
+        let told = self.view.iter().filter(|(subject, fact)| {
+            let known = self.own.get(subject.name()).is_some_and(|own| own.since >= fact.since);
+            matches!(subject, Subject::Server(_)) && !fact.out && !known
+        });
+        told.filter_map(|(_, fact)| fact.entry.as_ref())
+    }
+
+    /// Takes what the own list tells; false if what it says of it is what it said before.
+    pub fn listed(&mut self, now: Micros, listed: Listed) -> bool {
+        let (before, later, moved) = (
+            self.says.hash(),
+            listed.index > self.index,
+            listed.index != self.index || listed.entries.is_empty(),
+        );
+        self.index = listed.index;
+        let there: BTreeSet<Arc<str>> = listed.entries.iter().map(|(name, _)| name.clone()).collect();
+        for (name, fact) in listed.entries {
+            match fact {
+                Some(fact) => {
+                    if self.own.get(&name).is_some_and(|known| known.out) {
+                        self.gone.retain(|gone| *gone != name);
+                    }
+                    self.own.insert(name.clone(), fact);
+                    self.say_of(now, &name);
+                }
+                None => self.leave(now, &name),
+            }
+        }
+        if listed.whole {
+            let missing = self.own.keys().filter(|name| !there.contains(*name) && !self.gone.contains(*name));
+            let missing: Vec<Arc<str>> = missing.cloned().collect();
+            for name in missing {
+                // Guards against a list that begins anew, and names nobody yet, taking servers from all.
+                if later {
+                    self.leave(now, &name);
+                } else {
+                    self.own.remove(&name);
+                    self.say_of(now, &name);
+                }
+            }
+        }
+        // What was taken over from one who says it no more is over once the own list goes on without it, or has nothing new.
+        let over = self.says.facts().iter().filter(|(subject, fact)| {
+            !fact.first_hand && !self.view.get(*subject).is_some_and(|told| told.first_hand)
+        });
+        let over: Vec<Arc<str>> = over.map(|(subject, _)| subject.name().clone()).collect();
+        over.iter().filter(|_| moved).for_each(|name| self.say_of(now, name));
+        self.says.hash() != before
+    }
+
+    /// A server has left the own list: nothing new goes to it, as to one that drains.
+    fn leave(&mut self, now: Micros, name: &Arc<str>) {
+        let Some(fact) = self.own.get_mut(name) else { return };
+        fact.out = true;
+        if !self.gone.contains(name) {
+            self.gone.push_back(name.clone());
+        }
+        self.say_of(now, name);
+        if self.gone.len() > MOST_GONE {
+            let Some(oldest) = self.gone.pop_front() else { return };
+            self.own.remove(&oldest);
+            self.say_of(now, &oldest);
+        }
+    }
+
+    /// Says of a server what the own list does.
+    fn say_of(&mut self, now: Micros, name: &Arc<str>) {
+        let own = self.own.get(name).filter(|fact| fact.out || self.whole);
+        let said = own.map(|fact| Fact {
+            entry: fact.entry.clone().filter(|_| self.whole && !fact.out),
+            ..fact.clone()
+        });
+        self.say(now, &Subject::Server(name.clone()), said);
+    }
+
+    fn say(&mut self, now: Micros, subject: &Subject, fact: Option<Fact>) -> bool {
+        let fresh = fact.is_some() && !self.says.facts().contains_key(subject);
+        let full = fresh && self.says.facts().len() >= MOST_FACTS;
+        self.full |= full;
+        !full && self.says.set(now, subject, fact)
+    }
+
+    /// Whether something that it might have said found no room.
+    pub fn full(&self) -> bool {
+        self.full
+    }
+
+    /// Takes a mark that was set by hand here, or heard of; false if one as late is known.
+    pub fn marked(&mut self, now: Micros, name: &Arc<str>, out: bool, at: u64) -> bool {
+        let fact = Fact { since: at, out, first_hand: true, entry: None };
+        let subject = Subject::Mark(name.clone());
+        if self.says.facts().get(&subject).is_some_and(|known| *known >= fact) {
+            return false;
+        }
+        let marks = |(subject, _): &(&Subject, &Fact)| matches!(subject, Subject::Mark(_));
+        if self.says.facts().iter().filter(marks).count() >= MOST_MARKS {
+            let back = self.says.facts().iter().filter(marks).filter(|(_, fact)| !fact.out);
+            let oldest = back.min_by_key(|(_, fact)| fact.since).map(|(subject, _)| subject.clone());
+            oldest.map(|oldest| self.says.set(now, &oldest, None));
+        }
+        self.say(now, &subject, Some(fact))
+    }
+
+    /// Takes what a keeper tells; false if that can't be taken.
+    pub fn hear(
+        &mut self, now: Micros, from: InstanceId, number: u64, told: (u64, u64, Vec<Change>),
+    ) -> bool {
+        let heard = self.heard.entry(from).or_default();
+        let late = number <= heard.number;
+        heard.number = heard.number.max(number);
+        !late && heard.ledger.follow(now, told.0, told.1, told.2)
+    }
+
+    /// Looks at what keepers tell. Gives the marks that are news if anything has changed.
+    pub fn look(&mut self, now: Micros) -> Option<Vec<(Arc<str>, Fact)>> {
+        let most = most(self.heard.values().map(|heard| heard.ledger.facts()));
+        let view: Facts = most.into_iter().map(|(subject, fact)| (subject.clone(), fact.clone())).collect();
+        if view == self.view {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.view, view);
+        let (mut marks, mut taken_over) = (Vec::new(), Vec::new());
+        for (subject, fact) in &self.view {
+            match subject {
+                Subject::Mark(name) => marks.push((name.clone(), fact.clone())),
+                // Guards against what only one knew being lost with it: each who hears of it says it on, at second hand.
+                Subject::Server(name) if fact.out && fact.first_hand => {
+                    let told = before.get(subject).is_some_and(|told| told.out && told.since >= fact.since);
+                    let own = self.own.get(name);
+                    let later = own.is_some_and(|own| (own.since, own.out) >= (fact.since, true));
+                    if !told && !later {
+                        taken_over.push((subject.clone(), fact.since));
+                    }
+                }
+                Subject::Server(_) => {}
+            }
+        }
+        for (subject, since) in taken_over {
+            self.say(now, &subject, Some(Fact { since, out: true, first_hand: false, entry: None }));
+        }
+        marks.retain(|(name, fact)| self.marked(now, name, fact.out, fact.since));
+        Some(marks)
+    }
+
+    /// A keeper has said something.
+    pub fn spoke(&mut self, now: Micros, keeper: InstanceId) {
+        self.heard.entry(keeper).or_default().at = now;
+    }
+
+    /// Forgets what a keeper told that has said nothing for as long as a lease lives; false if there is none.
+    pub fn forget_silent(&mut self, now: Micros, within: Micros) -> bool {
+        let silent = |heard: &&mut Heard| heard.at + within <= now && heard.ledger.hash() != 0;
+        let forgotten = self.heard.values_mut().filter(silent);
+        forgotten.map(|heard| heard.ledger = Ledger::default()).count() > 0
+    }
+}
--- a/accord/src/member.rs
+++ b/accord/src/member.rs
@@ -1,5 +1,6 @@
 //! An instance as it asks for leases: which versions it keeps to, and until when it may act.
-use crate::{majority, Document, InstanceId, Micros, Version, Word, MOST_WAITING};
+use crate::lists::{Listed, Lists};
+use crate::{majority, Document, Fact, InstanceId, Micros, Version, Word, MOST_WAITING};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -11,6 +12,14 @@
     Say(InstanceId, Word),
     /// Act on the strictest of what [`Member::keeps_to`] gives: carried out before what comes behind it is said.
     Act,
+    /// Keep to what others' lists say now, see [`Member::out`]: carried out before what comes behind it is said.
+    Heard,
+    /// A mark that was set by hand elsewhere: whether that server is out, and since when. Carried out likewise.
+    Mark {
+        name: Arc<str>,
+        out: bool,
+        at: u64,
+    },
     Log(String),
 }
 
@@ -36,6 +45,7 @@
     asked: BTreeMap<u64, Micros>,
     leases: BTreeMap<InstanceId, Lease>,
     next: Micros,
+    lists: Lists,
 }
 
 impl Member {
@@ -54,9 +64,45 @@
             asked: BTreeMap::new(),
             leases: BTreeMap::new(),
             next: Micros(0),
+            lists: Lists::default(),
         }
     }
 
+    /// Passes on who may be sent to as well, not only who may not.
+    pub fn with_whole_lists(mut self) -> Member {
+        self.lists.whole = true;
+        self
+    }
+
+    /// What its own list tells.
+    pub fn listed(&mut self, now: Micros, listed: Listed, out: &mut Vec<Action>) {
+        let was_full = self.lists.full();
+        let changed = self.lists.listed(now, listed);
+        if self.lists.full() && !was_full {
+            out.push(Action::Log("the list is too long: others are not told all of it".into()));
+        }
+        if changed {
+            self.ask(now, out);
+        }
+    }
+
+    /// A mark that was set by hand at this instance.
+    pub fn marked(&mut self, now: Micros, (name, is_out, at): (&str, bool, u64), out: &mut Vec<Action>) {
+        if self.lists.marked(now, &Arc::from(name), is_out, at) {
+            self.ask(now, out);
+        }
+    }
+
+    /// Servers to which nothing new may go by others' lists, and the life of theirs for which that was said.
+    pub fn out(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.lists.out()
+    }
+
+    /// Servers as others' lists word them, where this instance's own does not name them in that life.
+    pub fn unknown(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.lists.unknown()
+    }
+
     /// What its own file says; false if that is not taken.
     pub fn written(&mut self, now: Micros, document: Document, out: &mut Vec<Action>) -> bool {
         let version = document.version;
@@ -69,14 +115,31 @@
     }
 
     pub fn on(&mut self, now: Micros, from: InstanceId, word: Word, out: &mut Vec<Action>) {
+        if !self.keepers.contains(&from) {
+            return;
+        }
+        self.lists.spoke(now, from);
         match word {
-            Word::Grant { turn, cleared } => self.granted(now, from, turn, cleared, out),
+            Word::Grant { turn, cleared, behind } => {
+                self.granted(now, from, (turn, cleared, Micros(behind)), out)
+            }
+            Word::Lacks { have } => {
+                let (base, changes) = self.lists.says().since(have);
+                let to = self.lists.says().hash();
+                out.push(Action::Say(from, Word::Says { at: 0, from: base, to, changes }));
+                self.ask_one(now, from, out);
+            }
+            Word::Says { at, from: base, to, changes } => {
+                if self.lists.hear(now, from, at, (base, to, changes)) {
+                    self.look_at_lists(now, out);
+                }
+            }
             Word::Want(versions) => {
                 let known = versions.iter().filter_map(|version| self.documents.get_key_value(version));
                 let known: Vec<_> = known.map(|(version, text)| (*version, text.clone())).collect();
                 if !known.is_empty() {
                     out.push(Action::Say(from, Word::Documents(known)));
-                    self.ask(now, out);
+                    self.ask_one(now, from, out);
                 }
             }
             Word::Documents(documents) => {
@@ -89,7 +152,7 @@
                 }
                 self.ask(now, out);
             }
-            Word::News => self.ask(now, out),
+            Word::News => self.ask_one(now, from, out),
             Word::Ask { .. } => {}
         }
     }
@@ -170,18 +233,48 @@
         self.next = now + self.within.times(1.0 / Self::ASKS);
         let within = self.within;
         self.asked.retain(|_, at| *at + within > now);
+        if self.lists.forget_silent(now, within) {
+            self.look_at_lists(now, out);
+        }
         self.turn += 1;
         self.asked.insert(self.turn, now);
-        let knows: Vec<Version> = self.documents.keys().copied().collect();
-        let refuses: Vec<Version> = self.refused.iter().copied().collect();
-        let ask = Word::Ask { turn: self.turn, knows, refuses };
-        out.extend(self.keepers.iter().map(|keeper| Action::Say(*keeper, ask.clone())));
+        let says = self.keepers.iter().map(|keeper| Action::Say(*keeper, self.word(*keeper)));
+        out.extend(says);
+    }
+
+    fn look_at_lists(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(marks) = self.lists.look(now) else { return };
+        out.push(Action::Heard);
+        let mark = |(name, fact): (Arc<str>, Fact)| Action::Mark { name, out: fact.out, at: fact.since };
+        out.extend(marks.into_iter().map(mark));
+    }
+
+    /// Asks one keeper alone, where only that one has something new.
+    fn ask_one(&mut self, now: Micros, keeper: InstanceId, out: &mut Vec<Action>) {
+        self.turn += 1;
+        self.asked.insert(self.turn, now);
+        out.push(Action::Say(keeper, self.word(keeper)));
+    }
+
+    fn word(&self, keeper: InstanceId) -> Word {
+        Word::Ask {
+            turn: self.turn,
+            knows: self.documents.keys().copied().collect(),
+            refuses: self.refused.iter().copied().collect(),
+            says: self.lists.says().hash(),
+            heard: self.lists.heard_of(keeper).0,
+            after: self.lists.heard_of(keeper).1,
+        }
     }
 
-    fn granted(&mut self, now: Micros, from: InstanceId, turn: u64, cleared: Version, out: &mut Vec<Action>) {
-        // Counted from when it was asked for, whenever the answer comes.
-        let Some(&at) = self.asked.get(&turn).filter(|at| **at + self.within > now) else { return };
-        let known = self.documents.contains_key(&cleared) && self.keepers.contains(&from);
+    fn granted(
+        &mut self, now: Micros, from: InstanceId, granted: (u64, Version, Micros), out: &mut Vec<Action>,
+    ) {
+        let (turn, cleared, behind) = granted;
+        // Counted from when it was asked for, whenever the answer comes, and less by what had not been heard by then.
+        let at = self.asked.get(&turn).map(|at| *at - behind);
+        let Some(at) = at.filter(|at| *at + self.within > now) else { return };
+        let known = self.documents.contains_key(&cleared);
         if !known || self.leases.get(&from).is_some_and(|lease| lease.from >= at) {
             return;
         }
--- a/accord/tests/days.rs
+++ b/accord/tests/days.rs
@@ -3,8 +3,9 @@
 mod words;
 mod world;
 
+use oakhollow_accord::Word;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, TestRunner};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use words::WITHIN;
 use world::{Crooked, Message, World};
 
@@ -33,17 +34,23 @@
     said: usize,
 }
 
+const SERVERS: u64 = 3;
+
 fn day(seed: u64, keepers: usize, instances: usize, crooked: Crooked) -> Day {
     let (mut chance, mut world) = (Chance(seed), World::new(keepers, instances, crooked));
     for at in 0..instances {
         world.instances[at].pace = 0.01 * (2.0 * chance.part() - 1.0);
         world.write(at, 1);
+        (0..SERVERS).for_each(|server| world.list(at, (server, 1, false), false));
     }
+    let mut lives = vec![1; SERVERS as usize];
     for at in 0..keepers {
         world.keeper_pace[at] = 0.01 * (2.0 * chance.part() - 1.0);
     }
     // Troubled links: a word on them is lost more often, and late.
     let lossy: Vec<f64> = (0..instances).map(|_| if chance.below(4) == 0 { 0.7 } else { 0.05 }).collect();
+    // One that is told nothing of servers, while all else reaches it.
+    let deaf = (chance.below(3) == 0).then(|| chance.below(instances));
     let (mut wire, mut old, mut number, mut said): (Vec<(f64, Message)>, Vec<Message>, u64, usize) =
         (Vec::new(), Vec::new(), 1, 0);
     let (troubled, length) = (8.0 * WITHIN.0 as f64, 14.0 * WITHIN.0 as f64);
@@ -61,6 +68,23 @@
             let file = 1 + chance.below(number as usize) as u64;
             world.restart_instance(chance.below(instances), file);
         }
+        if trouble && chance.below(12) == 0 {
+            let (server, who) = (chance.below(SERVERS as usize), chance.below(instances));
+            // Some list tells that a server drains, that it is back in use, or that it has started again; others' may
+            // lag behind for as long as they like.
+            match chance.below(4) {
+                0 => lives[server] += 1,
+                1 => {
+                    let life = world.instances[who].list[&(server as u64)].0;
+                    world.list(who, (server as u64, life, false), chance.below(2) == 0);
+                }
+                2 => world.list(who, (server as u64, lives[server], false), false),
+                _ => {
+                    let life = world.instances[who].list[&(server as u64)].0;
+                    world.list(who, (server as u64, life, true), false);
+                }
+            }
+        }
         if trouble && chance.below(10) == 0 && !old.is_empty() {
             let again = old[chance.below(old.len())].clone();
             world.deliver(again);
@@ -80,6 +104,13 @@
                 let what = format!("{pair:?}: {:?} and {:?}", acts_on(pair.0), acts_on(pair.1));
                 return Day { contradicts: Some(what), settled: 0, said };
             }
+            let vain = told.and_then(|at| Some((at, world.sends_in_vain(at)?)));
+            if let Some((at, (other, server, length))) = vain {
+                let what = format!(
+                    "{at} may send to s{server}, of which {other} has known for {length} us that it drains"
+                );
+                return Day { contradicts: Some(what), settled: 0, said };
+            }
         }
         for message in std::mem::take(&mut world.said) {
             said += 1;
@@ -87,32 +118,48 @@
                 Message::ToKeeper(_, (who, _), _) => *who as usize,
                 Message::ToMember(who, ..) => *who,
             };
-            let lost = trouble && chance.part() < lossy[who];
+            let unheard =
+                matches!(&message, Message::ToMember(who, .., Word::Says { .. }) if Some(*who) == deaf);
+            let lost = trouble && (unheard || chance.part() < lossy[who]);
             let delay = if trouble { 5.0 + 200.0 * chance.part().powi(4) } else { 5.0 };
             if !lost {
                 wire.push((world.now + delay, message));
             }
         }
     }
-    let last = |at: &usize| world.acts(*at) && world.instances[*at].acts_on.len() == 1;
+    // All act on the last version alone, and all whose list names that life send to none that drains by any list.
+    let last = |at: &usize| {
+        let own = &world.instances[*at];
+        let sends = |server: &u64| {
+            let (life, out, _) = own.list[server];
+            let drains = |other: &world::Instance| other.list[server].1 && other.list[server].0 >= life;
+            !out && own.out.get(server).is_none_or(|out| *out < life) && world.instances.iter().any(drains)
+        };
+        world.acts(*at) && own.acts_on.len() == 1 && !(0..SERVERS).any(|server| sends(&server))
+    };
     let settled = (0..instances).filter(last).count();
     Day { contradicts: None, settled, said }
 }
 
+/// Plays that many days, parted among threads.
 fn all_days(cases: u32, keepers: usize, instances: usize) {
-    let mut runner = TestRunner::new_with_rng(
-        Config { cases, failure_persistence: None, ..Config::default() },
-        proptest::test_runner::TestRng::deterministic_rng(proptest::test_runner::RngAlgorithm::ChaCha),
-    );
-    let held = runner.run(&any::<u64>(), |seed| {
-        let day = day(seed, keepers, instances, Crooked::Not);
-        prop_assert_eq!(day.contradicts, None);
-        // Once the trouble is over all agree again, in a few lengths of a lease.
-        prop_assert_eq!(day.settled, instances);
-        prop_assert!(day.said > instances);
-        Ok(())
+    let part = |part: u8| {
+        let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[part; 32]);
+        let settings = Config { cases: cases / 4, failure_persistence: None, ..Config::default() };
+        let held = TestRunner::new_with_rng(settings, random).run(&any::<u64>(), |seed| {
+            let day = day(seed, keepers, instances, Crooked::Not);
+            prop_assert_eq!(day.contradicts, None);
+            // Once the trouble is over all agree again, in a few lengths of a lease.
+            prop_assert_eq!(day.settled, instances);
+            prop_assert!(day.said > instances);
+            Ok(())
+        });
+        held.unwrap_or_else(|fault| panic!("{fault}"));
+    };
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = (1..=4).map(|number| scope.spawn(move || part(number))).collect();
+        parts.into_iter().for_each(|part| part.join().expect("held"));
     });
-    held.unwrap_or_else(|fault| panic!("{fault}"));
 }
 
 #[test]
@@ -132,8 +179,14 @@
 
 #[test]
 fn each_crooked_rule_is_found() {
-    for crooked in [Crooked::FromTheAnswer, Crooked::WakesAtOnce, Crooked::IgnoresWhatWaits] {
-        let found = (0..400).find(|seed| day(*seed, 3, 5, crooked).contradicts.is_some());
+    for crooked in [
+        Crooked::FromTheAnswer,
+        Crooked::WakesAtOnce,
+        Crooked::IgnoresWhatWaits,
+        Crooked::IgnoresWhatItLacks,
+        Crooked::ForgetsDrains,
+    ] {
+        let found = (0..2_000).find(|seed| day(*seed, 3, 5, crooked).contradicts.is_some());
         assert!(found.is_some(), "{crooked:?} is not found");
         println!("{crooked:?} by day {found:?}");
     }
--- a/accord/tests/rules.rs
+++ b/accord/tests/rules.rs
@@ -52,7 +52,7 @@
                     self.hear(out);
                 }
                 Action::Log(text) => self.log.push(text),
-                Action::Act => {}
+                Action::Act | Action::Heard | Action::Mark { .. } => {}
             }
         }
     }
--- a/accord/tests/world/mod.rs
+++ b/accord/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Members and keepers with a wire between them, and what must hold at every moment.
 use crate::words::{document, WITHIN};
 use oakhollow_accord::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A fault put into the rules, which whoever explores must find.
@@ -14,6 +14,10 @@
     WakesAtOnce,
     /// It says that it knows a version and does not keep to it.
     IgnoresWhatWaits,
+    /// It goes on for its whole lease, though it lacks what is forbidden by then.
+    IgnoresWhatItLacks,
+    /// It says that it has heard who drains, and sends there.
+    ForgetsDrains,
 }
 
 #[derive(Clone)]
@@ -23,8 +27,19 @@
     /// What it acts on, as the shell was last told.
     pub acts_on: BTreeSet<Version>,
     pub until: Micros,
+    /// Since when it acts without a break.
+    pub since: f64,
     /// By how much its clock runs faster than the true time, as a part.
     pub pace: f64,
+    /// What its own list tells of each server: which life, whether it drains, and since when it was told.
+    pub list: BTreeMap<u64, (u64, bool, f64)>,
+    pub index: u64,
+    /// Which life of each server drains, as the shell was last told.
+    pub out: BTreeMap<u64, u64>,
+}
+
+fn name(server: u64) -> Arc<str> {
+    Arc::from(format!("s{server}"))
 }
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -66,7 +81,11 @@
                 life: 1,
                 acts_on: BTreeSet::new(),
                 until: Micros(0),
+                since: 0.0,
                 pace: 0.0,
+                list: BTreeMap::new(),
+                index: 0,
+                out: BTreeMap::new(),
             });
         }
         world
@@ -98,10 +117,22 @@
                         _ => keeps_to.collect(),
                     };
                 }
-                Action::Log(_) => {}
+                Action::Heard if self.crooked == Crooked::ForgetsDrains => {}
+                Action::Heard => {
+                    instance.out.clear();
+                    for (server, since) in instance.member.out() {
+                        let server = server[1..].parse().expect("a number");
+                        let known = instance.out.entry(server).or_default();
+                        *known = since.max(*known);
+                    }
+                }
+                Action::Mark { .. } | Action::Log(_) => {}
             }
         }
         let until = instance.member.until();
+        if instance.until <= Micros((self.now * (1.0 + instance.pace)) as u64) {
+            instance.since = self.now;
+        }
         if self.crooked != Crooked::FromTheAnswer || until > instance.until {
             instance.until = until;
         }
@@ -113,6 +144,27 @@
         self.carry_out(at, actions);
     }
 
+    /// Its own list tells that a server drains, or is there, in that life.
+    pub fn list(&mut self, at: usize, (server, since, out): (u64, u64, bool), whole: bool) {
+        let (now, true_now, mut actions) = (self.member_time(at), self.now, Vec::new());
+        let instance = &mut self.instances[at];
+        let known = instance.list.get(&server).copied().unwrap_or_default();
+        if (known.0, known.1) != (since, out) || known.2 == 0.0 {
+            instance.list.insert(server, (since, out, true_now.max(1.0)));
+        }
+        instance.index += 1;
+        let fact = |since, out| Some(Fact { since, out, first_hand: true, entry: None });
+        let told = |(server, (since, out, _)): (&u64, &(u64, bool, f64))| (name(*server), fact(*since, *out));
+        let entries = if whole {
+            instance.list.iter().map(told).collect()
+        } else {
+            vec![(name(server), fact(since, out))]
+        };
+        let listed = Listed { index: instance.index, whole, entries };
+        instance.member.listed(now, listed, &mut actions);
+        self.carry_out(at, actions);
+    }
+
     pub fn wake(&mut self) {
         for at in 0..self.instances.len() {
             let (now, mut actions) = (self.member_time(at), Vec::new());
@@ -140,7 +192,10 @@
                 self.keepers[at].on(now, from, word, &mut out);
                 self.keeper_says(at, out);
             }
-            Message::ToMember(at, from, life, word) => {
+            Message::ToMember(at, from, life, mut word) => {
+                if let (Crooked::IgnoresWhatItLacks, Word::Grant { behind, .. }) = (self.crooked, &mut word) {
+                    *behind = 0;
+                }
                 if self.instances[at].life != life {
                     return;
                 }
@@ -167,7 +222,36 @@
         let instance = &mut self.instances[at];
         (instance.member, instance.life) = (member, instance.life + 1);
         (instance.acts_on, instance.until) = (BTreeSet::new(), Micros(0));
+        instance.since = self.now;
+        instance.out.clear();
         self.write(at, number);
+        // Its discovery tells it the whole list anew.
+        let now = self.now;
+        self.instances[at].list.values_mut().for_each(|told| told.2 = now.max(1.0));
+        let first = self.instances[at].list.iter().next().map(|(server, told)| (*server, told.0, told.1));
+        first.into_iter().for_each(|told| self.list(at, told, true));
+    }
+
+    /// One that has acted for too long by a list which tells a server drains to which this one may send: twice the length of a
+    /// lease, by clocks that run unevenly.
+    pub fn sends_in_vain(&self, at: usize) -> Option<(usize, u64, f64)> {
+        let bound = 2.0 * WITHIN.0 as f64 * 1.02 + 20.0;
+        if !self.acts(at) {
+            return None;
+        }
+        let own = &self.instances[at];
+        let may_send = |server: u64, since: u64| {
+            let (life, out, _) = own.list.get(&server).copied().unwrap_or_default();
+            life <= since && !out && own.out.get(&server).is_none_or(|out| *out < life)
+        };
+        let others = (0..self.instances.len()).filter(|other| *other != at && self.acts(*other));
+        { others }.find_map(|other| {
+            self.instances[other].list.iter().find_map(|(server, (since, out, told))| {
+                let length = self.now - told.max(self.instances[other].since);
+                let long = *out && length > bound;
+                (long && may_send(*server, *since)).then_some((other, *server, length))
+            })
+        })
     }
 
     pub fn acts(&self, at: usize) -> bool {
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -1,6 +1,6 @@
 //! Reads what servers and callers saw, and says for how long sidecars acted on rules that contradict each other.
 //! The evidence is what a sidecar does: a hop that some versions of the settings allow and others forbid.
-use crate::scene::{Expected, Fault, Kind, Scene};
+use crate::scene::{Expected, Fault, Kind, Scene, Told, SERVERS};
 use std::collections::{BTreeMap, HashSet};
 
 /// A hop as a server saw it.
@@ -9,6 +9,7 @@
     /// In seconds from the start of the load.
     pub at: f64,
     pub sidecar: usize,
+    pub server: usize,
     pub workload: String,
     /// The call that it belongs to.
     pub id: String,
@@ -80,6 +81,60 @@
     Ok(longest)
 }
 
+/// How long one sent to a server that another knew to drain, and acted.
+#[derive(Clone, PartialEq, Debug)]
+pub struct InVain {
+    pub length: f64,
+    pub server: usize,
+    pub told: usize,
+    pub sends: usize,
+}
+
+/// Whoever has a hop this close before and after acts, in seconds.
+const ACTS: f64 = 0.3;
+/// Until one whose discovery is back has asked it again, in seconds.
+const ASKS_AGAIN: f64 = 2.0;
+
+/// The longest time for which somebody went on sending to a server after another that acts was told that it drains.
+pub fn in_vain(scene: &Scene, hops: &[Hop]) -> Option<InVain> {
+    let acts = |who: usize, at: f64| {
+        let mut near = hops.iter().filter(|hop| hop.sidecar == who && (hop.at - at).abs() < ACTS);
+        near.any(|hop| hop.at <= at) && near.any(|hop| hop.at >= at)
+    };
+    let mut longest: Option<InVain> = None;
+    for hop in hops {
+        // Since when each was told, by what had been told by then.
+        let mut told: Vec<[Option<f64>; SERVERS]> = vec![[None; SERVERS]; scene.sidecars];
+        let mut down = vec![false; scene.sidecars];
+        for (at, who, fault) in scene.events.iter().filter(|(at, ..)| *at < hop.at) {
+            match *fault {
+                Fault::List(Told::Drain | Told::Gone, server) => {
+                    told[*who][server] = Some(if down[*who] { f64::MAX } else { *at });
+                }
+                Fault::Mark(true, server) => told[*who][server] = Some(*at),
+                Fault::List(Told::Back, server) | Fault::Mark(false, server) => told[*who][server] = None,
+                // Another life: what was said of the one before concerns nobody.
+                Fault::List(Told::Again, server) => told.iter_mut().for_each(|told| told[server] = None),
+                Fault::Mute => down[*who] = true,
+                Fault::Unmute => {
+                    down[*who] = false;
+                    let unheard = told[*who].iter_mut().flatten().filter(|since| **since == f64::MAX);
+                    unheard.for_each(|since| *since = at + ASKS_AGAIN);
+                }
+                _ => {}
+            }
+        }
+        for (who, told) in told.iter().enumerate().filter(|(who, _)| *who != hop.sidecar) {
+            let length = told[hop.server].map_or(0.0, |since| hop.at - since);
+            let longer = longest.as_ref().is_none_or(|longest| length > longest.length);
+            if length > 0.0 && longer && acts(who, hop.at) {
+                longest = Some(InVain { length, server: hop.server, told: who, sends: hop.sidecar });
+            }
+        }
+    }
+    longest
+}
+
 /// What of the scene's expectations does not hold, a line each.
 pub fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered]) -> Vec<String> {
     let mut faults = Vec::new();
@@ -93,6 +148,10 @@
     let sent = |who: usize, from: f64, to: f64| {
         hops.iter().filter(|hop| hop.sidecar == who && (from..to).contains(&hop.at)).count()
     };
+    let sent_to = |who: usize, server: usize, from: f64, to: f64| {
+        let own = hops.iter().filter(|hop| hop.sidecar == who && hop.server == server);
+        own.filter(|hop| (from..to).contains(&hop.at)).count()
+    };
     for expected in &scene.expected {
         let fault = match *expected {
             Expected::Contradiction(most) => {
@@ -121,6 +180,16 @@
                     Some(format!("n{who} sends {count} hops from {from} s to {to} s, none were expected"))
                 }
             },
+            Expected::Uses(who, one, from, to) => (sent_to(who, one, from, to) == 0)
+                .then(|| format!("n{who} sends nothing to s{one} from {from} s to {to} s")),
+            Expected::Spares(who, one, from, to) => match sent_to(who, one, from, to) {
+                0 => None,
+                count => Some(format!("n{who} sends {count} hops to s{one} from {from} s to {to} s, none were expected")),
+            },
+            Expected::Drains(most) => in_vain(scene, hops).filter(|found| found.length > most).map(|found| {
+                let InVain { length, server, told, sends } = found;
+                format!("n{sends} sends to s{server} {length:.3} s after n{told}, which serves, was told that it drains")
+            }),
             Expected::Serves(who, from, to) => {
                 (sent(who, from, to) == 0).then(|| format!("n{who} sends nothing from {from} s to {to} s"))
             }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -38,10 +38,12 @@
 }
 
 fn tell(file: &str, scene: &Scene, report: &Report, json: bool) {
-    let length = report.contradiction.as_ref().map_or(0.0, |found| found.length);
+    let settings = report.contradiction.as_ref().map_or(0.0, |found| found.length);
+    let drains = report.in_vain.as_ref().map_or(0.0, |found| found.length);
+    let length = settings.max(drains);
     if json {
         let line = serde_json::json!({
-            "scene": file, "longest_contradiction_s": length, "within_s": scene.within, "hops": report.hops,
+            "scene": file, "longest_contradiction_s": length, "of_settings_s": settings, "of_drains_s": drains, "within_s": scene.within, "hops": report.hops,
             "answers": report.answers, "unanswered": report.unanswered, "faults": report.faults,
         });
         return println!("{line}");
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -1,11 +1,12 @@
 //! Plays one scene: starts everything, carries the script out on time, and has the judge read what was seen.
-use crate::judge::{self, Contradiction};
+use crate::judge::{self, Contradiction, InVain};
 use crate::processes::{free, Sidecar};
 use crate::relay::Relay;
-use crate::scene::{Fault, Kind, Scene};
-use crate::stand::{self, Notes};
+use crate::scene::{Fault, Kind, Scene, LISTED, SERVERS};
+use crate::stand::{self, Discovery, Notes};
 use nanorand::{Rng, WyRand};
 use rustix::process::Signal;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,8 +14,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Servers of a scene.
-const SERVERS: usize = 3;
 /// How long all may take until they serve.
 const STARTS: Duration = Duration::from_secs(20);
 /// By how much the script's times are moved by the seed, at most, in seconds.
@@ -23,6 +22,7 @@
 /// What came of a scene.
 pub struct Report {
     pub contradiction: Option<Contradiction>,
+    pub in_vain: Option<InVain>,
     /// What did not hold, a line each.
     pub faults: Vec<String>,
     pub hops: usize,
@@ -44,7 +44,8 @@
     sidecars: Vec<Sidecar>,
     /// From each instance to each keeper.
     relays: Vec<Vec<Relay>>,
-    discoveries: Vec<SocketAddr>,
+    discoveries: Vec<Discovery>,
+    servers: Vec<SocketAddr>,
     list: String,
     seed: u64,
     folder: PathBuf,
@@ -64,16 +65,13 @@
             format!("oakhollow-lab-{}-{}", std::process::id(), PLAYS.fetch_add(1, Ordering::Relaxed));
         let folder = std::env::temp_dir().join(unique);
         let servers: Vec<SocketAddr> =
-            (0..SERVERS).map(|_| stand::server(begun, notes.clone())).collect::<std::io::Result<_>>()?;
-        let entries: Vec<String> = servers.iter().enumerate().map(|(at, address)| {
-            format!(r#"{{"name":"s{at}","address":"{address}","zone":"a","group":{at},"status":"active","weight":1.0,"since_ms":0}}"#)
-        }).collect();
-        let list = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","));
+            (0..SERVERS).map(|at| stand::server(at, begun, notes.clone())).collect::<std::io::Result<_>>()?;
         let mut rig = Rig {
             sidecars: Vec::new(),
             relays: Vec::new(),
             discoveries: Vec::new(),
-            list,
+            list: Discovery::start(&servers[..LISTED])?.whole(),
+            servers,
             seed: arm.seed,
             folder,
         };
@@ -81,7 +79,7 @@
         let first = *scene.versions.keys().next().unwrap_or(&1);
         for at in 0..scene.sidecars {
             let mut sidecar = Sidecar::new(arm.program, &format!("n{at}"), &rig.folder)?;
-            rig.discoveries.push(stand::discovery(rig.list.clone())?);
+            rig.discoveries.push(Discovery::start(&rig.servers[..LISTED])?);
             let relays: Vec<Relay> =
                 keepers.iter().map(|to| Relay::start(*to)).collect::<std::io::Result<_>>()?;
             if arm.agreed {
@@ -97,10 +95,11 @@
                 let instances: Vec<String> = instances.collect();
                 let names: Vec<String> = (0..scene.keepers).map(|keeper| format!("\"n{keeper}\"")).collect();
                 sidecar.write_operator(&format!(
-                    "[accord]\nwithin = {:?}\nunsure = \"{}\"\nkeepers = [{}]\n[accord.instances]\n{}\n",
+                    "[accord]\nwithin = {:?}\nunsure = \"{}\"\nkeepers = [{}]\n{}\n[accord.instances]\n{}\n",
                     scene.within,
                     scene.unsure,
                     names.join(", "),
+                    scene.with.join("\n"),
                     instances.join("\n")
                 ))?;
             }
@@ -134,7 +133,7 @@
             sidecar.name,
             sidecar.listen,
             sidecar.console,
-            self.discoveries[at],
+            self.discoveries[at].address,
             self.seed.wrapping_mul(31).wrapping_add(at as u64),
             self.list,
             scene.sidecars,
@@ -183,6 +182,17 @@
                 self.links(who).for_each(|(relay, _)| relay.delay(Duration::from_millis(*length)));
             }
             Fault::Reset => self.links(who).for_each(|(relay, _)| relay.reset()),
+            Fault::Refuse => self.links(who).for_each(|(relay, _)| relay.refuse()),
+            Fault::Half => self.links(who).for_each(|(relay, _)| relay.half()),
+            Fault::Replay => self.links(who).for_each(|(relay, _)| relay.replay()),
+            Fault::List(told, server) => self.discoveries[who].tell(*told, *server, self.servers[*server]),
+            Fault::Mute => self.discoveries[who].set_down(true),
+            Fault::Unmute => self.discoveries[who].set_down(false),
+            Fault::Renumber => self.discoveries[who].renumber(),
+            Fault::Mark(out, server) => {
+                let what = if *out { "maint" } else { "ready" };
+                ask(self.sidecars[who].console, "PUT", &format!("/endpoints/s{server}/{what}"));
+            }
             Fault::Stop => self.sidecars[who].signal(Signal::STOP),
             Fault::Continue => self.sidecars[who].signal(Signal::CONT),
             Fault::Kill => self.sidecars[who].kill(),
@@ -192,15 +202,16 @@
     }
 }
 
+/// Asks a console; the head of its answer.
+fn ask(console: SocketAddr, method: &str, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(console).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).ok()?;
+    stand::read_head(&mut stream)
+}
+
 fn healthy(console: SocketAddr) -> bool {
-    use std::io::Write;
-    let asked = || {
-        let mut stream = TcpStream::connect(console).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        stream.write_all(b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
-        Some(stand::read_head(&mut stream)?.starts_with("HTTP/1.1 200"))
-    };
-    asked() == Some(true)
+    ask(console, "GET", "/healthcheck").is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
 /// Plays a scene. An error means that the rig could not be built, or ran late: there is no figure then.
@@ -219,21 +230,23 @@
             }
         }
         let rig = &mut rig;
-        let mut late: f64 = 0.0;
+        let (mut late, mut struck): (f64, Vec<_>) = (0.0, Vec::new());
         for (time, who, fault) in &scene.events {
             let due = time + if arm.seed == 0 { 0.0 } else { random.generate::<f64>() * JITTER };
             let now = begun.elapsed().as_secs_f64();
             late = late.max(now - due);
             thread::sleep(Duration::from_secs_f64((due - now).max(0.0)));
+            // As it was, for the judge.
+            struck.push((begun.elapsed().as_secs_f64(), *who, fault.clone()));
             rig.strike(scene, *who, fault).map_err(|fault| fault.to_string())?;
         }
         if late > JITTER {
             Err(format!("the script ran {late:.3} s late"))
         } else {
-            Ok(())
+            Ok(struck)
         }
     });
-    struck?;
+    let scene = &Scene { events: struck?, ..scene.clone() };
     let mut faults = Vec::new();
     let killed = |at: usize| scene.events.iter().any(|(_, who, fault)| *who == at && *fault == Fault::Kill);
     for (at, sidecar) in rig.sidecars.iter_mut().enumerate() {
@@ -253,6 +266,7 @@
     }
     Ok(Report {
         contradiction: judge::longest(scene, &hops).ok().flatten(),
+        in_vain: judge::in_vain(scene, &hops),
         faults,
         hops: hops.len(),
         answers: answers.len(),
--- a/lab/src/scene.rs
+++ b/lab/src/scene.rs
@@ -5,10 +5,17 @@
 //!   the first. Servers answer calls of a workload whose name begins with `fails` with an error
 //! - `load RATE`: calls a second of each workload at each sidecar
 //! - `at T WHAT ...`: `tell A N` (its file and SIGHUP), `spoil A` (half a file and SIGHUP), `cut A`, `cut-to A` (it hears, and
-//!   is not heard), `cut-from A`, `heal A`, `delay A MS`, `reset A`, `stop A`, `continue A`, `kill A`, `start A`
+//!   is not heard), `cut-from A`, `heal A`, `delay A MS`, `reset A`, `refuse A` (its links break and none comes up until it is
+//!   healed), `half A` (of what comes next on each link one half, then it breaks), `replay A` (what was said on its links is
+//!   said again), `stop A`, `continue A`, `kill A`, `start A`
+//! - `at T WHAT A sN`, told by the discovery of A alone: `drain`, `back`, `again` (it has started again), `gone` (from a whole
+//!   list); `mute A` (that discovery is down), `unmute A`, `renumber A` (it starts again, numbers from 1 and tells the whole
+//!   list). `mark A sN`, `unmark A sN`: at its console. Servers are s0, s1, s2, and s3 that no list names at first
+//! - `with KEY = VALUE`: one more line of `[accord]` in the operator's file
 //! - `until T`
 //! - `expect contradiction S`: at most; `expect A holds N by T`; `expect A silent T1 T2`: it sends nothing on between;
-//!   `expect A serves T1 T2`
+//!   `expect A serves T1 T2`; `expect A uses sN T1 T2`, `expect A spares sN T1 T2`; `expect drains S`: nobody sends to a server
+//!   for longer, at most, after one that serves was told that it drains
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -27,18 +34,42 @@
     Heal,
     Delay(u64),
     Reset,
+    Refuse,
+    Half,
+    Replay,
     Stop,
     Continue,
     Kill,
     Start,
+    List(Told, usize),
+    Mute,
+    Unmute,
+    Renumber,
+    Mark(bool, usize),
 }
 
+/// What a discovery tells of a server.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Told {
+    Drain,
+    Back,
+    Again,
+    Gone,
+}
+
+/// Servers of every scene, and how many of them lists name from the start.
+pub const SERVERS: usize = 4;
+pub const LISTED: usize = 3;
+
 #[derive(Clone, PartialEq, Debug)]
 pub enum Expected {
     Contradiction(f64),
     Holds(usize, u64, f64),
     Silent(usize, f64, f64),
     Serves(usize, f64, f64),
+    Uses(usize, usize, f64, f64),
+    Spares(usize, usize, f64, f64),
+    Drains(f64),
 }
 
 #[derive(Clone, PartialEq, Debug, Default)]
@@ -47,6 +78,7 @@
     pub keepers: usize,
     pub within: f64,
     pub unsure: String,
+    pub with: Vec<String>,
     pub rate: f64,
     pub versions: BTreeMap<u64, Vec<(String, Kind)>>,
     pub events: Vec<(f64, usize, Fault)>,
@@ -91,7 +123,12 @@
             let at = word.strip_prefix('n').and_then(|at| at.parse::<usize>().ok());
             at.filter(|at| *at < sidecars).ok_or_else(|| format!("there is no {word}"))
         };
+        let server = |word: &str| {
+            let at = word.strip_prefix('s').and_then(|at| at.parse::<usize>().ok());
+            at.filter(|at| *at < SERVERS).ok_or_else(|| format!("there is no {word}"))
+        };
         match words[..] {
+            ["with", ref rest @ ..] => self.with.push(rest.join(" ")),
             ["sidecars", count, "keepers", keepers, "within", within, ref rest @ ..] => {
                 (self.sidecars, self.keepers) = (whole(count)? as usize, whole(keepers)? as usize);
                 self.within = number(within)?;
@@ -127,6 +164,18 @@
                     ("heal", []) => Fault::Heal,
                     ("delay", [length]) => Fault::Delay(whole(length)?),
                     ("reset", []) => Fault::Reset,
+                    ("refuse", []) => Fault::Refuse,
+                    ("half", []) => Fault::Half,
+                    ("replay", []) => Fault::Replay,
+                    ("drain", [one]) => Fault::List(Told::Drain, server(one)?),
+                    ("back", [one]) => Fault::List(Told::Back, server(one)?),
+                    ("again", [one]) => Fault::List(Told::Again, server(one)?),
+                    ("gone", [one]) => Fault::List(Told::Gone, server(one)?),
+                    ("mute", []) => Fault::Mute,
+                    ("unmute", []) => Fault::Unmute,
+                    ("renumber", []) => Fault::Renumber,
+                    ("mark", [one]) => Fault::Mark(true, server(one)?),
+                    ("unmark", [one]) => Fault::Mark(false, server(one)?),
                     ("stop", []) => Fault::Stop,
                     ("continue", []) => Fault::Continue,
                     ("kill", []) => Fault::Kill,
@@ -138,6 +187,14 @@
             ["expect", "contradiction", most] => {
                 self.expected.push(Expected::Contradiction(number(most)?));
             }
+            ["expect", "drains", most] => self.expected.push(Expected::Drains(number(most)?)),
+            ["expect", who, what, one, from, to] if what == "uses" || what == "spares" => {
+                let (who, one, from, to) = (instance(who)?, server(one)?, number(from)?, number(to)?);
+                self.expected.push(match what {
+                    "uses" => Expected::Uses(who, one, from, to),
+                    _ => Expected::Spares(who, one, from, to),
+                });
+            }
             ["expect", who, "holds", version, "by", time] => {
                 self.expected.push(Expected::Holds(instance(who)?, whole(version)?, number(time)?));
             }
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -1,10 +1,11 @@
 //! Stand-ins: servers that note each hop, discoveries that tell a list, and callers with a constant load.
 use crate::judge::{Answered, Hop};
+use crate::scene::Told;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// What all stand-ins write down.
 #[derive(Default)]
@@ -48,7 +49,7 @@
 }
 
 /// A server that answers at once; calls whose workload's name begins with `fails` with an error.
-pub fn server(begun: Instant, notes: Arc<Notes>) -> std::io::Result<SocketAddr> {
+pub fn server(number: usize, begun: Instant, notes: Arc<Notes>) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     each(listener, move |mut stream| {
@@ -62,7 +63,8 @@
                 true => b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
                 false => b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
             };
-            notes.hops.lock().unwrap_or_else(PoisonError::into_inner).push(Hop { at, sidecar, workload, id });
+            let hop = Hop { at, sidecar, server: number, workload, id };
+            notes.hops.lock().unwrap_or_else(PoisonError::into_inner).push(hop);
             if stream.write_all(answer).is_err() {
                 return;
             }
@@ -71,22 +73,145 @@
     Ok(address)
 }
 
-/// A discovery that tells one whole list, and an empty line every second.
-pub fn discovery(list: String) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    each(listener, move |mut stream| {
-        if read_head(&mut stream).is_none() {
-            return;
+/// A server as a discovery words it.
+struct Entry {
+    name: String,
+    address: SocketAddr,
+    leaving: bool,
+    since_ms: u64,
+}
+
+impl Entry {
+    fn json(&self) -> String {
+        let Entry { name, address, leaving, since_ms } = self;
+        let status = if *leaving { "leaving" } else { "active" };
+        format!(
+            r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#
+        )
+    }
+}
+
+#[derive(Default)]
+struct Listing {
+    entries: Vec<Entry>,
+    index: u64,
+    /// What was told since the service began, a line each.
+    lines: Vec<String>,
+    down: bool,
+    /// How often the service has begun: a watch of an earlier one ends.
+    life: u64,
+}
+
+impl Listing {
+    fn whole(&self) -> String {
+        let entries: Vec<String> = self.entries.iter().map(Entry::json).collect();
+        format!(r#"{{"index":{},"snapshot":true,"endpoints":[{}]}}"#, self.index, entries.join(","))
+    }
+}
+
+/// A discovery of one instance, which tells it what the script says, and an empty line every second.
+pub struct Discovery {
+    pub address: SocketAddr,
+    listing: Arc<Mutex<Listing>>,
+}
+
+/// How often a watch looks for something new.
+const LOOK: Duration = Duration::from_millis(5);
+
+impl Discovery {
+    pub fn start(servers: &[SocketAddr]) -> std::io::Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let named = servers.iter().enumerate().map(|(at, address)| Entry {
+            name: format!("s{at}"),
+            address: *address,
+            leaving: false,
+            since_ms: 0,
+        });
+        let listing = Listing { entries: named.collect(), index: 1, ..Listing::default() };
+        let (address, listing) = (listener.local_addr()?, Arc::new(Mutex::new(listing)));
+        let discovery = Discovery { address, listing: listing.clone() };
+        each(listener, move |stream| _ = watch(stream, &listing));
+        Ok(discovery)
+    }
+
+    /// The whole list as it stands.
+    pub fn whole(&self) -> String {
+        self.listing().whole()
+    }
+
+    fn listing(&self) -> std::sync::MutexGuard<'_, Listing> {
+        self.listing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn tell(&self, told: Told, server: usize, address: SocketAddr) {
+        let (name, mut listing) = (format!("s{server}"), self.listing());
+        listing.index += 1;
+        if told == Told::Gone {
+            listing.entries.retain(|entry| entry.name != name);
+            let whole = listing.whole();
+            return listing.lines.push(whole);
         }
-        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let mut told = format!("{head}{:x}\r\n{list}\n\r\n", list.len() + 1);
-        while stream.write_all(told.as_bytes()).is_ok() {
-            told = "1\r\n\n\r\n".into();
-            thread::sleep(Duration::from_secs(1));
+        let at = listing.entries.iter().position(|entry| entry.name == name).unwrap_or_else(|| {
+            listing.entries.push(Entry { name, address, leaving: false, since_ms: 0 });
+            listing.entries.len() - 1
+        });
+        let entry = &mut listing.entries[at];
+        entry.leaving = told == Told::Drain;
+        if told == Told::Again {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            entry.since_ms = unix.as_millis() as u64;
         }
-    });
-    Ok(address)
+        let json = entry.json();
+        let line = format!(r#"{{"index":{},"snapshot":false,"endpoints":[{json}]}}"#, listing.index);
+        listing.lines.push(line);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        let mut listing = self.listing();
+        (listing.down, listing.life) = (down, listing.life + 1);
+    }
+
+    /// Starts again, and numbers from the first.
+    pub fn renumber(&self) {
+        let mut listing = self.listing();
+        (listing.index, listing.life) = (1, listing.life + 1);
+        listing.lines.clear();
+    }
+}
+
+fn watch(mut stream: TcpStream, listing: &Mutex<Listing>) -> Option<()> {
+    let lock = || listing.lock().unwrap_or_else(PoisonError::into_inner);
+    read_head(&mut stream)?;
+    let (life, mut told, first) = {
+        let listing = lock();
+        if listing.down {
+            return None;
+        }
+        (listing.life, listing.lines.len(), listing.whole())
+    };
+    let line = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{}", line(&first)).as_bytes()).ok()?;
+    let mut spoke = Instant::now();
+    loop {
+        let fresh = {
+            let listing = lock();
+            if listing.life != life {
+                return None;
+            }
+            listing.lines[told..].to_vec()
+        };
+        told += fresh.len();
+        let mut said: String = fresh.iter().map(|fresh| line(fresh)).collect();
+        if said.is_empty() && spoke.elapsed() > Duration::from_secs(1) {
+            said = line("");
+        }
+        if !said.is_empty() {
+            spoke = Instant::now();
+            stream.write_all(said.as_bytes()).ok()?;
+        }
+        thread::sleep(LOOK);
+    }
 }
 
 /// Calls one workload at one sidecar, so many a second, until the end. Each call is counted from when it was due.
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -13,6 +13,7 @@
         Hop {
             at: words[0].parse().expect("a time"),
             sidecar: words[1].parse().expect("a sidecar"),
+            server: words.get(4).map_or(0, |server| server.parse().expect("a server")),
             workload: words[2].into(),
             id: words[3].into(),
         }
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -1,20 +1,23 @@
 //! The instances that agree on settings, on sockets: each dials the keepers, a line of JSON for each word, and keeps
 //! asking for leases. What is agreed is carried out before it is said to be known. The rules are those of the package
 //! `oakhollow_accord`; without `[accord]` in the operator's file nothing here runs.
-use crate::board::{lock, Shared as Board};
+use crate::board::{lock, Mark, Shared as Board};
+use crate::folder::Keeper as Folder;
 use crate::lease::Lease;
 use crate::lines::{line, say, within};
+use crate::peers::Peers;
+use crate::roster::Elsewhere;
 use crate::timers::Clock;
 use crate::workers::{Order, Orders};
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use futures_lite::io::{self, AsyncReadExt, BufReader};
-use oakhollow::types::Micros;
+use oakhollow::types::{ListKind, Micros};
 use oakhollow_accord::{
-    Action, Document, Holder, InstanceId, Judge, Keeper, Member, Version, Word, MOST_WAITING,
+    Action, Document, Fact, Holder, InstanceId, Judge, Keeper, Listed, Member, Version, Word, MOST_WAITING,
 };
-use oakhollow_terms::{read, Accord as Operated, Greeting, Own, Start, Unsure};
+use oakhollow_terms::{read, Accord as Operated, Entry, Greeting, List, Lists, Own, Start, Unsure};
 use slog::{info, warn, Logger};
 use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
@@ -22,10 +25,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// The longest line that is taken: as many documents as may wait.
-const MOST_LINE: u64 = 4 * 1024 * 1024;
+/// The longest line that is taken: as many documents as may wait, or what is said of two whole lists.
+const MOST_LINE: u64 = 8 * 1024 * 1024;
 /// The longest document: guards against lines that nobody takes.
-const MOST_DOCUMENT: usize = MOST_LINE as usize / (2 * MOST_WAITING);
+const MOST_DOCUMENT: usize = MOST_LINE as usize / (4 * MOST_WAITING);
 /// Words that may wait for one that does not read; what comes beyond them is lost, and asked for again.
 const MOST_WORDS: usize = 64;
 /// Words of all others that may wait for us.
@@ -38,6 +41,11 @@
 enum Input {
     /// This instance's file was read; whoever read it waits to hear why it is not taken, if it isn't.
     Written(Box<Start>, Sender<String>),
+    /// The own list has told something, or can't be had.
+    Listed(Arc<List>),
+    ListFails,
+    /// A mark was set by hand here.
+    Marked(Mark),
     /// The console asks how it stands.
     Asked(Sender<String>),
     /// A member's link to our keeper stands, by this way, or is gone.
@@ -62,6 +70,18 @@
         refused.recv().await.map_or(Ok(()), Err)
     }
 
+    pub async fn listed(&self, list: Arc<List>) {
+        let _ = self.inputs.send(Input::Listed(list)).await;
+    }
+
+    pub async fn list_fails(&self) {
+        let _ = self.inputs.send(Input::ListFails).await;
+    }
+
+    pub async fn marked(&self, mark: Mark) {
+        let _ = self.inputs.send(Input::Marked(mark)).await;
+    }
+
     /// Version by version and instance by instance, a line each.
     pub async fn status(&self) -> String {
         let (to, status) = bounded(1);
@@ -87,6 +107,9 @@
     pub lease: Lease,
     pub orders: Orders,
     pub board: Board,
+    /// Where marks are kept, and the other process of this sidecar, which is told of them.
+    pub keeper: Option<Arc<Folder>>,
+    pub peers: Peers,
     pub clock: Clock,
     pub log: Logger,
 }
@@ -103,16 +126,22 @@
     to_members: HashMap<Holder, Sender<Word>>,
     /// What was last said of acting or not.
     acted: bool,
+    /// The own list can't be had.
+    cut_off: bool,
+    /// Whom others' lists let drain, as the workers were last told.
+    out: Elsewhere,
 }
 
 /// Begins to agree; the future that is given runs for as long as the program.
-pub fn begin(start: &Start, parts: Parts) -> Result<(Accord, impl Future<Output = ()>), String> {
+pub fn begin(
+    start: &Start, known: Arc<List>, parts: Parts,
+) -> Result<(Accord, impl Future<Output = ()>), String> {
     let (own, document) = numbered(start)?;
     let names: Vec<String> = parts.operated.instances.keys().cloned().collect();
     let id = |name: &String| names.iter().position(|other| other == name).map(|at| InstanceId(at as u32));
     let me = id(&start.name).ok_or_else(|| format!("name: {:?} is not in accord.instances", start.name))?;
     let keepers: Vec<InstanceId> = parts.operated.keepers.iter().filter_map(id).collect();
-    let within = oakhollow_terms::micros(parts.operated.within);
+    let within = oakhollow_accord::lease(oakhollow_terms::micros(parts.operated.within));
     let own = Arc::new(Mutex::new(own));
     let judge: Judge = {
         let own = own.clone();
@@ -121,17 +150,35 @@
     let (inputs, incoming) = bounded(MOST_INPUTS);
     let running = Running {
         keeper: keepers.contains(&me).then(|| Keeper::new(parts.clock.now(), within)),
-        member: Member::new(keepers.clone(), within, judge),
+        member: match parts.operated.lists {
+            Lists::Drains => Member::new(keepers.clone(), within, judge),
+            Lists::Whole => Member::new(keepers.clone(), within, judge).with_whole_lists(),
+        },
         names,
         me,
         own,
         to_keepers: HashMap::new(),
         to_members: HashMap::new(),
         acted: false,
+        cut_off: false,
+        out: Elsewhere::new(),
         parts,
     };
     let accord = Accord { inputs: inputs.clone() };
-    Ok((accord, running.run(document, keepers, (inputs, incoming))))
+    Ok((accord, running.run((document, known), keepers, (inputs, incoming))))
+}
+
+/// What a list tells, in the words of the agreement.
+fn told(list: &List) -> Listed {
+    let fact = |entry: &Entry| {
+        let worded = Some(Arc::from(oakhollow_terms::to_json(entry)));
+        Fact { since: entry.since_ms(), out: !entry.ready(), first_hand: true, entry: worded }
+    };
+    let entries = list.endpoints.iter().map(|entry| {
+        let fact = (!entry.left()).then(|| fact(entry));
+        (Arc::from(entry.name.as_str()), fact)
+    });
+    Listed { index: list.index.0, whole: list.snapshot, entries: entries.collect() }
 }
 
 fn place(own: &Mutex<Own>, texts: &[Arc<str>]) -> Result<oakhollow_terms::Place, String> {
@@ -144,7 +191,8 @@
 
 impl Running {
     async fn run(
-        mut self, first: Document, keepers: Vec<InstanceId>, inputs: (Sender<Input>, Receiver<Input>),
+        mut self, first: (Document, Arc<List>), keepers: Vec<InstanceId>,
+        inputs: (Sender<Input>, Receiver<Input>),
     ) {
         let (inputs, incoming) = inputs;
         let greeting = Greeting::new(&self.names[self.me.0 as usize], self.parts.clock.now().0).to_json();
@@ -168,9 +216,12 @@
         }
     }
 
-    async fn agree(&mut self, first: Document, incoming: Receiver<Input>) {
-        let mut actions = Vec::new();
-        self.member.written(self.parts.clock.now(), first, &mut actions);
+    async fn agree(&mut self, (first, known): (Document, Arc<List>), incoming: Receiver<Input>) {
+        let (mut actions, now) = (Vec::new(), self.parts.clock.now());
+        self.member.written(now, first, &mut actions);
+        if !known.endpoints.is_empty() {
+            self.member.listed(now, told(&known), &mut actions);
+        }
         self.carry_out(actions).await;
         loop {
             let now = self.parts.clock.now();
@@ -200,6 +251,18 @@
                     keeper.woke(now, &mut out);
                 }
             }
+            Some(Input::Listed(list)) => {
+                self.cut_off = false;
+                self.member.listed(now, told(&list), &mut actions);
+            }
+            Some(Input::ListFails) => {
+                self.cut_off = true;
+                actions.push(Action::Heard);
+            }
+            Some(Input::Marked(mark)) if self.parts.operated.marks => {
+                self.member.marked(now, (&mark.name, mark.out, mark.at.0), &mut actions);
+            }
+            Some(Input::Marked(_)) => {}
             Some(Input::Asked(to)) => _ = to.try_send(self.status()),
             // It was read by the same check before.
             Some(Input::Written(start, refused)) => {
@@ -265,6 +328,8 @@
                         Err(fault) => warn!(self.parts.log, "agreed settings can't be read: {}", fault),
                     }
                 }
+                Action::Heard => self.hear_lists().await,
+                Action::Mark { name, out, at } => self.mark(&name, out, at).await,
                 Action::Log(text) => info!(self.parts.log, "{}", text),
             }
         }
@@ -288,6 +353,46 @@
         }
     }
 
+    /// Whom others' lists let drain; and whom they name that this one does not, while it can't be had.
+    async fn hear_lists(&mut self) {
+        let mut elsewhere = Elsewhere::new();
+        for (name, since) in self.member.out() {
+            let known = elsewhere.entry(name.to_string()).or_default();
+            *known = since.max(*known);
+        }
+        if self.out != elsewhere {
+            info!(self.parts.log, "by others' lists {} servers drain or have left", elsewhere.len());
+            self.out = elsewhere.clone();
+            let elsewhere = Arc::new(elsewhere);
+            self.parts.orders.have_done(|done| Order::Drained(elsewhere, done)).await;
+        }
+        if self.cut_off {
+            let entries = self.member.unknown().filter_map(|entry| read::<Entry>(entry.as_bytes()).ok());
+            let entries: Vec<Entry> = entries.collect();
+            if !entries.is_empty() {
+                let list = lock(&self.parts.board).add(entries);
+                info!(self.parts.log, "discovery fails: {} servers by others' lists", list.endpoints.len());
+                self.member.listed(self.parts.clock.now(), told(&list), &mut Vec::new());
+                self.parts.orders.tell(Order::Listed(ListKind::Cached, Arc::new(list))).await;
+            }
+        }
+    }
+
+    /// A mark that was set by hand at another instance.
+    async fn mark(&self, name: &str, out: bool, at: u64) {
+        let mark = Mark { name: name.into(), out, at: Micros(at) };
+        {
+            let mut board = lock(&self.parts.board);
+            board.set(&mark);
+            if let Some(keeper) = &self.parts.keeper {
+                keeper.keep(board.marks(), &self.parts.log);
+            }
+        }
+        info!(self.parts.log, "{} {} by hand, at another instance", name, if out { "out" } else { "back" });
+        self.parts.peers.tell(&mark, None);
+        self.parts.orders.have_done(|done| Order::Marked(mark, done)).await;
+    }
+
     fn kept(&self) -> String {
         self.member.keeps_to().map(|(version, _)| version.to_string()).collect::<Vec<_>>().join(" ")
     }
@@ -302,6 +407,9 @@
             self.kept(),
             left(self.member.until())
         );
+        for server in self.out.keys() {
+            text += &format!("out by others' lists: {server}\n");
+        }
         if let Some(keeper) = &self.keeper {
             let cleared = keeper.cleared().map_or("nothing yet".to_string(), |cleared| cleared.to_string());
             text += &format!("keeper: {cleared} holds here\n");
--- a/sidecar/src/board.rs
+++ b/sidecar/src/board.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Takes entries that others' lists tell, in between what the own one does. Gives them as changes of that.
+    pub fn add(&mut self, endpoints: Vec<Entry>) -> List {
+        let list = List { index: self.version, snapshot: false, endpoints };
+        self.take(&list);
+        list
+    }
+
     /// All there are.
     pub fn list(&self) -> List {
         let endpoints = self.entries.values().cloned().collect();
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -162,6 +162,9 @@
         let mark = &mark;
         let Mark { name, out, .. } = mark;
         self.peers.tell(mark, None);
+        if let Some(accord) = &self.accord {
+            accord.marked(mark.clone()).await;
+        }
         info!(self.log, "{} {} by hand", name, if *out { "out" } else { "back" });
         let applied = async {
             self.orders.have_done(|done| Order::Marked(mark.clone(), done)).await;
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -6,7 +6,7 @@
 use crate::generations::{ClassId, Left};
 use crate::lease::Lease;
 use crate::oneshot::{self, oneshot};
-use crate::roster::{self, Roster};
+use crate::roster::{self, Elsewhere, Roster};
 use crate::tasks::Tasks;
 use crate::timers::{Clock, Timers};
 use async_channel::{bounded, Receiver, Sender};
@@ -98,6 +98,8 @@
     Marked(Mark, Sender<()>),
     /// What holds from now on, what is left of workloads that no more do, and who waits for it.
     Retuned(Box<Terms>, FnvHashMap<ClassId, Left>, Option<Sender<()>>),
+    /// Whom others' lists let drain; the sender is dropped when that holds.
+    Drained(Arc<Elsewhere>, Sender<()>),
     /// The lease has begun or run out.
     Look,
     /// What the module has learnt is asked for.
@@ -316,6 +318,11 @@
                 self.listed(ListKind::Cached, told);
                 drop(done);
             }
+            Note::Drained(elsewhere, done) => {
+                let told = self.roster.drain_elsewhere(elsewhere);
+                self.listed(ListKind::Cached, told);
+                drop(done);
+            }
             Note::Marked(mark, done) => {
                 let told = self.roster.mark(&mark);
                 // Nothing was heard from discovery by this.
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,6 +1,7 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
+use crate::accord::Accord;
 use crate::board::{lock, Shared};
 use crate::workers::{Order, Orders};
 use async_channel::Receiver;
@@ -25,6 +26,8 @@
     told_to: Orders,
     /// What the program knows by name.
     board: Shared,
+    /// The other instances, where instances agree.
+    accord: Option<Accord>,
     /// One for each time that the module asks.
     asks: Receiver<()>,
     /// Where discovery is from now on.
@@ -52,11 +55,11 @@
 
 impl Watch {
     pub fn new(
-        discovery: SocketAddr, told: Version, told_to: (Orders, Shared),
+        discovery: SocketAddr, told: Version, told_to: (Orders, Shared, Option<Accord>),
         words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
     ) -> Watch {
-        let ((asks, moves), (told_to, board)) = (words, told_to);
-        Watch { discovery, told, told_to, board, asks, moves, log, most_line }
+        let ((asks, moves), (told_to, board, accord)) = (words, told_to);
+        Watch { discovery, told, told_to, board, accord, asks, moves, log, most_line }
     }
 
     pub async fn run(mut self) {
@@ -77,6 +80,9 @@
                     info!(self.log, "watch of the list ended: {}", why);
                     lock(&self.board).settled = true;
                     self.told_to.tell(Order::Listed(ListKind::Failed, Arc::default())).await;
+                    if let Some(accord) = &self.accord {
+                        accord.list_fails().await;
+                    }
                     turn = word().await;
                     continue;
                 }
@@ -141,7 +147,12 @@
         let list: Result<List, String> = match line {
             // Guards against asking again and again where nothing has changed: the module waits for an answer.
             b"" if first => Ok(List { index: self.told, ..List::default() }),
-            b"" => return Ok(()),
+            b"" => {
+                if let Some(accord) = &self.accord {
+                    accord.listed(Arc::new(List { index: self.told, ..List::default() })).await;
+                }
+                return Ok(());
+            }
             _ => read(line),
         };
         let list = list.map_err(|fault| {
@@ -157,7 +168,11 @@
             board.settled = true;
         }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
-        self.told_to.tell(Order::Listed(kind, Arc::new(list))).await;
+        let list = Arc::new(list);
+        self.told_to.tell(Order::Listed(kind, list.clone())).await;
+        if let Some(accord) = &self.accord {
+            accord.listed(list).await;
+        }
         Ok(())
     }
 }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -282,11 +282,12 @@
         let taught = before.as_ref().map(|before| before.rest.taught.clone()).unwrap_or_default();
         let (peers, takes_over) = (Peers::default(), before.is_some());
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
+        let known = Arc::new(known);
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
         let kit = Kit {
             place,
             seed: start.seed,
-            known: Arc::new(known),
+            known: known.clone(),
             marks,
             taught,
             workers,
@@ -313,8 +314,9 @@
         if let Some((operated, start)) = agrees {
             lock(&board).sure = false;
             let (orders, board, log) = (orders.clone(), board.clone(), log.clone());
-            let parts = accord::Parts { operated, lease, orders, board, clock, log };
-            let (accord, agreeing) = accord::begin(&start, parts)?;
+            let (keeper, peers) = (keeper.clone(), peers.clone());
+            let parts = accord::Parts { operated, lease, orders, board, keeper, peers, clock, log };
+            let (accord, agreeing) = accord::begin(&start, known, parts)?;
             tasks.run(agreeing);
             agreed = Some(accord);
         }
@@ -329,7 +331,7 @@
             let linking = Linking { peers, board, orders, keeper, bounds, log: log.clone() };
             tasks.run(linking.run(before));
         }
-        let told_to = (orders.clone(), board.clone());
+        let told_to = (orders.clone(), board.clone(), agreed.clone());
         let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
         tasks.run(watch.run());
         Ok(Program {
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -2,8 +2,9 @@
 use crate::board::Mark;
 use oakhollow::types::*;
 use oakhollow_terms::{Entry, List, Marks};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Default)]
 pub struct Roster {
@@ -16,10 +17,15 @@
     given: u32,
     /// Out by hand, or back, over whatever the list says.
     marks: Marks,
+    /// Whom others' lists let drain, and in which life, by the time of its start in milliseconds.
+    elsewhere: Arc<Elsewhere>,
     /// Nothing may be sent on: to the module every server drains.
     held_back: bool,
 }
 
+/// By name, when the server started that drains.
+pub type Elsewhere = BTreeMap<String, u64>;
+
 struct Known {
     entry: Entry,
     listing: Listing,
@@ -65,6 +71,19 @@
         Told { entries, retired: Vec::new() }
     }
 
+    /// Takes whom others' lists let drain: all that is known, as it stands by that.
+    pub fn drain_elsewhere(&mut self, elsewhere: Arc<Elsewhere>) -> Told {
+        let before = std::mem::replace(&mut self.elsewhere, elsewhere);
+        let now = &self.elsewhere;
+        let named = before.keys().chain(now.keys()).filter(|name| before.get(*name) != now.get(*name));
+        let known = named.filter_map(|name| self.known.get(self.numbers.get(name)?));
+        let known: Vec<Entry> = known.map(|known| known.entry.clone()).collect();
+        let (mut entries, mut retired) = (Vec::new(), Vec::new());
+        known.iter().for_each(|entry| self.enter(entry, &mut entries, &mut retired));
+        self.forget_gone(&entries);
+        Told { retired, ..self.all() }
+    }
+
     /// Guards against names piling up through many deploys; one that comes back gets a new number.
     fn forget_gone(&mut self, entries: &[Listing]) {
         for entry in entries.iter().filter(|entry| entry.standing == Standing::Gone) {
@@ -81,7 +100,9 @@
     /// What the list says of a server, as it stands by the marks.
     fn listing(&self, entry: &Entry, server: ServerId) -> Listing {
         let mut listing = entry.listing(server, &self.zones);
-        if listing.standing == Standing::Ready && (self.held_back || self.marks.out.contains(&entry.name)) {
+        let elsewhere = self.elsewhere.get(&entry.name).is_some_and(|since| entry.since_ms() <= *since);
+        let out = self.held_back || elsewhere || self.marks.out.contains(&entry.name);
+        if listing.standing == Standing::Ready && out {
             listing.standing = Standing::Draining;
         }
         // Whoever puts a server back has started it anew.
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -10,6 +10,7 @@
 use crate::http1::{Decider, Desk, Fence, Http1, Names, Note};
 use crate::lease::Lease;
 use crate::reactor::{self, Async};
+use crate::roster::Elsewhere;
 use crate::tasks::Tasks;
 use crate::timers::Clock;
 use async_channel::{bounded, Receiver, Sender};
@@ -42,6 +43,8 @@
     Asked(Sender<Taught>),
     /// Settings that hold from now on. Its sender is dropped when they do.
     Retuned(Arc<Place>, Sender<()>),
+    /// Whom others' lists let drain. Its sender is dropped when that holds.
+    Drained(Arc<Elsewhere>, Sender<()>),
     /// The lease has begun or run out.
     Look,
     /// What is shared out with another process of this sidecar.
@@ -330,6 +333,7 @@
                 drop(done);
             }
             Order::Asked(to) => desk.tell(Note::Asked(to)).await,
+            Order::Drained(elsewhere, done) => desk.tell(Note::Drained(elsewhere, done)).await,
             Order::Look => desk.tell(Note::Look).await,
             Order::Retuned(place, done) => {
                 let mut place = placed(Place::clone(&place), number, kit.workers);
--- a/terms/src/agreed.rs
+++ b/terms/src/agreed.rs
@@ -56,8 +56,8 @@
 /// use oakhollow_terms::Greeting;
 /// let greeting = Greeting::new("n1", 7);
 /// assert_eq!(Greeting::read(greeting.to_json().as_bytes()), Ok(greeting.clone()));
-/// let newer = greeting.to_json().replace("\"accord\":1", "\"accord\":2");
-/// assert_eq!(Greeting::read(newer.as_bytes()).unwrap_err(), "accord: 2 is not read");
+/// let newer = greeting.to_json().replace("\"accord\":2", "\"accord\":1");
+/// assert_eq!(Greeting::read(newer.as_bytes()).unwrap_err(), "accord: 1 is not read");
 /// ```
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Greeting {
@@ -67,7 +67,7 @@
 }
 
 impl Greeting {
-    const VERSION: u32 = 1;
+    const VERSION: u32 = 2;
 
     pub fn new(name: &str, life: u64) -> Greeting {
         Greeting { accord: Self::VERSION, name: name.into(), life }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -13,7 +13,7 @@
 pub use agreed::{Common, Greeting, Own};
 pub use list::{Entry, List, Version};
 pub use marks::{Line, Marks, Rest, Taught, Told};
-pub use operator::{Accord, Operator, Unsure};
+pub use operator::{Accord, Lists, Operator, Unsure};
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use shape::Shape;
 pub use start::{Limits, Numbered, Start};
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -66,6 +66,11 @@
         matches!(self.status, Status::Active)
     }
 
+    /// When it last started, in milliseconds of Unix time.
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+
     pub fn left(&self) -> bool {
         matches!(self.status, Status::Left)
     }
--- a/terms/src/operator.rs
+++ b/terms/src/operator.rs
@@ -49,10 +49,26 @@
     pub instances: BTreeMap<String, SocketAddr>,
     /// Those of them that grant leases.
     pub keepers: Vec<String>,
-    /// How long a lease lives, in seconds.
+    /// How long two of them may differ, in seconds: twice as long as a lease lives.
     pub within: f64,
     #[serde(default)]
     pub unsure: Unsure,
+    #[serde(default)]
+    pub lists: Lists,
+    /// Whether a mark that is set by hand at one instance holds for all.
+    #[serde(default)]
+    pub marks: bool,
+}
+
+/// What instances tell each other of the servers on their lists.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lists {
+    /// Who drains or has left.
+    #[default]
+    Drains,
+    /// All entries: one whose discovery fails goes on by what the others are told. Addresses must be the same for all.
+    Whole,
 }
 
 /// What an instance does without a majority's leases.
