Five crooked sidecars are caught by name; the judge counts each sidecar's first act on a version

Seen: a stand-in that took a lower number was not caught. Ruled out: that it did not go back (its trace showed both documents and what it offered). To blame: judge.rs kept for each version only the first who acted on it, and did not compare whoever goes back with itself; where that one had been the first, nothing was compared. Now each sidecar's first act counts, with a test.

lab/: a stand-in sidecar that agrees as all do and forwards plainly, honest or with one of five faults; lab/scenes/crooked, each played with its fault and honest.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -52,8 +52,8 @@
     let mut hops: Vec<&Hop> = hops.iter().collect();
     hops.sort_by(|one, other| one.at.total_cmp(&other.at));
     let mut seen: HashSet<&str> = HashSet::new();
-    // Since when a version, or a later one, was acted on, and by whom.
-    let mut since: BTreeMap<u64, (f64, usize)> = BTreeMap::new();
+    // Since when a version, or a later one, was acted on by each: whoever was the first may be the one that goes back.
+    let mut since: BTreeMap<(u64, usize), f64> = BTreeMap::new();
     let mut longest: Option<Contradiction> = None;
     for hop in hops {
         let repeat = !seen.insert(&hop.id);
@@ -64,8 +64,8 @@
                 hop.workload, hop.sidecar, hop.at
             ));
         };
-        let others = since.range(latest + 1..).filter(|(_, (_, by))| *by != hop.sidecar);
-        for (version, (from, by)) in others {
+        let others = since.range((latest + 1, 0)..).filter(|((_, by), _)| *by != hop.sidecar);
+        for ((version, by), from) in others {
             let length = hop.at - from;
             if longest.as_ref().is_none_or(|longest| length > longest.length) {
                 longest = Some(Contradiction {
@@ -76,7 +76,7 @@
                 });
             }
         }
-        since.entry(earliest).or_insert((hop.at, hop.sidecar));
+        since.entry((earliest, hop.sidecar)).or_insert(hop.at);
     }
     Ok(longest)
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod relay;
 pub mod scene;
 pub mod stand;
+pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,8 @@
 use clap::{Parser, Subcommand};
 use oakhollow_lab::play::{play, Arm, Report};
 use oakhollow_lab::scene::Scene;
-use std::path::PathBuf;
+use oakhollow_lab::stand_in::{run, How};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// A rig for many processes of oakhollow, with faults between them.
@@ -35,6 +36,14 @@
         #[arg(long)]
         logs: bool,
     },
+    /// Stands in for a sidecar, in a scene.
+    #[command(hide = true)]
+    StandIn {
+        how: How,
+        file: PathBuf,
+        #[arg(long)]
+        operator: PathBuf,
+    },
 }
 
 fn tell(file: &str, scene: &Scene, report: &Report, json: bool) {
@@ -57,35 +66,44 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Play { files, seed, json, alone, program, logs } = Args::parse().command;
-    let beside = || std::env::current_exe().map(|own| own.with_file_name("oakhollow")).unwrap_or_default();
-    let program = program.unwrap_or_else(beside);
-    let mut sound = true;
-    for file in files {
-        let name = file.display().to_string();
-        let read = std::fs::read_to_string(&file).map_err(|fault| fault.to_string());
-        let played = read.and_then(|text| {
-            let scene = Scene::read(&text)?;
-            let report = play(&scene, &Arm { program: &program, agreed: !alone, seed })?;
-            Ok((scene, report))
-        });
-        match played {
-            Ok((scene, report)) => {
-                if logs {
-                    report.logs.iter().for_each(|(name, log)| println!("--- {name}\n{log}"));
-                }
-                tell(&name, &scene, &report, json);
-                sound &= report.faults.is_empty();
-            }
-            Err(why) => {
-                eprintln!("oakhollow-lab: {name}: {why}");
-                sound = false;
+    match Args::parse().command {
+        Command::StandIn { how, file, operator } => {
+            let why = run(&file, &operator, how).err().unwrap_or_default();
+            eprintln!("oakhollow-lab: stand-in: {why}");
+            ExitCode::FAILURE
+        }
+        Command::Play { files, seed, json, alone, program, logs } => {
+            let own = std::env::current_exe().unwrap_or_default();
+            let program = program.unwrap_or_else(|| own.with_file_name("oakhollow"));
+            let arm = Arm { program: &program, stand_in: &own, agreed: !alone, seed };
+            match files.iter().filter(|file| !play_one(file, &arm, json, logs)).count() {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::FAILURE,
             }
         }
     }
-    if sound {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
+}
+
+/// False if anything that the scene expects does not hold.
+fn play_one(file: &Path, arm: &Arm, json: bool, logs: bool) -> bool {
+    let name = file.display().to_string();
+    let read = std::fs::read_to_string(file).map_err(|fault| fault.to_string());
+    let played = read.and_then(|text| {
+        let scene = Scene::read(&text)?;
+        let report = play(&scene, arm)?;
+        Ok((scene, report))
+    });
+    match played {
+        Ok((scene, report)) => {
+            if logs {
+                report.logs.iter().for_each(|(name, log)| println!("--- {name}\n{log}"));
+            }
+            tell(&name, &scene, &report, json);
+            report.faults.is_empty()
+        }
+        Err(why) => {
+            eprintln!("oakhollow-lab: {name}: {why}");
+            false
+        }
     }
 }
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -33,8 +33,11 @@
 }
 
 /// With what a scene is played.
+#[derive(Clone, Copy)]
 pub struct Arm<'a> {
     pub program: &'a Path,
+    /// The rig's own program, which stands in for one.
+    pub stand_in: &'a Path,
     /// Whether the instances agree; each acts on its own file alone otherwise.
     pub agreed: bool,
     pub seed: u64,
@@ -79,6 +82,9 @@
         let first = *scene.versions.keys().next().unwrap_or(&1);
         for at in 0..scene.sidecars {
             let mut sidecar = Sidecar::new(arm.program, &format!("n{at}"), &rig.folder)?;
+            if let Some((_, how)) = scene.crooked.as_ref().filter(|(who, _)| *who == at) {
+                sidecar.stand_in(arm.stand_in, how);
+            }
             rig.discoveries.push(Discovery::start(&rig.servers[..LISTED])?);
             let relays: Vec<Relay> =
                 keepers.iter().map(|to| Relay::start(*to)).collect::<std::io::Result<_>>()?;
@@ -168,11 +174,11 @@
         match fault {
             Fault::Tell(number) => {
                 self.sidecars[who].write(&self.file(scene, who, *number))?;
-                self.sidecars[who].signal(Signal::HUP);
+                self.sidecars[who].reread();
             }
             Fault::Spoil => {
                 self.sidecars[who].spoil()?;
-                self.sidecars[who].signal(Signal::HUP);
+                self.sidecars[who].reread();
             }
             Fault::Cut => self.links(who).for_each(|(relay, _)| relay.cut(true, true)),
             Fault::CutTo => self.links(who).for_each(|(relay, own)| relay.cut(own, !own)),
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -16,6 +16,8 @@
     program: PathBuf,
     folder: PathBuf,
     operator: bool,
+    /// Words that come first, where the program is the rig's own; it reads its file by itself.
+    stands_in: Vec<String>,
     child: Option<Child>,
 }
 
@@ -39,10 +41,24 @@
             program: program.into(),
             folder,
             operator: false,
+            stands_in: Vec::new(),
             child: None,
         })
     }
 
+    /// Has a stand-in take the program's place.
+    pub fn stand_in(&mut self, program: &Path, how: &str) {
+        self.program = program.into();
+        self.stands_in = vec!["stand-in".into(), how.into()];
+    }
+
+    /// Has it read its file again.
+    pub fn reread(&self) {
+        if self.stands_in.is_empty() {
+            self.signal(Signal::HUP);
+        }
+    }
+
     /// Writes its file whole, or not at all.
     pub fn write(&self, text: &str) -> std::io::Result<()> {
         fs::write(self.folder.join("new.json"), text)?;
@@ -63,7 +79,7 @@
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
         let mut command = Command::new(&self.program);
-        command.arg(self.folder.join("sidecar.json"));
+        command.args(&self.stands_in).arg(self.folder.join("sidecar.json"));
         if self.operator {
             command.arg("--operator").arg(self.folder.join("operator.toml"));
         }
--- a/lab/src/scene.rs
+++ b/lab/src/scene.rs
@@ -11,6 +11,7 @@
 //! - `at T WHAT A sN`, told by the discovery of A alone: `drain`, `back`, `again` (it has started again), `gone` (from a whole
 //!   list); `mute A` (that discovery is down), `unmute A`, `renumber A` (it starts again, numbers from 1 and tells the whole
 //!   list). `mark A sN`, `unmark A sN`: at its console. Servers are s0, s1, s2, and s3 that no list names at first
+//! - `crooked A HOW`: a stand-in in the place of a process of the program, with that fault or honest (`stand_in.rs`)
 //! - `with KEY = VALUE`: one more line of `[accord]` in the operator's file
 //! - `until T`
 //! - `expect contradiction S`: at most; `expect A holds N by T`; `expect A silent T1 T2`: it sends nothing on between;
@@ -79,6 +80,7 @@
     pub within: f64,
     pub unsure: String,
     pub with: Vec<String>,
+    pub crooked: Option<(usize, String)>,
     pub rate: f64,
     pub versions: BTreeMap<u64, Vec<(String, Kind)>>,
     pub events: Vec<(f64, usize, Fault)>,
@@ -128,6 +130,7 @@
             at.filter(|at| *at < SERVERS).ok_or_else(|| format!("there is no {word}"))
         };
         match words[..] {
+            ["crooked", who, how] => self.crooked = Some((instance(who)?, how.into())),
             ["with", ref rest @ ..] => self.with.push(rest.join(" ")),
             ["sidecars", count, "keepers", keepers, "within", within, ref rest @ ..] => {
                 (self.sidecars, self.keepers) = (whole(count)? as usize, whole(keepers)? as usize);
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -32,14 +32,14 @@
     Some(head)
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
         let (key, value) = line.split_once(':')?;
         key.eq_ignore_ascii_case(name).then_some(value.trim())
     })
 }
 
-fn each(listener: TcpListener, work: impl Fn(TcpStream) + Clone + Send + 'static) {
+pub fn each(listener: TcpListener, work: impl Fn(TcpStream) + Clone + Send + 'static) {
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let work = work.clone();
--- /dev/null
+++ b/lab/src/stand_in.rs
@@ -0,0 +1,325 @@
+//! A sidecar of the rig's own, which agrees as all others do and forwards calls in the plainest way, honestly or with one fault
+//! of choice: whoever judges scenes must catch each of those.
+use crate::stand::{each, header, read_head};
+use oakhollow::types::{Kind, Micros};
+use oakhollow_accord::{lease, Action, Document, Fact, InstanceId, Judge, Listed, Member, Version, Word};
+use oakhollow_terms::{micros, read, to_json, Entry, Greeting, List, Operator, Own, Start};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What it does wrong.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, clap::ValueEnum)]
+pub enum How {
+    Honest,
+    /// It goes on by the old settings for three seconds after it has said that it knows the new ones.
+    Late,
+    /// It acts without a lease.
+    NoLease,
+    /// It counts a lease from the answer.
+    FromAnswer,
+    /// It forgets what others say of servers that drain.
+    NoDrains,
+    /// It takes a lower number.
+    Lower,
+}
+
+const LATE: Duration = Duration::from_secs(3);
+const TICK: Duration = Duration::from_millis(5);
+
+/// Workloads that are offered, and whether they may be repeated.
+type Offered = BTreeMap<String, bool>;
+
+struct Inside {
+    how: How,
+    begun: Instant,
+    within: Micros,
+    member: Member,
+    own: Own,
+    path: PathBuf,
+    /// The file as it was last read.
+    file: String,
+    offered: Offered,
+    /// What is to be offered from then on.
+    later: Vec<(Instant, Offered)>,
+    out: BTreeMap<String, u64>,
+    servers: BTreeMap<String, Entry>,
+    until: Micros,
+    ways: HashMap<InstanceId, Sender<Word>>,
+    turns: usize,
+}
+
+type Shared = Arc<Mutex<Inside>>;
+
+fn lock(inside: &Shared) -> MutexGuard<'_, Inside> {
+    inside.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn offered(own: &Own, texts: &[&str]) -> Result<Offered, String> {
+    let place = own.place(texts)?;
+    let kinds = place.terms.workloads.iter().map(|workload| workload.kind == Kind::Repeatable);
+    Ok(place.workloads.into_iter().map(|named| named.name).zip(kinds).collect())
+}
+
+fn document(path: &Path) -> Result<(Start, Own, Document), String> {
+    let start = Start::from_file(path)?;
+    let (own, common) = Own::part(&start.settings)?;
+    let number = start.version.ok_or("version: missing")?;
+    let version = Version { epoch: number.epoch, number: number.number, hash: common.hash };
+    Ok((start, own, Document { version, text: common.text.into() }))
+}
+
+impl Inside {
+    fn now(&self) -> Micros {
+        Micros(1 + self.begun.elapsed().as_micros() as u64)
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Say(to, word) => _ = self.ways.get(&to).map(|way| way.send(word)),
+                Action::Act => {
+                    let texts: Vec<Arc<str>> = self.member.keeps_to().map(|(_, text)| text.clone()).collect();
+                    let texts: Vec<&str> = texts.iter().map(|text| &**text).collect();
+                    let Ok(fresh) = offered(&self.own, &texts) else { continue };
+                    match self.how {
+                        How::Late if !self.offered.is_empty() => {
+                            self.later.push((Instant::now() + LATE, fresh));
+                        }
+                        _ => self.offered = fresh,
+                    }
+                }
+                Action::Heard if self.how == How::NoDrains => {}
+                Action::Heard => {
+                    self.out = self.member.out().map(|(name, since)| (name.to_string(), since)).collect();
+                }
+                Action::Mark { .. } | Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, from: InstanceId, word: Word) {
+        let (before, mut actions) = (self.member.until(), Vec::new());
+        self.member.on(self.now(), from, word, &mut actions);
+        self.carry_out(actions);
+        let until = self.member.until();
+        match self.how {
+            How::FromAnswer if until > before => self.until = self.now() + self.within,
+            How::FromAnswer => {}
+            How::NoLease if until > Micros(0) => self.until = Micros::NEVER,
+            _ => self.until = until,
+        }
+    }
+
+    fn tick(&mut self) {
+        let (now, mut actions) = (self.now(), Vec::new());
+        if now >= self.member.due() {
+            self.member.woke(now, &mut actions);
+        }
+        let file = std::fs::read_to_string(&self.path).unwrap_or_default();
+        if file != self.file {
+            self.file = file;
+            if let Ok((_, own, document)) = document(&self.path) {
+                self.own = own;
+                let text = document.text.clone();
+                if !self.member.written(now, document, &mut actions) && self.how == How::Lower {
+                    self.offered = offered(&self.own, &[&text]).unwrap_or_default();
+                }
+            }
+        }
+        self.carry_out(actions);
+        let due = self.later.iter().filter(|(at, _)| *at <= Instant::now()).count();
+        if let Some((_, fresh)) = self.later.drain(..due).next_back() {
+            self.offered = fresh;
+        }
+    }
+
+    fn listed(&mut self, list: &List) {
+        if list.snapshot {
+            self.servers.clear();
+        }
+        for entry in &list.endpoints {
+            self.servers.insert(entry.name.clone(), entry.clone());
+        }
+        let fact = |entry: &Entry| Fact {
+            since: entry.since_ms(),
+            out: !entry.ready(),
+            first_hand: true,
+            entry: None,
+        };
+        let entries = list.endpoints.iter();
+        let entries = entries.map(|entry| (entry.name.as_str().into(), (!entry.left()).then(|| fact(entry))));
+        let listed = Listed { index: list.index.0, whole: list.snapshot, entries: entries.collect() };
+        let mut actions = Vec::new();
+        self.member.listed(self.now(), listed, &mut actions);
+        self.carry_out(actions);
+    }
+
+    fn acts(&self) -> bool {
+        self.until > self.now()
+    }
+
+    /// Where a hop of that workload may go, the next in turn, and whether it may be repeated.
+    fn choose(&mut self, workload: &str) -> Result<(SocketAddr, bool), u16> {
+        let repeat = *self.offered.get(workload).ok_or(404_u16)?;
+        if !self.acts() {
+            return Err(503);
+        }
+        let drains =
+            |entry: &Entry| self.out.get(&entry.name).is_some_and(|since| entry.since_ms() <= *since);
+        let usable = self.servers.values().filter(|entry| entry.ready() && !drains(entry));
+        let usable: Vec<SocketAddr> = usable.map(|entry| entry.address).collect();
+        self.turns += 1;
+        usable.get(self.turns % usable.len().max(1)).map(|to| (*to, repeat)).ok_or(503)
+    }
+}
+
+/// Runs for as long as the process.
+pub fn run(path: &Path, operator: &Path, how: How) -> Result<(), String> {
+    let (start, own, first) = document(path)?;
+    let agreed = Operator::from_file(operator, 8)?.accord.ok_or("accord: missing")?;
+    let names: Vec<&String> = agreed.instances.keys().collect();
+    let id = |name: &String| names.iter().position(|other| *other == name).map(|at| InstanceId(at as u32));
+    let keepers: Vec<InstanceId> = agreed.keepers.iter().filter_map(id).collect();
+    let within = lease(micros(agreed.within));
+    let judge: Judge = {
+        let own = own.clone();
+        Arc::new(move |texts: &[Arc<str>]| {
+            let texts: Vec<&str> = texts.iter().map(|text| &**text).collect();
+            offered(&own, &texts).map(|_| ())
+        })
+    };
+    let inside: Shared = Arc::new(Mutex::new(Inside {
+        how,
+        begun: Instant::now(),
+        within,
+        member: Member::new(keepers.clone(), within, judge),
+        own,
+        path: path.into(),
+        file: std::fs::read_to_string(path).map_err(|fault| fault.to_string())?,
+        offered: Offered::new(),
+        later: Vec::new(),
+        out: BTreeMap::new(),
+        servers: BTreeMap::new(),
+        until: Micros(0),
+        ways: HashMap::new(),
+        turns: 0,
+    }));
+    for (name, keeper) in agreed.keepers.iter().zip(&keepers) {
+        dial(&inside, *keeper, agreed.instances[name], &start.name);
+    }
+    let mut actions = Vec::new();
+    let now = lock(&inside).now();
+    lock(&inside).member.written(now, first, &mut actions);
+    lock(&inside).carry_out(actions);
+    watch(&inside, start.discovery);
+    let listener = |at: SocketAddr| TcpListener::bind(at).map_err(|fault| fault.to_string());
+    let door = inside.clone();
+    each(listener(start.listen)?, move |stream| _ = serve(&door, stream));
+    if let Some(at) = start.console {
+        let door = inside.clone();
+        each(listener(at)?, move |mut stream| {
+            let status = if lock(&door).acts() && !lock(&door).servers.is_empty() { 200 } else { 503 };
+            if read_head(&mut stream).is_some() {
+                let _ = stream.write_all(answer(status).as_bytes());
+            }
+        });
+    }
+    loop {
+        lock(&inside).tick();
+        thread::sleep(TICK);
+    }
+}
+
+fn answer(status: u16) -> String {
+    format!("HTTP/1.1 {status} As told\r\nContent-Length: 0\r\n\r\n")
+}
+
+fn dial(inside: &Shared, keeper: InstanceId, at: SocketAddr, name: &str) {
+    let (way, words) = channel::<Word>();
+    lock(inside).ways.insert(keeper, way);
+    let (inside, greeting) = (inside.clone(), Greeting::new(name, u64::from(std::process::id())).to_json());
+    thread::spawn(move || loop {
+        thread::sleep(Duration::from_millis(50));
+        let Ok(mut stream) = TcpStream::connect(at) else { continue };
+        while words.try_recv().is_ok() {}
+        let (Ok(reads), Ok(())) = (stream.try_clone(), stream.write_all(format!("{greeting}\n").as_bytes()))
+        else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let inside = inside.clone();
+        let reader = thread::spawn(move || {
+            for line in BufReader::new(reads).lines().map_while(Result::ok) {
+                match read::<Word>(line.as_bytes()) {
+                    Ok(word) => lock(&inside).hear(keeper, word),
+                    Err(_) => return,
+                }
+            }
+        });
+        // Until the link breaks.
+        while !reader.is_finished() {
+            let Ok(word) = words.recv_timeout(TICK) else { continue };
+            if stream.write_all(format!("{}\n", to_json(&word)).as_bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    });
+}
+
+fn watch(inside: &Shared, discovery: SocketAddr) {
+    let inside = inside.clone();
+    thread::spawn(move || loop {
+        if let Ok(mut stream) = TcpStream::connect(discovery) {
+            let _ = stream.write_all(b"GET /v1/endpoints?stream=1&index=0 HTTP/1.1\r\nHost: x\r\n\r\n");
+            for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                if let Ok(list) = read::<List>(line.as_bytes()) {
+                    lock(&inside).listed(&list);
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(300));
+    });
+}
+
+fn serve(inside: &Shared, mut stream: TcpStream) -> Option<()> {
+    let _ = stream.set_nodelay(true);
+    loop {
+        let head = read_head(&mut stream)?;
+        let workload = head.split(' ').nth(1)?.trim_start_matches('/').to_string();
+        let id = header(&head, "Request-Id")?.to_string();
+        let mut status = 503;
+        for repeat in [false, true] {
+            let chosen = lock(inside).choose(&workload);
+            let (to, may_repeat) = match chosen {
+                Ok(chosen) => chosen,
+                Err(_) if repeat => break,
+                Err(refused) => {
+                    status = refused;
+                    break;
+                }
+            };
+            if repeat && !may_repeat {
+                break;
+            }
+            status = hop(to, &workload, &id).unwrap_or(502);
+            if status == 200 {
+                break;
+            }
+        }
+        stream.write_all(answer(status).as_bytes()).ok()?;
+    }
+}
+
+fn hop(to: SocketAddr, workload: &str, id: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    let ask = format!("GET /{workload} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\n\r\n");
+    stream.write_all(ask.as_bytes()).ok()?;
+    read_head(&mut stream)?.split(' ').nth(1)?.parse().ok()
+}
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -41,8 +41,29 @@
         faults[0].starts_with("contradiction of 1.500 s: n0 sent old by version 1, n1 acted on 2"),
         "{faults:?}"
     );
+    // Whoever goes back was the first to act on the new ones.
+    assert_eq!(judged("1 0 new a; 2 1 new b; 3.5 0 old c").0, Some(1.5));
     // It repeats what the new ones have as once-only.
     assert_eq!(judged("2 1 new b; 2.1 0 fails c; 2.6 0 fails c").0, Some(0.6000000000000001));
+    // It sends to a server which another that serves was told to drain.
+    let scene = Scene::read(&SCENE.replace("until 9", "until 9\nat 2 drain n0 s1\nexpect drains 1"))
+        .expect("a scene");
+    let sent =
+        |at, sidecar, server| Hop { at, sidecar, server, workload: "view".into(), id: format!("{at}") };
+    let hops = [
+        sent(2.4, 0, 0),
+        sent(2.5, 1, 1),
+        sent(2.6, 0, 0),
+        sent(3.4, 0, 0),
+        sent(3.5, 1, 1),
+        sent(3.6, 0, 0),
+    ];
+    assert_eq!(
+        broken(&scene, &hops, &[]),
+        ["n1 sends to s1 1.500 s after n0, which serves, was told that it drains"]
+    );
+    // Whoever was told dismisses by then.
+    assert!(broken(&scene, &hops[..5], &[]).is_empty());
     // It ignores that its lease has run out.
     assert_eq!(judged("4.5 2 view a").1, ["n2 sends 1 hops from 4 s to 5 s, none were expected"]);
     // It does what no version allows.
--- a/lab/tests/scenes.rs
+++ b/lab/tests/scenes.rs
@@ -2,6 +2,7 @@
 use oakhollow_lab::play::{play, Arm};
 use oakhollow_lab::scene::Scene;
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 
 /// The program, which the workspace's tests build beside ours.
@@ -12,13 +13,25 @@
     program
 }
 
-#[test]
-fn scenes_of_agreement_hold() {
-    let program = program();
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenes/accord");
+/// The rig's own program.
+const STAND_IN: &str = env!("CARGO_BIN_EXE_oakhollow-lab");
+
+/// One after the other: guards against more plays at once than a small machine keeps time for.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn files(folder: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenes").join(folder);
     let mut files: Vec<PathBuf> =
         folder.read_dir().expect("scenes").map(|entry| entry.expect("one").path()).collect();
     files.sort();
+    files
+}
+
+#[test]
+fn scenes_of_agreement_hold() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let program = program();
+    let files = files("accord");
     assert!(files.len() >= 3);
     thread::scope(|scope| {
         for file in &files {
@@ -30,10 +43,37 @@
 
 fn hold(program: &Path, file: &Path) {
     let scene = Scene::read(&std::fs::read_to_string(file).expect("text")).expect("a scene");
-    let report = play(&scene, &Arm { program, agreed: true, seed: 0 }).expect("played");
+    let report =
+        play(&scene, &Arm { program, stand_in: Path::new(STAND_IN), agreed: true, seed: 0 }).expect("played");
     for (name, log) in report.logs.iter().filter(|_| !report.faults.is_empty()) {
         eprintln!("--- {name}\n{log}");
     }
     assert!(report.faults.is_empty(), "{}: {:#?}", file.display(), report.faults);
     assert!(report.hops > 100, "{}: {} hops", file.display(), report.hops);
 }
+
+/// Each with its fault and honest, so that the fault alone is what is caught.
+#[test]
+fn crooked_sidecars_are_caught_by_name() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (program, files) = (program(), files("crooked"));
+    assert_eq!(files.len(), 5);
+    thread::scope(|scope| {
+        for file in &files {
+            let (program, text) = (&program, std::fs::read_to_string(file).expect("text"));
+            let crooked = Scene::read(&text).expect("a scene");
+            let (who, how) = crooked.crooked.clone().expect("one is crooked");
+            let honest = Scene { crooked: Some((who, "honest".into())), ..crooked.clone() };
+            let arm = Arm { program, stand_in: Path::new(STAND_IN), agreed: true, seed: 0 };
+            scope.spawn(move || {
+                let report = play(&crooked, &arm).expect("played");
+                let named = report.faults.iter().filter(|fault| fault.contains(&format!("n{who} sen")));
+                assert!(named.count() > 0, "{how} is not caught: {:#?}", report.faults);
+            });
+            scope.spawn(move || {
+                let report = play(&honest, &arm).expect("played");
+                assert!(report.faults.is_empty(), "honest, {}: {:#?}", file.display(), report.faults);
+            });
+        }
+    });
+}
