--- a/accord/src/keeper.rs
+++ b/accord/src/keeper.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Eq, Debug)]
-struct Lease {
-    until: Micros,
-    knows: BTreeSet<Version>,
-    refuses: BTreeSet<Version>,
+pub(crate) struct Lease {
+    pub(crate) until: Micros,
+    pub(crate) knows: BTreeSet<Version>,
+    pub(crate) refuses: BTreeSet<Version>,
 }
 
 impl Lease {
@@ -20,8 +20,8 @@
 
 /// What one who asks says of servers, by the hash of it, and has heard of them from here.
 #[derive(Clone, PartialEq, Eq, Debug)]
-struct Says {
-    turn: u64,
+pub(crate) struct Says {
+    pub(crate) turn: u64,
     hash: u64,
     /// What it has told since, and will ask with.
     offered: u64,
@@ -50,13 +50,13 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Keeper {
     /// From when on it grants and clears: leases of its earlier life have run out by then.
-    awake: Micros,
+    pub(crate) awake: Micros,
     /// How long it counts a lease: longer than whoever holds it does.
     span: Micros,
-    documents: BTreeMap<Version, Arc<str>>,
-    cleared: Option<Version>,
-    leases: BTreeMap<Holder, Lease>,
-    says: BTreeMap<Holder, Says>,
+    pub(crate) documents: BTreeMap<Version, Arc<str>>,
+    pub(crate) cleared: Option<Version>,
+    pub(crate) leases: BTreeMap<Holder, Lease>,
+    pub(crate) says: BTreeMap<Holder, Says>,
     /// What is said, by its hash: most say the same.
     said: BTreeMap<u64, Facts>,
     /// The most that any says of each server.
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -8,6 +8,7 @@
 mod keeper;
 mod lists;
 mod member;
+mod shape;
 
 pub use facts::{Change, Fact, Facts, Subject, MOST_FACTS};
 pub use keeper::{Keeper, Waiting};
--- a/accord/src/member.rs
+++ b/accord/src/member.rs
@@ -25,27 +25,29 @@
 
 /// A lease, from when it was asked for.
 #[derive(Clone, PartialEq, Eq, Debug)]
-struct Lease {
-    from: Micros,
-    cleared: Version,
+pub(crate) struct Lease {
+    pub(crate) from: Micros,
+    pub(crate) cleared: Version,
 }
 
 #[derive(Clone)]
 pub struct Member {
     keepers: Vec<InstanceId>,
-    within: Micros,
+    pub(crate) within: Micros,
     judge: Judge,
     /// All it keeps to: what holds, and what may come to hold.
-    documents: BTreeMap<Version, Arc<str>>,
-    refused: BTreeSet<Version>,
+    pub(crate) documents: BTreeMap<Version, Arc<str>>,
+    pub(crate) refused: BTreeSet<Version>,
     /// The earliest version that may still hold anywhere; none before a majority of keepers has said so.
-    base: Option<Version>,
+    pub(crate) base: Option<Version>,
     turn: u64,
     /// When each turn was asked, while a lease for it would live.
-    asked: BTreeMap<u64, Micros>,
-    leases: BTreeMap<InstanceId, Lease>,
+    pub(crate) asked: BTreeMap<u64, Micros>,
+    pub(crate) leases: BTreeMap<InstanceId, Lease>,
     next: Micros,
     lists: Lists,
+    /// Keepers whose last answer came when its lease was over.
+    too_far: BTreeSet<InstanceId>,
 }
 
 impl Member {
@@ -65,6 +67,7 @@
             leases: BTreeMap::new(),
             next: Micros(0),
             lists: Lists::default(),
+            too_far: BTreeSet::new(),
         }
     }
 
@@ -210,7 +213,9 @@
         }
         let texts: Vec<Arc<str>> = self.documents.values().cloned().chain([text.clone()]).collect();
         let full = if texts.len() > MOST_WAITING { Err("too many versions wait".into()) } else { Ok(()) };
-        if let Err(why) = full.and_then(|()| (self.judge)(&texts)) {
+        // Also as it is once the earlier ones hold no more: guards against a version that can be taken with others alone.
+        let each = (0..texts.len()).try_for_each(|first| (self.judge)(&texts[first..]));
+        if let Err(why) = full.and(each) {
             out.push(Action::Log(format!("version {version} refused: {why}")));
             self.refuse(version);
             return false;
@@ -273,7 +278,17 @@
         let (turn, cleared, behind) = granted;
         // Counted from when it was asked for, whenever the answer comes, and less by what had not been heard by then.
         let at = self.asked.get(&turn).map(|at| *at - behind);
-        let Some(at) = at.filter(|at| *at + self.within > now) else { return };
+        let Some(at) = at.filter(|at| *at + self.within > now) else {
+            // One that was asked before the last, and is remembered no more.
+            if behind == Micros(0) && self.too_far.insert(from) {
+                let within = self.within.secs();
+                out.push(Action::Log(format!(
+                    "accord.within: a keeper's answer took longer than the {within:.3} s that a lease lives"
+                )));
+            }
+            return;
+        };
+        self.too_far.remove(&from);
         let known = self.documents.contains_key(&cleared);
         if !known || self.leases.get(&from).is_some_and(|lease| lease.from >= at) {
             return;
--- a/accord/tests/days.rs
+++ b/accord/tests/days.rs
@@ -1,5 +1,6 @@
 //! Seeded days of many instances: words lost, late, twice and out of order, changes one upon another, keepers and others
 //! started again, clocks that run up to 1 % apart. At every moment no two that act may contradict each other.
+mod explored;
 mod words;
 mod world;
 
@@ -39,7 +40,7 @@
 fn day(seed: u64, keepers: usize, instances: usize, crooked: Crooked) -> Day {
     let (mut chance, mut world) = (Chance(seed), World::new(keepers, instances, crooked));
     for at in 0..instances {
-        world.instances[at].pace = 0.01 * (2.0 * chance.part() - 1.0);
+        std::sync::Arc::make_mut(&mut world.instances[at]).pace = 0.01 * (2.0 * chance.part() - 1.0);
         world.write(at, 1);
         (0..SERVERS).for_each(|server| world.list(at, (server, 1, false), false));
     }
@@ -132,7 +133,9 @@
         let own = &world.instances[*at];
         let sends = |server: &u64| {
             let (life, out, _) = own.list[server];
-            let drains = |other: &world::Instance| other.list[server].1 && other.list[server].0 >= life;
+            let drains = |other: &std::sync::Arc<world::Instance>| {
+                other.list[server].1 && other.list[server].0 >= life
+            };
             !out && own.out.get(server).is_none_or(|out| *out < life) && world.instances.iter().any(drains)
         };
         world.acts(*at) && own.acts_on.len() == 1 && !(0..SERVERS).any(|server| sends(&server))
--- /dev/null
+++ b/accord/tests/explored/mod.rs
@@ -0,0 +1,327 @@
+//! All that three keepers and two others can come to with two changes and one start anew, whatever is lost, late or out of
+//! order: a breadth-first search by the packages' own code. Time goes in steps of 0.6 of a lease, so a lease lives through one
+//! step, and at a keeper too. An exchange on one link is cut after any of its words; the word that would come next is lost, or
+//! late until some later moment. States that go on alike are visited once.
+use crate::words::WITHIN;
+use crate::world::{Crooked, Message, World};
+use oakhollow_accord::{Holder, InstanceId, Word};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+
+const KEEPERS: usize = 3;
+const OTHERS: usize = 2;
+const STEP: f64 = 0.6 * WITHIN.0 as f64;
+/// Words of one exchange, at most: an ask, what it wants, that, and a lease.
+const MOST_WORDS: usize = 8;
+
+#[derive(Clone)]
+struct State {
+    world: World,
+    written: u64,
+    crashed: bool,
+    /// Words that come at some later moment, if at all.
+    late: Vec<Message>,
+    /// Whose turn it is, and who has asked whom in this step.
+    turn: Option<usize>,
+    /// Whose words have been lost or late in this step, and how often that was so.
+    troubled: bool,
+    trouble: usize,
+    done: [[bool; KEEPERS]; OTHERS],
+}
+
+#[derive(Debug)]
+struct Bounds {
+    changes: u64,
+    /// Whether one starts anew.
+    crash: bool,
+    /// Words that may be late at a time.
+    late: usize,
+    /// In how many steps of one of them words are lost or late.
+    trouble: usize,
+    most: usize,
+}
+
+impl State {
+    fn begin(crooked: Crooked) -> State {
+        let mut world = World::new(KEEPERS, OTHERS, crooked);
+        (0..OTHERS).for_each(|at| world.write(at, 1));
+        world.now = 3.0 * WITHIN.0 as f64;
+        let mut state = State {
+            world,
+            written: 1,
+            crashed: false,
+            late: Vec::new(),
+            turn: None,
+            troubled: false,
+            trouble: 0,
+            done: [[false; KEEPERS]; OTHERS],
+        };
+        for _ in 0..2 {
+            for (other, keeper) in
+                (0..OTHERS).flat_map(|other| (0..KEEPERS).map(move |keeper| (other, keeper)))
+            {
+                state.exchange(other, keeper, MOST_WORDS);
+            }
+        }
+        state
+    }
+
+    /// Lets one ask one keeper, and both say what follows from that, up to so many words. Gives what would come next.
+    fn exchange(&mut self, other: usize, keeper: usize, most: usize) -> Option<Message> {
+        let life = self.world.instances[other].life;
+        self.world.said.clear();
+        self.world.deliver(Message::ToMember(other, keeper, life, Word::News));
+        let mut said = Vec::new();
+        for done in 0..=most {
+            let theirs = |message: &Message| match message {
+                Message::ToKeeper(to, (from, _), _) => (*to, *from as usize) == (keeper, other),
+                Message::ToMember(to, from, ..) => (*from, *to) == (keeper, other),
+            };
+            // What goes to others is lost: they are asked in their own exchanges.
+            said.extend(std::mem::take(&mut self.world.said).into_iter().filter(theirs));
+            said.retain(|message| !matches!(message, Message::ToMember(.., Word::News)));
+            if said.is_empty() {
+                return None;
+            }
+            let next = said.remove(0);
+            if done == most {
+                return Some(next);
+            }
+            self.world.deliver(next);
+        }
+        None
+    }
+
+    fn hash_of(&self, order: [usize; OTHERS]) -> u64 {
+        let world = &self.world;
+        let mut keepers: Vec<u64> = (0..KEEPERS)
+            .map(|keeper| {
+                let mut hasher = DefaultHasher::new();
+                let now = world.keeper_time(keeper);
+                let name = |holder: Holder| {
+                    let at = holder.instance.0 as usize;
+                    let place = order.iter().position(|other| *other == at).unwrap_or(OTHERS) as u32;
+                    place * 2 + u32::from(holder.life != world.instances[at].life)
+                };
+                world.keepers[keeper].shape(now, name, &mut hasher);
+                for other in order {
+                    let (member, now) = (&world.instances[other].member, world.member_time(other));
+                    member.lease_shape(InstanceId(keeper as u32), now, &mut hasher);
+                    (self.late_on(other, keeper), self.done[other][keeper]).hash(&mut hasher);
+                }
+                hasher.finish()
+            })
+            .collect();
+        keepers.sort_unstable();
+        let mut hasher = DefaultHasher::new();
+        (keepers, self.written, self.crashed, self.trouble, self.troubled).hash(&mut hasher);
+        for other in order {
+            let instance = &world.instances[other];
+            instance.member.shape(&mut hasher);
+            (&instance.acts_on, instance.until - world.member_time(other)).hash(&mut hasher);
+            (self.turn == Some(other)).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// What matters of the late words on that link.
+    fn late_on(&self, other: usize, keeper: usize) -> Vec<(u64, Word)> {
+        let mut late: Vec<_> =
+            self.late.iter().filter_map(|message| self.late_of(message, other, keeper)).collect();
+        late.sort_unstable();
+        late
+    }
+
+    fn late_of(&self, message: &Message, other: usize, keeper: usize) -> Option<(u64, Word)> {
+        let world = &self.world;
+        match message {
+            Message::ToKeeper(to, (from, life), word) if (*to, *from as usize) == (keeper, other) => {
+                let Word::Ask { turn, knows, refuses, .. } = word else { return Some((*life, word.clone())) };
+                // Whether it is dropped as older than what came since; what it asks for lives no longer than it would.
+                let holder = Holder { instance: InstanceId(*from), life: *life };
+                let fresh = world.keepers[keeper].turn_of(holder).is_none_or(|last| last < *turn);
+                let left = world.instances[other].member.turn_left(*turn, world.member_time(other)).0;
+                let word = Word::Ask {
+                    turn: left * 2 + u64::from(fresh),
+                    knows: knows.clone(),
+                    refuses: refuses.clone(),
+                    says: 0,
+                    heard: 0,
+                    after: 0,
+                };
+                Some((world.instances[other].life - life, word))
+            }
+            Message::ToMember(to, from, life, word) if (*from, *to) == (keeper, other) => {
+                let left = |turn| world.instances[other].member.turn_left(turn, world.member_time(other)).0;
+                let word = match word {
+                    Word::Grant { turn, cleared, .. } => {
+                        Word::Grant { turn: left(*turn), cleared: *cleared, behind: 0 }
+                    }
+                    other => other.clone(),
+                };
+                Some((world.instances[other].life - life, word))
+            }
+            _ => None,
+        }
+    }
+
+    /// The same for all states that go on alike: keepers may change places, and so may the others.
+    fn hash(&self) -> u64 {
+        self.hash_of([0, 1]).min(self.hash_of([1, 0]))
+    }
+
+    fn nexts(&self, bounds: &Bounds, out: &mut Vec<State>) {
+        let mut with = |change: &dyn Fn(&mut State)| {
+            let mut next = self.clone();
+            change(&mut next);
+            next.world.said.clear();
+            out.push(next);
+        };
+        for other in (0..OTHERS).filter(|other| self.turn.is_none_or(|turn| turn == *other)) {
+            for keeper in (0..KEEPERS).filter(|keeper| !self.done[other][*keeper]) {
+                for most in 0..=MOST_WORDS {
+                    let mut next = self.clone();
+                    (next.turn, next.done[other][keeper]) = (Some(other), true);
+                    let rest = next.exchange(other, keeper, most);
+                    let over = rest.is_none();
+                    if !over && !next.troubled {
+                        (next.troubled, next.trouble) = (true, next.trouble + 1);
+                    }
+                    if next.trouble > bounds.trouble {
+                        continue;
+                    }
+                    if next.done[other].iter().all(|done| *done) {
+                        (next.turn, next.troubled) = (None, false);
+                    }
+                    if let Some(rest) = rest.filter(|_| next.late.len() < bounds.late) {
+                        let mut later = next.clone();
+                        later.late.push(rest);
+                        with(&|state| *state = later.clone());
+                    }
+                    with(&|state| *state = next.clone());
+                    if over {
+                        break;
+                    }
+                }
+            }
+        }
+        // All else happens before, between and after what the two ask.
+        if self.turn.is_some() {
+            return;
+        }
+        for other in 0..OTHERS {
+            if self.written <= bounds.changes {
+                with(&|state| {
+                    state.written += 1;
+                    state.world.write(other, state.written);
+                });
+            }
+            if bounds.crash && !self.crashed {
+                for file in [1, self.written] {
+                    with(&|state| {
+                        state.crashed = true;
+                        state.world.restart_instance(other, file);
+                    });
+                }
+            }
+        }
+        if bounds.crash && !self.crashed {
+            for keeper in 0..KEEPERS {
+                with(&|state| {
+                    state.crashed = true;
+                    state.world.restart_keeper(keeper);
+                });
+            }
+        }
+        for late in 0..self.late.len() {
+            with(&|state| {
+                let late = state.late.remove(late);
+                state.world.deliver(late);
+            });
+            with(&|state| _ = state.late.remove(late));
+        }
+        if self.done.iter().flatten().all(|done| *done) {
+            with(&|state| {
+                state.done = Default::default();
+                state.world.now += STEP;
+                state.world.wake_keepers();
+            });
+        }
+    }
+}
+
+/// How many states there are, or one in which two contradict each other. Ends when there is no more to be found, or with
+/// that many.
+fn explore(bounds: &Bounds, crooked: Crooked) -> Result<usize, String> {
+    let first = State::begin(crooked);
+    let mut seen: HashSet<u64> = HashSet::from([first.hash()]);
+    let mut frontier = vec![first];
+    let mut depth = 0;
+    while !frontier.is_empty() && seen.len() < bounds.most {
+        let parts = std::thread::available_parallelism().map_or(1, |cores| cores.get());
+        let each = frontier.len().div_ceil(parts);
+        let known = &seen;
+        let work = |part: &[State]| {
+            let (mut fresh, mut own, mut next) = (Vec::new(), HashSet::new(), Vec::new());
+            for state in part {
+                state.nexts(bounds, &mut next);
+                for next in next.drain(..) {
+                    let hash = next.hash();
+                    if !known.contains(&hash) && own.insert(hash) {
+                        fresh.push((hash, next));
+                    }
+                }
+            }
+            fresh
+        };
+        let found: Vec<Vec<(u64, State)>> = std::thread::scope(|scope| {
+            let parts: Vec<_> = frontier.chunks(each).map(|part| scope.spawn(move || work(part))).collect();
+            parts.into_iter().map(|part| part.join().expect("explored")).collect()
+        });
+        frontier = Vec::new();
+        for (hash, state) in found.into_iter().flatten() {
+            if seen.insert(hash) {
+                if let Some(pair) = (0..OTHERS).find_map(|one| Some((one, state.world.contradicts(one)?))) {
+                    return Err(format!("{pair:?} at depth {depth}, {} states", seen.len()));
+                }
+                frontier.push(state);
+            }
+        }
+        depth += 1;
+    }
+    println!("{bounds:?}: {} states, {depth} deep, {} left", seen.len(), frontier.len());
+    Ok(seen.len())
+}
+
+fn whole(changes: u64, late: usize, trouble: usize) -> usize {
+    let bounds = Bounds { changes, crash: true, late, trouble, most: usize::MAX };
+    explore(&bounds, Crooked::Not).unwrap_or_else(|fault| panic!("{bounds:?}: {fault}"))
+}
+
+#[test]
+fn no_order_of_words_makes_two_contradict_each_other() {
+    // The counts say that what was meant to be explored is: they change with the rules.
+    assert!(whole(2, 0, 1) > 100_000);
+    assert!(whole(1, 1, 1) > 100_000);
+}
+
+/// Takes minutes, and some gigabytes.
+#[test]
+#[ignore]
+fn nor_does_any_order_of_more_of_them() {
+    assert!(whole(2, 1, 1) > 1_000_000);
+    assert!(whole(2, 0, 2) > 1_000_000);
+}
+
+#[test]
+fn mutated_rules_are_found() {
+    let found = |crooked, crash, late, trouble| {
+        let bounds = Bounds { changes: 1, crash, late, trouble, most: 3_000_000 };
+        let found = explore(&bounds, crooked);
+        println!("{crooked:?}: {found:?}");
+        assert!(found.is_err(), "{crooked:?} is not found");
+    };
+    found(Crooked::FromTheAnswer, false, 1, 2);
+    found(Crooked::IgnoresWhatWaits, false, 0, 1);
+}
--- a/accord/tests/rules.rs
+++ b/accord/tests/rules.rs
@@ -140,3 +140,64 @@
     assert_eq!(few.holds(), [Some(version(5)), Some(version(5))]);
     assert!(few.members.iter().all(|member| member.until() > few.now));
 }
+
+#[test]
+fn a_lease_that_is_below_the_round_trip_is_said_once() {
+    let takes = |_: &[Arc<str>]| Ok(());
+    let mut member = Member::new(vec![ONLY], WITHIN, Arc::new(takes));
+    let (mut actions, mut said) = (Vec::new(), 0);
+    member.written(Micros(0), document(5), &mut actions);
+    for turn in 1..4 {
+        let now = Micros(turn * 1_000);
+        member.woke(now, &mut actions);
+        let late = Word::Grant { turn, cleared: version(5), behind: 0 };
+        member.on(now + WITHIN + WITHIN, ONLY, late, &mut actions);
+        said += actions
+            .drain(..)
+            .filter(|action| matches!(action, Action::Log(text) if text.starts_with("accord.within")))
+            .count();
+    }
+    assert_eq!((said, member.until()), (1, Micros(0)));
+}
+
+/// What one hears of lists, by a keeper in between.
+fn listed(few: &mut Few, at: usize, index: u64, whole: bool, entries: &[(&str, u64, bool)]) {
+    let fact = |since, out| Some(Fact { since, out, first_hand: true, entry: None });
+    let entries = entries.iter().map(|(name, since, out)| (Arc::from(*name), fact(*since, *out)));
+    let (mut actions, entries) = (Vec::new(), entries.collect());
+    few.members[at].listed(few.now, Listed { index, whole, entries }, &mut actions);
+    few.carry(at, actions);
+    few.pass(1);
+}
+
+fn out(few: &Few, at: usize) -> Vec<(String, u64)> {
+    few.members[at].out().map(|(name, since)| (name.to_string(), since)).collect()
+}
+
+#[test]
+fn a_drain_holds_until_nobody_is_told_it_any_more() {
+    let mut few = Few::new();
+    listed(&mut few, 0, 1, true, &[("a", 1, false), ("b", 1, false)]);
+    listed(&mut few, 1, 1, true, &[("a", 1, false), ("b", 1, false)]);
+    listed(&mut few, 0, 2, false, &[("a", 1, true)]);
+    assert!(out(&few, 1).contains(&("a".into(), 1)));
+    // Another discovery has it in use under a higher number: numbers of two can't be compared.
+    listed(&mut few, 1, 9, false, &[("a", 1, false)]);
+    assert!(out(&few, 1).contains(&("a".into(), 1)));
+    // Taken back by whoever was told it, and the other's list goes on.
+    listed(&mut few, 0, 3, false, &[("a", 1, false)]);
+    listed(&mut few, 1, 10, false, &[]);
+    few.pass(5);
+    assert_eq!((out(&few, 0), out(&few, 1)), (vec![], vec![]));
+}
+
+#[test]
+fn absence_counts_but_from_a_list_that_begins_anew() {
+    let mut few = Few::new();
+    listed(&mut few, 0, 5, true, &[("a", 1, false), ("b", 1, false)]);
+    listed(&mut few, 0, 1, true, &[]);
+    assert_eq!(out(&few, 1), []);
+    listed(&mut few, 0, 5, true, &[("a", 1, false), ("b", 1, false)]);
+    listed(&mut few, 0, 6, true, &[("b", 1, false)]);
+    assert_eq!(out(&few, 1)[0], ("a".into(), 1));
+}
--- a/accord/tests/world/mod.rs
+++ b/accord/tests/world/mod.rs
@@ -51,9 +51,9 @@
 #[derive(Clone)]
 pub struct World {
     pub now: f64,
-    pub keepers: Vec<Keeper>,
+    pub keepers: Vec<Arc<Keeper>>,
     pub keeper_pace: Vec<f64>,
-    pub instances: Vec<Instance>,
+    pub instances: Vec<Arc<Instance>>,
     /// What has just been said.
     pub said: Vec<Message>,
     pub crooked: Crooked,
@@ -65,7 +65,7 @@
 
 impl World {
     pub fn new(keepers: usize, instances: usize, crooked: Crooked) -> World {
-        let keeper = Keeper::new(Micros(0), WITHIN);
+        let keeper = Arc::new(Keeper::new(Micros(0), WITHIN));
         let mut world = World {
             now: 0.0,
             keepers: vec![keeper; keepers],
@@ -76,7 +76,7 @@
         };
         for _ in 0..instances {
             let member = world.member();
-            world.instances.push(Instance {
+            world.instances.push(Arc::new(Instance {
                 member,
                 life: 1,
                 acts_on: BTreeSet::new(),
@@ -86,7 +86,7 @@
                 list: BTreeMap::new(),
                 index: 0,
                 out: BTreeMap::new(),
-            });
+            }));
         }
         world
     }
@@ -104,7 +104,7 @@
     }
 
     fn carry_out(&mut self, at: usize, actions: Vec<Action>) {
-        let instance = &mut self.instances[at];
+        let instance = Arc::make_mut(&mut self.instances[at]);
         for action in actions {
             match action {
                 Action::Say(to, word) => {
@@ -140,14 +140,14 @@
 
     pub fn write(&mut self, at: usize, number: u64) {
         let (now, mut actions) = (self.member_time(at), Vec::new());
-        self.instances[at].member.written(now, document(number), &mut actions);
+        Arc::make_mut(&mut self.instances[at]).member.written(now, document(number), &mut actions);
         self.carry_out(at, actions);
     }
 
     /// Its own list tells that a server drains, or is there, in that life.
     pub fn list(&mut self, at: usize, (server, since, out): (u64, u64, bool), whole: bool) {
         let (now, true_now, mut actions) = (self.member_time(at), self.now, Vec::new());
-        let instance = &mut self.instances[at];
+        let instance = Arc::make_mut(&mut self.instances[at]);
         let known = instance.list.get(&server).copied().unwrap_or_default();
         if (known.0, known.1) != (since, out) || known.2 == 0.0 {
             instance.list.insert(server, (since, out, true_now.max(1.0)));
@@ -168,12 +168,16 @@
     pub fn wake(&mut self) {
         for at in 0..self.instances.len() {
             let (now, mut actions) = (self.member_time(at), Vec::new());
-            self.instances[at].member.woke(now, &mut actions);
+            Arc::make_mut(&mut self.instances[at]).member.woke(now, &mut actions);
             self.carry_out(at, actions);
         }
+        self.wake_keepers();
+    }
+
+    pub fn wake_keepers(&mut self) {
         for at in 0..self.keepers.len() {
             let (now, mut out) = (self.keeper_time(at), Vec::new());
-            self.keepers[at].woke(now, &mut out);
+            Arc::make_mut(&mut self.keepers[at]).woke(now, &mut out);
             self.keeper_says(at, out);
         }
     }
@@ -189,7 +193,7 @@
             Message::ToKeeper(at, (instance, life), word) => {
                 let (now, mut out) = (self.keeper_time(at), Vec::new());
                 let from = Holder { instance: InstanceId(instance), life };
-                self.keepers[at].on(now, from, word, &mut out);
+                Arc::make_mut(&mut self.keepers[at]).on(now, from, word, &mut out);
                 self.keeper_says(at, out);
             }
             Message::ToMember(at, from, life, mut word) => {
@@ -201,11 +205,16 @@
                 }
                 let (now, mut actions) = (self.member_time(at), Vec::new());
                 let before = self.instances[at].member.until();
-                self.instances[at].member.on(now, InstanceId(from as u32), word, &mut actions);
+                Arc::make_mut(&mut self.instances[at]).member.on(
+                    now,
+                    InstanceId(from as u32),
+                    word,
+                    &mut actions,
+                );
                 let renewed = self.instances[at].member.until() > before;
                 self.carry_out(at, actions);
                 if self.crooked == Crooked::FromTheAnswer && renewed {
-                    self.instances[at].until = now + WITHIN;
+                    Arc::make_mut(&mut self.instances[at]).until = now + WITHIN;
                 }
             }
         }
@@ -214,12 +223,12 @@
     pub fn restart_keeper(&mut self, at: usize) {
         let now = self.keeper_time(at);
         let within = if self.crooked == Crooked::WakesAtOnce { Micros(0) } else { WITHIN };
-        self.keepers[at] = Keeper::new(now, within);
+        self.keepers[at] = Arc::new(Keeper::new(now, within));
     }
 
     pub fn restart_instance(&mut self, at: usize, number: u64) {
         let member = self.member();
-        let instance = &mut self.instances[at];
+        let instance = Arc::make_mut(&mut self.instances[at]);
         (instance.member, instance.life) = (member, instance.life + 1);
         (instance.acts_on, instance.until) = (BTreeSet::new(), Micros(0));
         instance.since = self.now;
@@ -227,7 +236,7 @@
         self.write(at, number);
         // Its discovery tells it the whole list anew.
         let now = self.now;
-        self.instances[at].list.values_mut().for_each(|told| told.2 = now.max(1.0));
+        Arc::make_mut(&mut self.instances[at]).list.values_mut().for_each(|told| told.2 = now.max(1.0));
         let first = self.instances[at].list.iter().next().map(|(server, told)| (*server, told.0, told.1));
         first.into_iter().for_each(|told| self.list(at, told, true));
     }
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -95,11 +95,23 @@
 /// Until one whose discovery is back has asked it again, in seconds.
 const ASKS_AGAIN: f64 = 2.0;
 
-/// The longest time for which somebody went on sending to a server after another that acts was told that it drains.
+/// The longest time for which somebody went on sending to a server after another was told that it drains, and acted.
+/// Whoever has stopped acting meanwhile counts from when it began again.
 pub fn in_vain(scene: &Scene, hops: &[Hop]) -> Option<InVain> {
-    let acts = |who: usize, at: f64| {
-        let mut near = hops.iter().filter(|hop| hop.sidecar == who && (hop.at - at).abs() < ACTS);
-        near.any(|hop| hop.at <= at) && near.any(|hop| hop.at >= at)
+    let mut times: Vec<Vec<f64>> = vec![Vec::new(); scene.sidecars];
+    for hop in hops {
+        times.get_mut(hop.sidecar).into_iter().for_each(|own| own.push(hop.at));
+    }
+    times.iter_mut().for_each(|own| own.sort_by(f64::total_cmp));
+    // Since when one acts without a break, if it does so then.
+    let acts_since = |who: usize, at: f64| {
+        let own = &times[who];
+        let place = own.partition_point(|time| *time <= at);
+        let (before, after) = own.split_at(place);
+        let near = |time: Option<&f64>| time.is_some_and(|time| (time - at).abs() < ACTS);
+        let breaks = |pair: &[f64]| pair[1] - pair[0] > 2.0 * ACTS;
+        let first = before.windows(2).rposition(breaks).map_or(0, |place| place + 1);
+        before.get(first).filter(|_| near(before.last()) && near(after.first())).copied()
     };
     let mut longest: Option<InVain> = None;
     for hop in hops {
@@ -125,9 +137,10 @@
             }
         }
         for (who, told) in told.iter().enumerate().filter(|(who, _)| *who != hop.sidecar) {
-            let length = told[hop.server].map_or(0.0, |since| hop.at - since);
+            let since = told[hop.server].and_then(|since| Some(since.max(acts_since(who, hop.at)?)));
+            let length = since.map_or(0.0, |since| hop.at - since);
             let longer = longest.as_ref().is_none_or(|longest| length > longest.length);
-            if length > 0.0 && longer && acts(who, hop.at) {
+            if length > 0.0 && longer {
                 longest = Some(InVain { length, server: hop.server, told: who, sends: hop.sidecar });
             }
         }
@@ -136,7 +149,7 @@
 }
 
 /// What of the scene's expectations does not hold, a line each.
-pub fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered]) -> Vec<String> {
+pub fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered], logs: &[(String, String)]) -> Vec<String> {
     let mut faults = Vec::new();
     let contradiction = match longest(scene, hops) {
         Ok(contradiction) => contradiction,
@@ -152,6 +165,10 @@
         let own = hops.iter().filter(|hop| hop.sidecar == who && hop.server == server);
         own.filter(|hop| (from..to).contains(&hop.at)).count()
     };
+    let acts_on = |who: usize, version: u64, by: f64| {
+        let mut own = hops.iter().filter(|hop| hop.sidecar == who && hop.at <= by);
+        own.find(|hop| allowed(scene, hop, false).is_some_and(|(first, _)| first >= version))
+    };
     for expected in &scene.expected {
         let fault = match *expected {
             Expected::Contradiction(most) => {
@@ -163,16 +180,14 @@
                 )
                 })
             }
-            Expected::Holds(who, version, by) => {
-                let acts = |hop: &&Hop| {
-                    hop.sidecar == who
-                        && hop.at <= by
-                        && allowed(scene, hop, false).is_some_and(|(first, _)| first >= version)
-                };
-                hops.iter()
-                    .find(acts)
-                    .is_none()
-                    .then(|| format!("n{who} does not act on version {version} by {by} s"))
+            Expected::Holds(who, version, by) => acts_on(who, version, by)
+                .is_none()
+                .then(|| format!("n{who} does not act on version {version} by {by} s")),
+            Expected::Lacks(who, version, until) => acts_on(who, version, until)
+                .map(|hop| format!("n{who} sends {} by version {version} at {:.3} s", hop.workload, hop.at)),
+            Expected::Logs(who, ref text) => {
+                let said = logs.get(who).is_some_and(|(_, log)| log.contains(text));
+                (!said).then(|| format!("n{who} does not say: {text}"))
             }
             Expected::Silent(who, from, to) => match sent(who, from, to) {
                 0 => None,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod scene;
 pub mod stand;
 pub mod stand_in;
+pub mod traffic;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,8 +1,9 @@
 //! `oakhollow-lab`: plays scenes with many processes of the program.
 use clap::{Parser, Subcommand};
-use oakhollow_lab::play::{play, Arm, Report};
+use oakhollow_lab::play::{self, play, Arm};
 use oakhollow_lab::scene::Scene;
 use oakhollow_lab::stand_in::{run, How};
+use oakhollow_lab::traffic::{measure, Report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -36,6 +37,16 @@
         #[arg(long)]
         logs: bool,
     },
+    /// What so many instances say to agree, and how long a change takes: simulated, in one process.
+    Traffic {
+        #[arg(default_values_t = [10, 100, 300, 1000])]
+        instances: Vec<usize>,
+        /// How long two instances may differ, in seconds.
+        #[arg(long, default_value_t = 2.0)]
+        within: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Stands in for a sidecar, in a scene.
     #[command(hide = true)]
     StandIn {
@@ -46,7 +57,7 @@
     },
 }
 
-fn tell(file: &str, scene: &Scene, report: &Report, json: bool) {
+fn tell(file: &str, scene: &Scene, report: &play::Report, json: bool) {
     let settings = report.contradiction.as_ref().map_or(0.0, |found| found.length);
     let drains = report.in_vain.as_ref().map_or(0.0, |found| found.length);
     let length = settings.max(drains);
@@ -72,6 +83,20 @@
             eprintln!("oakhollow-lab: stand-in: {why}");
             ExitCode::FAILURE
         }
+        Command::Traffic { instances, within, seed } => {
+            for instances in instances {
+                let report = measure(instances.max(3), within, seed);
+                let Report { calm, keeper, change, drain, .. } = &report;
+                println!(
+                    "{instances} instances, simulated: {:.1} words and {:.0} bytes a second an instance, {:.0} and {:.0} a keeper; \
+                     a change {:.0} words and {:.0} bytes an instance, in {:.4} s, with one silent in {:.3} s; \
+                     a drain {:.0} and {:.0}, told to one in {:.4} s",
+                    calm.words, calm.bytes, keeper.words, keeper.bytes, change.words, change.bytes, report.change_s,
+                    report.silent_s, drain.words, drain.bytes, report.drain_s
+                );
+            }
+            ExitCode::SUCCESS
+        }
         Command::Play { files, seed, json, alone, program, logs } => {
             let own = std::env::current_exe().unwrap_or_default();
             let program = program.unwrap_or_else(|| own.with_file_name("oakhollow"));
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -5,6 +5,7 @@
 use crate::scene::{Fault, Kind, Scene, LISTED, SERVERS};
 use crate::stand::{self, Discovery, Notes};
 use nanorand::{Rng, WyRand};
+use oakhollow_terms::Greeting;
 use rustix::process::Signal;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -47,6 +48,7 @@
     sidecars: Vec<Sidecar>,
     /// From each instance to each keeper.
     relays: Vec<Vec<Relay>>,
+    keepers: Vec<SocketAddr>,
     discoveries: Vec<Discovery>,
     servers: Vec<SocketAddr>,
     list: String,
@@ -72,17 +74,18 @@
         let mut rig = Rig {
             sidecars: Vec::new(),
             relays: Vec::new(),
+            keepers: (0..scene.keepers).map(|_| free()).collect::<std::io::Result<_>>()?,
             discoveries: Vec::new(),
             list: Discovery::start(&servers[..LISTED])?.whole(),
             servers,
             seed: arm.seed,
             folder,
         };
-        let keepers: Vec<SocketAddr> = (0..scene.keepers).map(|_| free()).collect::<std::io::Result<_>>()?;
+        let keepers = rig.keepers.clone();
         let first = *scene.versions.keys().next().unwrap_or(&1);
         for at in 0..scene.sidecars {
             let mut sidecar = Sidecar::new(arm.program, &format!("n{at}"), &rig.folder)?;
-            if let Some((_, how)) = scene.crooked.as_ref().filter(|(who, _)| *who == at) {
+            if let Some((_, how)) = scene.stand_in.as_ref().filter(|(who, _)| *who == at) {
                 sidecar.stand_in(arm.stand_in, how);
             }
             rig.discoveries.push(Discovery::start(&rig.servers[..LISTED])?);
@@ -113,7 +116,10 @@
             rig.sidecars.push(sidecar);
             rig.sidecars[at].write(&rig.file(scene, at, first))?;
         }
-        for sidecar in &mut rig.sidecars {
+        for (at, sidecar) in rig.sidecars.iter_mut().enumerate() {
+            if scene.events.iter().any(|(_, who, fault)| *who == at && *fault == Fault::Replace) {
+                sidecar.pass_listener()?;
+            }
             sidecar.start()?;
         }
         Ok(rig)
@@ -191,6 +197,9 @@
             Fault::Refuse => self.links(who).for_each(|(relay, _)| relay.refuse()),
             Fault::Half => self.links(who).for_each(|(relay, _)| relay.half()),
             Fault::Replay => self.links(who).for_each(|(relay, _)| relay.replay()),
+            Fault::Stranger => self.keepers.get(who).into_iter().for_each(|keeper| strangers(*keeper)),
+            Fault::Replace => self.sidecars[who].replace()?,
+            Fault::Part => self.sidecars[who].part(),
             Fault::List(told, server) => self.discoveries[who].tell(*told, *server, self.servers[*server]),
             Fault::Mute => self.discoveries[who].set_down(true),
             Fault::Unmute => self.discoveries[who].set_down(false),
@@ -208,6 +217,23 @@
     }
 }
 
+/// Links of whoever is no instance, of one that makes no sense, and of one without an end.
+fn strangers(keeper: SocketAddr) {
+    let greeting = Greeting::new("n0", 1).to_json();
+    let foreign = Greeting::new("stranger", 1).to_json();
+    let endless = "x".repeat(9 * 1024 * 1024);
+    for said in
+        [format!("{foreign}\n"), format!("{greeting}\n{{\"ask\":7}}\n"), format!("{greeting}\n{endless}")]
+    {
+        thread::spawn(move || {
+            let mut stream = TcpStream::connect(keeper).ok()?;
+            // It may be cut short: that is for the other side to do.
+            let _ = stream.write_all(said.as_bytes());
+            stand::read_head(&mut stream)
+        });
+    }
+}
+
 /// Asks a console; the head of its answer.
 fn ask(console: SocketAddr, method: &str, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(console).ok()?;
@@ -263,7 +289,8 @@
     let hops = std::mem::take(&mut *notes.hops.lock().unwrap_or_else(PoisonError::into_inner));
     let hops: Vec<_> = hops.into_iter().map(|hop| judge::Hop { at: hop.at - offset, ..hop }).collect();
     let answers = std::mem::take(&mut *notes.answers.lock().unwrap_or_else(PoisonError::into_inner));
-    faults.extend(judge::broken(scene, &hops, &answers));
+    let logs: Vec<_> = rig.sidecars.iter().map(|sidecar| (sidecar.name.clone(), sidecar.log())).collect();
+    faults.extend(judge::broken(scene, &hops, &answers, &logs));
     let late = *notes.late.lock().unwrap_or_else(PoisonError::into_inner);
     let stops = scene.events.iter().any(|(_, _, fault)| matches!(fault, Fault::Stop | Fault::Kill));
     // Callers of a process that stands still wait for it.
@@ -277,6 +304,6 @@
         hops: hops.len(),
         answers: answers.len(),
         unanswered: answers.iter().filter(|answer| answer.status.is_none()).count(),
-        logs: rig.sidecars.iter().map(|sidecar| (sidecar.name.clone(), sidecar.log())).collect(),
+        logs,
     })
 }
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -3,6 +3,7 @@
 use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -18,7 +19,11 @@
     operator: bool,
     /// Words that come first, where the program is the rig's own; it reads its file by itself.
     stands_in: Vec<String>,
+    /// Passed on to each process, where one replaces another.
+    listener: Option<TcpListener>,
     child: Option<Child>,
+    /// The one that is being replaced.
+    first: Option<Child>,
 }
 
 /// An address that stays the process's when it is started again. Of the loopback range each has a host of its own: guards
@@ -42,7 +47,9 @@
             folder,
             operator: false,
             stands_in: Vec::new(),
+            listener: None,
             child: None,
+            first: None,
         })
     }
 
@@ -52,6 +59,25 @@
         self.stands_in = vec!["stand-in".into(), how.into()];
     }
 
+    /// From now on its processes are passed the listening socket, as by one that watches over them.
+    pub fn pass_listener(&mut self) -> std::io::Result<()> {
+        self.listener = Some(TcpListener::bind(self.listen)?);
+        Ok(())
+    }
+
+    /// Starts a second process beside the first.
+    pub fn replace(&mut self) -> std::io::Result<()> {
+        self.first = self.child.take();
+        self.start()
+    }
+
+    /// Asks the first process to end.
+    pub fn part(&self) {
+        if let Some(id) = self.first.as_ref().and_then(|first| Pid::from_raw(first.id() as i32)) {
+            let _ = kill_process(id, Signal::TERM);
+        }
+    }
+
     /// Has it read its file again.
     pub fn reread(&self) {
         if self.stands_in.is_empty() {
@@ -78,13 +104,23 @@
 
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
-        let mut command = Command::new(&self.program);
+        let mut command = match &self.listener {
+            None => Command::new(&self.program),
+            Some(_) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", "exec 5<&0 0</dev/null; exec \"$0\" \"$@\""]).arg(&self.program);
+                shell
+            }
+        };
         command.args(&self.stands_in).arg(self.folder.join("sidecar.json"));
         if self.operator {
             command.arg("--operator").arg(self.folder.join("operator.toml"));
         }
         command.env("TMPDIR", &self.folder).env_remove("RELAY_PASSED_SOCKET");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        if let Some(listener) = &self.listener {
+            command.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?))).env("RELAY_PASSED_SOCKET", "5");
+        }
         // SAFETY: one system call, which allocates nothing.
         unsafe {
             command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?));
@@ -101,7 +137,7 @@
 
     /// Killed outright; none is left.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        for mut child in self.child.take().into_iter().chain(self.first.take()) {
             let _ = (child.kill(), child.wait());
         }
     }
--- a/lab/src/scene.rs
+++ b/lab/src/scene.rs
@@ -7,15 +7,17 @@
 //! - `at T WHAT ...`: `tell A N` (its file and SIGHUP), `spoil A` (half a file and SIGHUP), `cut A`, `cut-to A` (it hears, and
 //!   is not heard), `cut-from A`, `heal A`, `delay A MS`, `reset A`, `refuse A` (its links break and none comes up until it is
 //!   healed), `half A` (of what comes next on each link one half, then it breaks), `replay A` (what was said on its links is
-//!   said again), `stop A`, `continue A`, `kill A`, `start A`
+//!   said again), `stranger A` (its keeper's address gets a foreign instance, a word without sense and a line without an
+//!   end), `stop A`, `continue A`, `kill A`, `start A`, `replace A` (a second process beside it), `part A` (SIGTERM to the first)
 //! - `at T WHAT A sN`, told by the discovery of A alone: `drain`, `back`, `again` (it has started again), `gone` (from a whole
 //!   list); `mute A` (that discovery is down), `unmute A`, `renumber A` (it starts again, numbers from 1 and tells the whole
 //!   list). `mark A sN`, `unmark A sN`: at its console. Servers are s0, s1, s2, and s3 that no list names at first
-//! - `crooked A HOW`: a stand-in in the place of a process of the program, with that fault or honest (`stand_in.rs`)
+//! - `stand-in A HOW`: a stand-in in the place of a process of the program, honest or with that fault (`stand_in.rs`)
 //! - `with KEY = VALUE`: one more line of `[accord]` in the operator's file
 //! - `until T`
 //! - `expect contradiction S`: at most; `expect A holds N by T`; `expect A silent T1 T2`: it sends nothing on between;
-//!   `expect A serves T1 T2`; `expect A uses sN T1 T2`, `expect A spares sN T1 T2`; `expect drains S`: nobody sends to a server
+//!   `expect A lacks N until T`: it does nothing before that only N or later allows; `expect A logs TEXT`; `expect A serves T1 T2`;
+//!   `expect A uses sN T1 T2`, `expect A spares sN T1 T2`; `expect drains S`: nobody sends to a server
 //!   for longer, at most, after one that serves was told that it drains
 use std::collections::BTreeMap;
 
@@ -38,6 +40,9 @@
     Refuse,
     Half,
     Replay,
+    Stranger,
+    Replace,
+    Part,
     Stop,
     Continue,
     Kill,
@@ -71,6 +76,8 @@
     Uses(usize, usize, f64, f64),
     Spares(usize, usize, f64, f64),
     Drains(f64),
+    Lacks(usize, u64, f64),
+    Logs(usize, String),
 }
 
 #[derive(Clone, PartialEq, Debug, Default)]
@@ -80,7 +87,7 @@
     pub within: f64,
     pub unsure: String,
     pub with: Vec<String>,
-    pub crooked: Option<(usize, String)>,
+    pub stand_in: Option<(usize, String)>,
     pub rate: f64,
     pub versions: BTreeMap<u64, Vec<(String, Kind)>>,
     pub events: Vec<(f64, usize, Fault)>,
@@ -130,7 +137,7 @@
             at.filter(|at| *at < SERVERS).ok_or_else(|| format!("there is no {word}"))
         };
         match words[..] {
-            ["crooked", who, how] => self.crooked = Some((instance(who)?, how.into())),
+            ["stand-in", who, how] => self.stand_in = Some((instance(who)?, how.into())),
             ["with", ref rest @ ..] => self.with.push(rest.join(" ")),
             ["sidecars", count, "keepers", keepers, "within", within, ref rest @ ..] => {
                 (self.sidecars, self.keepers) = (whole(count)? as usize, whole(keepers)? as usize);
@@ -170,6 +177,9 @@
                     ("refuse", []) => Fault::Refuse,
                     ("half", []) => Fault::Half,
                     ("replay", []) => Fault::Replay,
+                    ("stranger", []) => Fault::Stranger,
+                    ("replace", []) => Fault::Replace,
+                    ("part", []) => Fault::Part,
                     ("drain", [one]) => Fault::List(Told::Drain, server(one)?),
                     ("back", [one]) => Fault::List(Told::Back, server(one)?),
                     ("again", [one]) => Fault::List(Told::Again, server(one)?),
@@ -201,6 +211,12 @@
             ["expect", who, "holds", version, "by", time] => {
                 self.expected.push(Expected::Holds(instance(who)?, whole(version)?, number(time)?));
             }
+            ["expect", who, "lacks", version, "until", time] => {
+                self.expected.push(Expected::Lacks(instance(who)?, whole(version)?, number(time)?));
+            }
+            ["expect", who, "logs", ref text @ ..] => {
+                self.expected.push(Expected::Logs(instance(who)?, text.join(" ")));
+            }
             ["expect", who, "silent", from, to] => {
                 self.expected.push(Expected::Silent(instance(who)?, number(from)?, number(to)?));
             }
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -27,6 +27,10 @@
     NoDrains,
     /// It takes a lower number.
     Lower,
+    /// No fault: it hears of no change, and asks for leases by what it knew.
+    Deaf,
+    /// No fault: it can't take any version but the first.
+    Refuses,
 }
 
 const LATE: Duration = Duration::from_secs(3);
@@ -104,6 +108,9 @@
     }
 
     fn hear(&mut self, from: InstanceId, word: Word) {
+        if self.how == How::Deaf && matches!(word, Word::Documents(_)) && self.until > Micros(0) {
+            return;
+        }
         let (before, mut actions) = (self.member.until(), Vec::new());
         self.member.on(self.now(), from, word, &mut actions);
         self.carry_out(actions);
@@ -188,8 +195,11 @@
     let keepers: Vec<InstanceId> = agreed.keepers.iter().filter_map(id).collect();
     let within = lease(micros(agreed.within));
     let judge: Judge = {
-        let own = own.clone();
+        let (own, only) = (own.clone(), first.text.clone());
         Arc::new(move |texts: &[Arc<str>]| {
+            if how == How::Refuses && texts.iter().any(|text| *text != only) {
+                return Err("settings: not known to this build".into());
+            }
             let texts: Vec<&str> = texts.iter().map(|text| &**text).collect();
             offered(&own, &texts).map(|_| ())
         })
--- /dev/null
+++ b/lab/src/traffic.rs
@@ -0,0 +1,249 @@
+//! How much instances say to agree, and how long a change takes, simulated: members and keepers by the package's own code,
+//! all in one process, in virtual time, with links of 0.5 to 2 ms. Bytes are those of the words' lines.
+use nanorand::{Rng, WyRand};
+use oakhollow::types::Micros;
+use oakhollow_accord::{
+    lease, Action, Document, Fact, Holder, InstanceId, Judge, Keeper, Listed, Member, Version, Word,
+};
+use oakhollow_terms::to_json;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+/// What of a length of time was said, for each instance.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Said {
+    pub words: f64,
+    pub bytes: f64,
+}
+
+/// What came of a number of instances.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub instances: usize,
+    /// An instance's own words and those to it, a second, while nothing changes; and a keeper's.
+    pub calm: Said,
+    pub keeper: Said,
+    /// For one change, and for one server that drains by all lists at once, beyond what is said anyway.
+    pub change: Said,
+    pub drain: Said,
+    /// From when it is written, or told to one, until it holds at all, in seconds.
+    pub change_s: f64,
+    pub drain_s: f64,
+    /// With one that is cut off meanwhile.
+    pub silent_s: f64,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    ToKeeper(usize, usize, Word),
+    ToMember(usize, usize, Word),
+    Member(usize),
+    Keeper(usize),
+}
+
+struct Fleet {
+    now: Micros,
+    members: Vec<Member>,
+    keepers: Vec<Keeper>,
+    events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    number: u64,
+    random: WyRand,
+    said: Said,
+    of_keepers: Said,
+    silent: Option<usize>,
+}
+
+/// The text of settings of an ordinary size.
+const TEXT: usize = 4_000;
+const KEEPERS: usize = 3;
+/// Servers on the list.
+const SERVERS: usize = 100;
+
+impl Fleet {
+    fn new(instances: usize, within: Micros, seed: u64) -> Fleet {
+        let judge: Judge = Arc::new(|_: &[Arc<str>]| Ok(()));
+        let names: Vec<InstanceId> = (0..KEEPERS as u32).map(InstanceId).collect();
+        let member = || Member::new(names.clone(), lease(within), judge.clone());
+        let mut fleet = Fleet {
+            now: Micros(1),
+            members: (0..instances).map(|_| member()).collect(),
+            keepers: vec![Keeper::new(Micros(1), lease(within)); KEEPERS],
+            events: BinaryHeap::new(),
+            number: 0,
+            random: WyRand::new_seed(seed),
+            said: Said::default(),
+            of_keepers: Said::default(),
+            silent: None,
+        };
+        for at in 0..instances {
+            fleet.write(at, 1);
+            let fact = |server| (Arc::from(format!("s-{server:08x}")), Some(fact(false)));
+            let listed = Listed { index: 1, whole: true, entries: (0..SERVERS).map(fact).collect() };
+            fleet.list(at, listed);
+        }
+        fleet
+    }
+
+    fn at(&mut self, after: Micros, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((self.now + after, self.number, event)));
+    }
+
+    fn write(&mut self, at: usize, number: u64) {
+        let version = Version { epoch: 0, number, hash: number };
+        let (mut actions, document) = (Vec::new(), Document { version, text: "x".repeat(TEXT).into() });
+        self.members[at].written(self.now, document, &mut actions);
+        self.act(at, actions);
+    }
+
+    fn list(&mut self, at: usize, listed: Listed) {
+        let mut actions = Vec::new();
+        self.members[at].listed(self.now, listed, &mut actions);
+        self.act(at, actions);
+    }
+
+    fn cut(&self, instance: usize, keeper: usize) -> bool {
+        self.silent == Some(instance) && instance != keeper
+    }
+
+    /// An instance's word to its own keeper goes over no link, and counts for nothing.
+    fn count(&mut self, instance: usize, keeper: usize, word: &Word) {
+        if instance != keeper {
+            let bytes = to_json(word).len() as f64 + 1.0;
+            (self.said.words, self.said.bytes) = (self.said.words + 1.0, self.said.bytes + bytes);
+            let of = &mut self.of_keepers;
+            (of.words, of.bytes) = (of.words + 1.0, of.bytes + bytes);
+        }
+    }
+
+    fn delay(&mut self) -> Micros {
+        Micros(self.random.generate_range(500_u64..2_000))
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            if let Action::Say(keeper, word) = action {
+                let keeper = keeper.0 as usize;
+                self.count(at, keeper, &word);
+                let delay = self.delay();
+                if !self.cut(at, keeper) {
+                    self.at(delay, Event::ToKeeper(keeper, at, word));
+                }
+            }
+        }
+        let due = self.members[at].due() - self.now;
+        self.at(due, Event::Member(at));
+    }
+
+    fn keeper_says(&mut self, at: usize, out: Vec<(Holder, Word)>) {
+        for (holder, word) in out {
+            let to = holder.instance.0 as usize;
+            self.count(to, at, &word);
+            let delay = self.delay();
+            if !self.cut(to, at) {
+                self.at(delay, Event::ToMember(to, at, word));
+            }
+        }
+        if let Some(due) = self.keepers[at].due(self.now) {
+            self.at(due - self.now, Event::Keeper(at));
+        }
+    }
+
+    /// Until then, or until all but the silent one are as wanted: in seconds from now.
+    fn run(&mut self, most: Micros, done: impl Fn(&Member) -> bool) -> f64 {
+        let (begun, end) = (self.now, self.now + most);
+        let mut waiting: Vec<usize> = (0..self.members.len()).filter(|at| self.silent != Some(*at)).collect();
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                self.events.push(Reverse((at, 0, event)));
+                break;
+            }
+            self.now = at;
+            match event {
+                Event::ToKeeper(keeper, from, word) => {
+                    let mut out = Vec::new();
+                    let from = Holder { instance: InstanceId(from as u32), life: 1 };
+                    self.keepers[keeper].on(self.now, from, word, &mut out);
+                    self.keeper_says(keeper, out);
+                }
+                Event::ToMember(to, keeper, word) => {
+                    let mut actions = Vec::new();
+                    self.members[to].on(self.now, InstanceId(keeper as u32), word, &mut actions);
+                    self.act(to, actions);
+                }
+                Event::Member(at) if self.now >= self.members[at].due() => {
+                    let mut actions = Vec::new();
+                    self.members[at].woke(self.now, &mut actions);
+                    self.act(at, actions);
+                }
+                Event::Member(_) => {}
+                Event::Keeper(at) => {
+                    let mut out = Vec::new();
+                    self.keepers[at].woke(self.now, &mut out);
+                    self.keeper_says(at, out);
+                }
+            }
+            waiting.retain(|at| !done(&self.members[*at]));
+            if waiting.is_empty() {
+                return (self.now - begun).secs();
+            }
+        }
+        self.now = end;
+        most.secs()
+    }
+
+    /// What was said since last asked, for each instance, and for each keeper.
+    fn heard(&mut self) -> (Said, Said) {
+        let (said, of) = (std::mem::take(&mut self.said), std::mem::take(&mut self.of_keepers));
+        let part =
+            |said: Said, by: usize| Said { words: said.words / by as f64, bytes: said.bytes / by as f64 };
+        (part(said, self.members.len()), part(of, KEEPERS))
+    }
+}
+
+fn fact(out: bool) -> Fact {
+    Fact { since: 7, out, first_hand: true, entry: None }
+}
+
+/// Plays a calm, a change, a server that drains, and a change while one is cut off.
+pub fn measure(instances: usize, within_s: f64, seed: u64) -> Report {
+    let within = Micros((within_s * 1e6) as u64);
+    let mut fleet = Fleet::new(instances, within, seed);
+    let never = |_: &Member| false;
+    fleet.run(within.times(3.0), never);
+    fleet.heard();
+    let length = within.times(5.0);
+    fleet.run(length, never);
+    let (all, of_keepers) = fleet.heard();
+    let rate = |said: Said| Said { words: said.words / length.secs(), bytes: said.bytes / length.secs() };
+    let (calm, keeper) = (rate(all), rate(of_keepers));
+    let beyond = |said: Said| Said {
+        words: said.words - calm.words * within.secs(),
+        bytes: said.bytes - calm.bytes * within.secs(),
+    };
+    let holds = |number: u64| move |member: &Member| member.base().is_some_and(|base| base.number == number);
+    let rest = |fleet: &mut Fleet, took: f64| {
+        fleet.run(within - Micros((took * 1e6) as u64), |_: &Member| false);
+    };
+    let last = instances - 1;
+    fleet.write(last, 2);
+    let change_s = fleet.run(within, holds(2));
+    rest(&mut fleet, change_s);
+    let change = beyond(fleet.heard().0);
+    let drains =
+        |index| Listed { index, whole: false, entries: vec![("s-00000003".into(), Some(fact(true)))] };
+    fleet.list(last, drains(2));
+    let drain_s = fleet.run(within, |member| member.out().next().is_some());
+    rest(&mut fleet, drain_s);
+    fleet.heard();
+    let another =
+        |index| Listed { index, whole: false, entries: vec![("s-00000004".into(), Some(fact(true)))] };
+    (0..instances).for_each(|at| fleet.list(at, another(3)));
+    fleet.run(within, never);
+    let drain = beyond(fleet.heard().0);
+    fleet.silent = Some(last);
+    fleet.write(0, 3);
+    let silent_s = fleet.run(within.times(2.0), holds(3));
+    Report { instances, calm, keeper, change, drain, change_s, drain_s, silent_s }
+}
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -20,7 +20,7 @@
     };
     let hops: Vec<Hop> = hops.split(';').map(|line| hop(line.trim())).collect();
     let length = longest(&scene, &hops).ok().flatten().map(|found| found.length);
-    (length, broken(&scene, &hops, &[]))
+    (length, broken(&scene, &hops, &[], &[]))
 }
 
 #[test]
@@ -50,20 +50,17 @@
         .expect("a scene");
     let sent =
         |at, sidecar, server| Hop { at, sidecar, server, workload: "view".into(), id: format!("{at}") };
-    let hops = [
-        sent(2.4, 0, 0),
-        sent(2.5, 1, 1),
-        sent(2.6, 0, 0),
-        sent(3.4, 0, 0),
-        sent(3.5, 1, 1),
-        sent(3.6, 0, 0),
-    ];
+    let goes_on = |from: f64, to: f64| {
+        let own = (0..100).map(move |at| from + 0.1 * f64::from(at)).take_while(move |at| *at < to);
+        own.map(|at| sent(at, 0, 0)).chain([sent(2.5, 1, 1), sent(3.5, 1, 1)]).collect::<Vec<_>>()
+    };
     assert_eq!(
-        broken(&scene, &hops, &[]),
+        broken(&scene, &goes_on(1.05, 4.0), &[], &[]),
         ["n1 sends to s1 1.500 s after n0, which serves, was told that it drains"]
     );
-    // Whoever was told dismisses by then.
-    assert!(broken(&scene, &hops[..5], &[]).is_empty());
+    // Whoever was told dismisses by then, or did so meanwhile.
+    assert!(broken(&scene, &goes_on(1.05, 3.0), &[], &[]).is_empty());
+    assert!(broken(&scene, &goes_on(2.95, 4.0), &[], &[]).is_empty());
     // It ignores that its lease has run out.
     assert_eq!(judged("4.5 2 view a").1, ["n2 sends 1 hops from 4 s to 5 s, none were expected"]);
     // It does what no version allows.
@@ -74,7 +71,7 @@
 fn a_call_without_an_answer_is_a_fault_where_nothing_was_killed() {
     let scene = Scene::read(&SCENE.replace("until 9", "until 9\nat 6 kill n1")).expect("a scene");
     let missing = |sidecar, at| vec![Answered { at, sidecar, status: None }];
-    assert_eq!(broken(&scene, &[], &missing(0, 6.5)), ["1 calls without an answer"]);
-    assert!(broken(&scene, &[], &missing(1, 6.5)).is_empty());
-    assert_eq!(broken(&scene, &[], &missing(1, 1.0)).len(), 1);
+    assert_eq!(broken(&scene, &[], &missing(0, 6.5), &[]), ["1 calls without an answer"]);
+    assert!(broken(&scene, &[], &missing(1, 6.5), &[]).is_empty());
+    assert_eq!(broken(&scene, &[], &missing(1, 1.0), &[]).len(), 1);
 }
--- /dev/null
+++ b/lab/tests/left_behind.rs
@@ -0,0 +1,49 @@
+//! Whatever ends the rig, none of the processes that it started outlives it.
+use rustix::process::{kill_process, Pid, Signal};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Processes whose parent that is, but those that have ended.
+fn children(parent: u32) -> Vec<u32> {
+    let living = |folder: PathBuf| -> Option<(u32, u32)> {
+        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+        let mut rest = stat.rsplit(") ").next()?.split(' ');
+        let (state, parent) = (rest.next()?, rest.next()?.parse().ok()?);
+        let own = folder.file_name()?.to_str()?.parse().ok()?;
+        (state != "Z").then_some((own, parent))
+    };
+    let all = std::fs::read_dir("/proc").expect("processes").filter_map(Result::ok);
+    let all = all.filter_map(|entry| living(entry.path()));
+    all.filter(|(_, of)| *of == parent).map(|(own, _)| own).collect()
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < Duration::from_secs(10), "{what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn plays() -> Child {
+    let own = Path::new(env!("CARGO_BIN_EXE_oakhollow-lab"));
+    let scene = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenes/accord/replaced.txt");
+    let mut command = Command::new(own);
+    command.arg("play").arg(scene).stdout(Stdio::null()).stderr(Stdio::null());
+    command.spawn().expect("the rig")
+}
+
+#[test]
+fn none_outlives_the_rig() {
+    for signal in [Signal::INT, Signal::KILL] {
+        let mut rig = plays();
+        until("four processes", || children(rig.id()).len() >= 4);
+        let started = children(rig.id());
+        kill_process(Pid::from_raw(rig.id() as i32).expect("an id"), signal).expect("signalled");
+        rig.wait().expect("ended");
+        let gone = |id: &u32| !Path::new(&format!("/proc/{id}")).exists();
+        until("all have ended", || started.iter().all(gone));
+    }
+}
--- a/lab/tests/scenes.rs
+++ b/lab/tests/scenes.rs
@@ -62,8 +62,8 @@
         for file in &files {
             let (program, text) = (&program, std::fs::read_to_string(file).expect("text"));
             let crooked = Scene::read(&text).expect("a scene");
-            let (who, how) = crooked.crooked.clone().expect("one is crooked");
-            let honest = Scene { crooked: Some((who, "honest".into())), ..crooked.clone() };
+            let (who, how) = crooked.stand_in.clone().expect("one is crooked");
+            let honest = Scene { stand_in: Some((who, "honest".into())), ..crooked.clone() };
             let arm = Arm { program, stand_in: Path::new(STAND_IN), agreed: true, seed: 0 };
             scope.spawn(move || {
                 let report = play(&crooked, &arm).expect("played");
--- a/sidecar/benches/loopback/main.rs
+++ b/sidecar/benches/loopback/main.rs
@@ -48,6 +48,9 @@
     /// Bounds the sidecar to these processors, as `taskset` words them.
     #[arg(long)]
     cpus: Option<String>,
+    /// Plays each build once more as one of three instances that agree, all keepers; the two others carry no calls.
+    #[arg(long)]
+    accord: bool,
     /// Keeps the program's log lines on standard error.
     #[arg(long)]
     logs: bool,
@@ -69,6 +72,15 @@
     child: Child,
     listen: SocketAddr,
     folder: PathBuf,
+    /// Those it agrees with.
+    _others: Vec<Running>,
+}
+
+/// Which of three it is, and where the keepers listen.
+type Agreed = (usize, Vec<SocketAddr>);
+
+fn free() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
 impl Drop for Running {
@@ -80,16 +92,23 @@
 }
 
 impl Running {
-    fn start(args: &Args, path: &PathBuf, discovery: SocketAddr, workers: usize) -> std::io::Result<Running> {
-        let free = TcpListener::bind("127.0.0.1:0")?;
-        let listen = free.local_addr()?;
-        drop(free);
+    fn start(
+        args: &Args, path: &PathBuf, discovery: SocketAddr, workers: usize, agreed: Option<Agreed>,
+    ) -> std::io::Result<Running> {
+        let listen = free()?;
+        let mut others = Vec::new();
+        if let Some((0, keepers)) = &agreed {
+            for other in 1..keepers.len() {
+                others.push(Running::start(args, path, discovery, 1, Some((other, keepers.clone())))?);
+            }
+        }
+        let me = agreed.as_ref().map_or(0, |(me, _)| *me);
         let folder =
             std::env::temp_dir().join(format!("oakhollow-loopback-{}-{}", std::process::id(), listen.port()));
         std::fs::create_dir_all(&folder)?;
         let file = folder.join("sidecar.json");
         let json = format!(
-            r#"{{"name":"bench","listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"memory_mb":8192,"sockets":18000}},
+            r#"{{"name":"n{me}","version":{{"number":1}},"listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"memory_mb":8192,"sockets":18000}},
   "settings":{{"me":0,"balancers":1,"bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.5,"idle_close_s":60.0,
   "retry_after":true,"max_retry_after_s":2.0}},"rules":{{"ask_within_s":10.0,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8.0}},
   "zones":["here"],"workloads":[{{"name":"view","semantics":"read_like","quoted_time_s":1.0,"abandon_time_s":3.0,"payoff":1.0}}]}}}}"#
@@ -107,13 +126,21 @@
         if !args.logs {
             command.stderr(Stdio::null());
         }
-        if workers > 1 {
+        if workers > 1 || agreed.is_some() {
             let operator = folder.join("oakhollow.toml");
-            std::fs::write(&operator, format!("workers = {workers}\n"))?;
+            let mut text = format!("workers = {workers}\n");
+            if let Some((_, keepers)) = &agreed {
+                text += "[accord]\nwithin = 2.0\nkeepers = [\"n0\", \"n1\", \"n2\"]\n[accord.instances]\n";
+                for (at, keeper) in keepers.iter().enumerate() {
+                    text += &format!("n{at} = \"{keeper}\"\n");
+                }
+            }
+            std::fs::write(&operator, text)?;
             command.arg("--operator").arg(operator);
         }
-        let running = Running { child: command.spawn()?, listen, folder };
-        match await_ready(listen) {
+        let running = Running { child: command.spawn()?, listen, folder, _others: others };
+        // The others are ready once this one is there as well.
+        match me > 0 || await_ready(listen) {
             true => Ok(running),
             false => Err(std::io::Error::other("the sidecar is not ready within 10 s")),
         }
@@ -171,17 +198,26 @@
         let mut arms = Vec::new();
         for &count in &args.servers {
             for &workers in &args.workers {
-                arms.extend(args.build.iter().map(|(name, path)| (count, workers, name, path)));
+                for (name, path) in &args.build {
+                    arms.push((count, workers, name.clone(), path, false));
+                    if args.accord {
+                        arms.push((count, workers, format!("{name} agreed"), path, true));
+                    }
+                }
             }
         }
         if round % 2 == 1 {
             arms.reverse();
         }
-        for (count, workers, name, path) in arms {
+        for (count, workers, name, path, agreed) in arms {
             let churn = Arc::new(stand::Churn::default());
             churn.on.store(args.changes > 0, Ordering::Relaxed);
             let discovery = stand::discovery(servers[..count].to_vec(), churn.clone(), args.changes.max(1))?;
-            let running = Running::start(&args, path, discovery, workers)?;
+            let agreed = match agreed {
+                true => Some((0, vec![free()?, free()?, free()?])),
+                false => None,
+            };
+            let running = Running::start(&args, path, discovery, workers, agreed)?;
             call(running.listen, args.callers, args.caller_threads, Duration::ZERO, warm)?;
             let (before, _) = running.spent();
             let seen = call(running.listen, args.callers, args.caller_threads, Duration::ZERO, length)?;
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -126,6 +126,8 @@
     to_members: HashMap<Holder, Sender<Word>>,
     /// What was last said of acting or not.
     acted: bool,
+    /// What is agreed can't be kept to.
+    unreadable: bool,
     /// The own list can't be had.
     cut_off: bool,
     /// Whom others' lists let drain, as the workers were last told.
@@ -160,6 +162,7 @@
         to_keepers: HashMap::new(),
         to_members: HashMap::new(),
         acted: false,
+        unreadable: false,
         cut_off: false,
         out: Elsewhere::new(),
         parts,
@@ -320,12 +323,16 @@
                     let texts: Vec<Arc<str>> = self.member.keeps_to().map(|(_, text)| text.clone()).collect();
                     match place(&self.own, &texts) {
                         Ok(place) => {
+                            self.unreadable = false;
                             let place = Arc::new(place);
                             self.parts.orders.have_done(|done| Order::Retuned(place, done)).await;
                             info!(self.parts.log, "keeps to {}", self.kept());
                         }
-                        // Each was judged together with the others before it was taken.
-                        Err(fault) => warn!(self.parts.log, "agreed settings can't be read: {}", fault),
+                        // Each was judged with the others and alone before it was taken; what can't be kept to is not acted on.
+                        Err(fault) => {
+                            self.unreadable = true;
+                            warn!(self.parts.log, "agreed settings can't be read: {}", fault);
+                        }
                     }
                 }
                 Action::Heard => self.hear_lists().await,
@@ -335,6 +342,7 @@
         }
         let until = match self.parts.operated.unsure {
             // Once it has heard what holds, it goes on by that.
+            _ if self.unreadable => Micros(0),
             Unsure::Hold if self.member.base().is_some() => Micros::NEVER,
             _ => self.member.until(),
         };
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -15,6 +15,7 @@
 use futures_lite::{future, AsyncWriteExt};
 use slog::{info, Logger};
 use std::collections::VecDeque;
+use std::io::{Error, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread::Builder;
@@ -44,6 +45,8 @@
 /// What may be asked, as the paths have it.
 const HEALTH: &str = "/healthcheck";
 const ACCORD: &str = "/accord";
+/// How often an address that another process has is tried again.
+const TRIES: Duration = Duration::from_millis(100);
 const SERVERS: &str = "/endpoints/";
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -83,11 +86,31 @@
 
 impl Console {
     /// Listens, and answers from now on for as long as the program lives.
-    pub fn listen(self, at: SocketAddr) -> std::io::Result<()> {
-        let listener = TcpListener::bind(at)
-            .map_err(|fault| std::io::Error::new(fault.kind(), format!("console: {at}: {fault}")))?;
-        info!(self.log, "console at {}", listener.local_addr()?);
-        let life = move || on_this_thread(|tasks| self.answer_all(listener, tasks));
+    /// With `waits` the process before this one may have the address still: it is tried again until that has gone.
+    pub fn listen(self, at: SocketAddr, waits: bool) -> std::io::Result<()> {
+        let bound = match TcpListener::bind(at) {
+            Err(fault) if waits && fault.kind() == ErrorKind::AddrInUse => {
+                info!(self.log, "console: {}: {}, trying on", at, fault);
+                None
+            }
+            bound => {
+                Some(bound.map_err(|fault| Error::new(fault.kind(), format!("console: {at}: {fault}")))?)
+            }
+        };
+        let life = move || -> std::io::Result<()> {
+            let listener = match bound {
+                Some(listener) => listener,
+                None => loop {
+                    std::thread::sleep(TRIES);
+                    match TcpListener::bind(at) {
+                        Err(fault) if fault.kind() == ErrorKind::AddrInUse => {}
+                        bound => break bound?,
+                    }
+                },
+            };
+            info!(self.log, "console at {}", listener.local_addr()?);
+            on_this_thread(|tasks| self.answer_all(listener, tasks))
+        };
         Builder::new().name("console".into()).spawn(move || _ = life())?;
         Ok(())
     }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -324,7 +324,7 @@
             let (board, orders, peers) = (board.clone(), orders.clone(), peers.clone());
             let (keeper, accord) = (keeper.clone(), agreed.clone());
             let console = Console { board, orders, clock, log: log.clone(), keeper, peers, accord };
-            console.listen(at).map_err(failed)?;
+            console.listen(at, takes_over).map_err(failed)?;
         }
         if let Some(keeper) = keeper.filter(|_| passed) {
             let (peers, board, orders) = (peers.clone(), board.clone(), orders.clone());
@@ -370,9 +370,14 @@
             };
             let usual = async {
                 match self.phase {
-                    // Guards against taking callers from the other process, which knows the list, before this one does.
+                    // Guards against taking callers from the other process, which knows the list and may act, before this
+                    // one does.
                     Phase::Starting if self.takes_over => {
-                        while !lock(&self.board).settled && self.since.elapsed() < SETTLES {
+                        let knows = || {
+                            let board = lock(&self.board);
+                            board.settled && board.sure
+                        };
+                        while !knows() && self.since.elapsed() < SETTLES {
                             Timer::after(LOOK).await;
                         }
                         Sign::Bound
