Scenes for going on without leases; one that holds says so; a link's words a second are bounded

To blame: accord.rs compared the time until which it acts, which never ends there, not that of its leases.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -185,6 +185,13 @@
                 .then(|| format!("n{who} does not act on version {version} by {by} s")),
             Expected::Lacks(who, version, until) => acts_on(who, version, until)
                 .map(|hop| format!("n{who} sends {} by version {version} at {:.3} s", hop.workload, hop.at)),
+            Expected::Once(who, from, to) => {
+                let mut begun: HashSet<&str> = HashSet::new();
+                let own = hops.iter().filter(|hop| hop.sidecar == who && (from..to).contains(&hop.at));
+                { own }.find(|hop| !begun.insert(&hop.id)).map(|hop| {
+                    format!("n{who} repeats {} at {:.3} s, first hops alone were expected", hop.workload, hop.at)
+                })
+            }
             Expected::Logs(who, ref text) => {
                 let said = logs.get(who).is_some_and(|(_, log)| log.contains(text));
                 (!said).then(|| format!("n{who} does not say: {text}"))
--- a/lab/src/scene.rs
+++ b/lab/src/scene.rs
@@ -17,7 +17,7 @@
 //! - `until T`
 //! - `expect contradiction S`: at most; `expect A holds N by T`; `expect A silent T1 T2`: it sends nothing on between;
 //!   `expect A lacks N until T`: it does nothing before that only N or later allows; `expect A logs TEXT`; `expect A serves T1 T2`;
-//!   `expect A uses sN T1 T2`, `expect A spares sN T1 T2`; `expect drains S`: nobody sends to a server
+//!   `expect A once T1 T2`: of what it begins between them it repeats nothing; `expect A uses sN T1 T2`, `expect A spares sN T1 T2`; `expect drains S`: nobody sends to a server
 //!   for longer, at most, after one that serves was told that it drains
 use std::collections::BTreeMap;
 
@@ -77,6 +77,8 @@
     Spares(usize, usize, f64, f64),
     Drains(f64),
     Lacks(usize, u64, f64),
+    /// It repeats nothing of what it begins between the two times.
+    Once(usize, f64, f64),
     Logs(usize, String),
 }
 
@@ -217,6 +219,9 @@
             ["expect", who, "logs", ref text @ ..] => {
                 self.expected.push(Expected::Logs(instance(who)?, text.join(" ")));
             }
+            ["expect", who, "once", from, to] => {
+                self.expected.push(Expected::Once(instance(who)?, number(from)?, number(to)?));
+            }
             ["expect", who, "silent", from, to] => {
                 self.expected.push(Expected::Silent(instance(who)?, number(from)?, number(to)?));
             }
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -23,7 +23,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest line that is taken: as many documents as may wait, or what is said of two whole lists.
 const MOST_LINE: u64 = 8 * 1024 * 1024;
@@ -33,6 +33,8 @@
 const MOST_WORDS: usize = 64;
 /// Words of all others that may wait for us.
 const MOST_INPUTS: usize = 1024;
+/// Words that one link may bring in a second: far beyond what an instance has to say.
+const MOST_A_SECOND: usize = 1_000;
 /// After a link that could not be made, or broke.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How long a foreign connection may take to say who it is.
@@ -347,7 +349,8 @@
             _ => self.member.until(),
         };
         self.parts.lease.set(until);
-        let acts = until > self.parts.clock.now();
+        // Also said by one that acts all the same.
+        let acts = until.min(self.member.until()) > self.parts.clock.now();
         if acts != self.acted {
             self.acted = acts;
             lock(&self.parts.board).sure = acts || self.parts.operated.unsure != Unsure::Refuse;
@@ -455,8 +458,17 @@
     let (reads, mut writes) = io::split(stream);
     let mut reads = BufReader::new(reads);
     let hears = async {
+        let (mut since, mut count) = (Instant::now(), 0);
         loop {
             let line = within(silence, line(&mut reads, MOST_LINE)).await?;
+            if since.elapsed() > Duration::from_secs(1) {
+                (since, count) = (Instant::now(), 0);
+            }
+            count += 1;
+            // Guards against one that floods us: the others' words wait no longer for it than that.
+            if count > MOST_A_SECOND {
+                Timer::at(since + Duration::from_secs(1)).await;
+            }
             match read::<Word>(line.trim().as_bytes()) {
                 Ok(word) => _ = inputs.send(heard(word)).await,
                 Err(fault) => return Some(fault),
