--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod oneshot;
 pub mod peers;
 pub mod phases;
+pub mod planned;
 pub mod reactor;
 pub mod roster;
 pub mod tasks;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,14 +1,17 @@
 //! `oakhollow`: one sidecar, started with the file that `RELAY_CONFIG` or the first argument names.
-use clap::Parser;
-use oakhollow_sidecar::{logging, run, signals, workers};
+use clap::{Parser, Subcommand};
+use oakhollow_sidecar::{logging, planned, run, signals, workers};
 use oakhollow_terms::{Operator, Shape, Start};
-use std::path::PathBuf;
+use slog::warn;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// A load balancer for services that call services.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version, about, args_conflicts_with_subcommands = true)]
 struct Args {
+    #[command(subcommand)]
+    command: Option<Command>,
     /// The sidecar's file, as the platform writes it.
     #[arg(env = "RELAY_CONFIG")]
     file: Option<PathBuf>,
@@ -17,21 +20,54 @@
     operator: Option<PathBuf>,
 }
 
+#[derive(Subcommand)]
+enum Command {
+    /// Prints what the plan for the loss of sites comes to.
+    Plan {
+        /// The operator's file.
+        file: PathBuf,
+        /// A site that is lost; may stand several times. Without it: none, each and each two.
+        #[arg(long)]
+        lost: Vec<String>,
+        /// The part of the load at peak that is offered.
+        #[arg(long, default_value_t = 1.0)]
+        part: f64,
+    },
+}
+
+fn plan(file: &Path, lost: &[String], part: f64) -> Result<(), String> {
+    let plan = Operator::from_file(file, cores())?.plan();
+    let plan = plan.ok_or_else(|| format!("{}: plan: missing", file.display()))?;
+    print!("{}", planned::report(&plan, lost, part)?);
+    Ok(())
+}
+
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
+
 fn serve(args: Args) -> Result<(), String> {
     let path = args.file.ok_or("RELAY_CONFIG: not set, and no file was named")?;
-    let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let operator =
-        args.operator.map(|path| Operator::from_file(&path, cores)).transpose()?.unwrap_or_default();
+        args.operator.map(|path| Operator::from_file(&path, cores())).transpose()?.unwrap_or_default();
     let start = Start::from_file(&path)?;
     let read = |before: &Shape| Start::after(before, &path);
     let log = logging::to_stderr(&start.name);
+    if let Some(plan) = operator.plan() {
+        planned::doubts(&plan).iter().for_each(|doubt| warn!(log, "the plan does not hold {}", doubt));
+    }
     let words = signals().map_err(|fault| format!("signals: {fault}"))?;
     workers::keep_panics();
     run(start, operator, read, log, words)
 }
 
 fn main() -> ExitCode {
-    match serve(Args::parse()) {
+    let args = Args::parse();
+    let done = match &args.command {
+        Some(Command::Plan { file, lost, part }) => plan(file, lost, *part),
+        None => serve(args),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("oakhollow: {fault}");
--- /dev/null
+++ b/sidecar/src/planned.rs
@@ -0,0 +1,121 @@
+//! `oakhollow plan FILE`: what the operator's plan comes to, in words, for no loss, each loss and each two, or those that are
+//! named.
+use oakhollow_sites::{Held, Plan, SiteId};
+use std::fmt::Write;
+
+/// Below this part of the most that could be served a plan does not hold.
+const HOLDS: f64 = 0.95;
+
+/// Why a plan does not hold without these sites, a line each.
+fn faults(plan: &Plan, held: &Held) -> Vec<String> {
+    let starved = held.sites.iter().zip(&plan.sites).filter(|(site, _)| site.starves);
+    let mut faults: Vec<String> =
+        starved.map(|(_, site)| format!("the floors are over the room of {}", site.name)).collect();
+    if held.payoff < HOLDS * held.most {
+        faults.push(format!(
+            "{:.1} % of the payoff that the room left could serve",
+            100.0 * held.payoff / held.most
+        ));
+    }
+    faults
+}
+
+/// Which single losses a plan does not hold for, and why, a line each.
+pub fn doubts(plan: &Plan) -> Vec<String> {
+    let each = (0..plan.sites.len()).map(SiteId).filter(|_| plan.sites.len() > 1);
+    each.flat_map(|lost| {
+        let faults = faults(plan, &plan.without(&[lost], 1.0));
+        faults.into_iter().map(move |fault| format!("without {}: {fault}", plan.sites[lost.0].name))
+    })
+    .collect()
+}
+
+fn tell(plan: &Plan, lost: &[SiteId], part: f64, text: &mut String) {
+    let held = plan.without(lost, part);
+    let names: Vec<&str> = lost.iter().map(|site| plan.sites[site.0].name.as_str()).collect();
+    let title =
+        if names.is_empty() { "nothing lost".to_string() } else { format!("lost: {}", names.join(", ")) };
+    let _ = writeln!(text, "\n{title}, at {part:.2} of the peak");
+    let _ = writeln!(
+        text,
+        "  {:<12} {:>10} {:>10} {:>10} {:>10} {:>6}",
+        "site", "room", "own", "others'", "served", "full"
+    );
+    for (site, held) in plan.sites.iter().zip(&held.sites).filter(|(_, held)| !held.lost) {
+        let work = |of: &dyn Fn(&oakhollow_sites::Row) -> f64| -> f64 {
+            held.rows.iter().zip(&plan.calls).map(|(row, calls)| of(row) * calls.work).sum()
+        };
+        let (own, others) = (work(&|row| row.own), work(&|row| row.others));
+        let full = held.work / site.room;
+        let _ = writeln!(
+            text,
+            "  {:<12} {:>10.1} {own:>10.1} {others:>10.1} {:>10.1} {full:>6.2}",
+            site.name, site.room, held.work
+        );
+    }
+    for calls in plan.order() {
+        let refused: f64 = held.sites.iter().map(|site| site.rows[calls.0].refused()).sum();
+        let (nowhere, calls) = (held.nowhere[calls.0], &plan.calls[calls.0]);
+        if refused + nowhere > 1e-6 {
+            let _ = writeln!(
+                text,
+                "  refused: {} {refused:.1} calls/s, and {nowhere:.1} that go nowhere",
+                calls.name
+            );
+        }
+    }
+    let of_most = if held.most > 0.0 { held.payoff / held.most } else { 1.0 };
+    let _ = writeln!(
+        text,
+        "  payoff {:.1} a second, {of_most:.3} of the most that the room left could serve",
+        held.payoff
+    );
+    for fault in faults(plan, &held) {
+        let _ = writeln!(text, "  does not hold: {fault}");
+    }
+}
+
+/// The whole of it; `lost` by name.
+pub fn report(plan: &Plan, lost: &[String], part: f64) -> Result<String, String> {
+    let id = |name: &String| {
+        let place = plan.sites.iter().position(|site| site.name == *name);
+        place.map(SiteId).ok_or_else(|| format!("--lost: there is no site {name:?}"))
+    };
+    let lost: Vec<SiteId> = lost.iter().map(id).collect::<Result<_, _>>()?;
+    let order: Vec<&str> = plan.order().iter().map(|calls| plan.calls[calls.0].name.as_str()).collect();
+    let mut text = format!("refused first: {}\n", order.join(", "));
+    if !lost.is_empty() {
+        tell(plan, &lost, part, &mut text);
+        return Ok(text);
+    }
+    let all: Vec<SiteId> = (0..plan.sites.len()).map(SiteId).collect();
+    tell(plan, &[], part, &mut text);
+    all.iter().for_each(|site| tell(plan, &[*site], part, &mut text));
+    for (at, one) in all.iter().enumerate().filter(|_| all.len() > 2) {
+        all[at + 1..].iter().for_each(|other| tell(plan, &[*one, *other], part, &mut text));
+    }
+    Ok(text)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use oakhollow_terms::Operator;
+
+    const FILE: &str = "[plan]\n[plan.calls]\norder = { payoff = 5.0 }\nsearch = { payoff = 1.0, floor = 0.5 }\n[plan.sites]\n\
+        lj = { room = 100.0, load = { order = 40.0, search = 40.0 } }\nmb = { room = 60.0, load = { order = 20.0, search = 20.0 } }\n";
+
+    #[test]
+    fn a_plan_tells_what_is_refused_first_and_how_much() {
+        let plan = Operator::from_toml(FILE, 8).expect("a file").plan().expect("a plan");
+        let text = report(&plan, &["lj".into()], 1.0).expect("a report");
+        assert!(text.starts_with("refused first: search, order\n"), "{text}");
+        // mb has 60 for 120: the floor of search is 30, order has the rest of what may be taken.
+        assert!(text.contains("refused: search 30.0 calls/s, and 0.0 that go nowhere"), "{text}");
+        assert!(text.contains("refused: order 30.0 calls/s"), "{text}");
+        assert!(text.contains("does not hold: 60.0 % of the payoff"), "{text}");
+        assert_eq!(report(&plan, &["kp".into()], 1.0), Err("--lost: there is no site \"kp\"".into()));
+        assert_eq!(doubts(&plan).len(), 1);
+        assert!(report(&plan, &[], 1.0).expect("all").contains("nothing lost"));
+    }
+}
--- a/terms/src/operator.rs
+++ b/terms/src/operator.rs
@@ -1,4 +1,6 @@
 //! The operator's own file: what is turned on beyond what the platform lays down. All of it may be left out.
+use crate::Planned;
+use oakhollow_sites::Plan;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,7 +13,7 @@
 /// assert_eq!(Operator::from_toml("", 8).unwrap().workers, 1);
 /// let fault = |text: &str| Operator::from_toml(text, 8).unwrap_err();
 /// assert_eq!(fault("workers = 0"), "line 1: workers: must be a whole number from 1 to 32 (four for each of 8 cores), not 0");
-/// assert_eq!(fault("\nworker = 2"), "line 2: unknown field `worker`, expected `workers` or `accord`");
+/// assert_eq!(fault("\nworker = 2"), "line 2: unknown field `worker`, expected one of `workers`, `accord`, `plan`");
 /// assert!(fault("workers = \"many\"").starts_with("line 1: workers: invalid type: string \"many\""));
 /// ```
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -21,11 +23,13 @@
     pub workers: usize,
     /// How instances agree on settings; each acts on its own file alone without it.
     pub accord: Option<Accord>,
+    /// What holds when whole sites are lost.
+    plan: Option<Planned>,
 }
 
 impl Default for Operator {
     fn default() -> Operator {
-        Operator { workers: 1, accord: None }
+        Operator { workers: 1, accord: None, plan: None }
     }
 }
 
@@ -113,6 +117,11 @@
     /// More workers than this for each core only take turns.
     const MOST_A_CORE: usize = 4;
 
+    /// Which was checked when it was read.
+    pub fn plan(&self) -> Option<Plan> {
+        self.plan.as_ref().and_then(|plan| plan.plan().ok())
+    }
+
     /// Reads the file; the message of a fault is one line that names the file, the line and the key.
     pub fn from_file(path: &Path, cores: usize) -> Result<Operator, String> {
         let named = |fault: String| format!("{}: {fault}", path.display());
@@ -144,6 +153,13 @@
         if let Some((key, why)) = read.accord.as_ref().and_then(Accord::fault) {
             return Err(tell(place(key), &format!("accord.{key}"), &why));
         }
+        if let Some((key, why)) = read.plan.as_ref().and_then(|plan| plan.plan().err()) {
+            // What is named below sites and calls stands where its name does, in a table of its own or in one line.
+            let named = key.get(1).or(key.first()).map_or("", String::as_str);
+            let tables = [named.to_string(), format!("[plan.{}.{named}", key[0])];
+            let at = tables.iter().find_map(|name| place(name));
+            return Err(tell(at, &format!("plan.{}", key.join(".")), &why));
+        }
         let most = Self::MOST_A_CORE * cores.max(1);
         if !(1..=most).contains(&read.workers) {
             let at = place("workers");
