Read again: one content with its hash, the judge reads once, entries worded only if passed on

Behaviour stays. accord/: three places applied changes of facts and two hashed them; Content does both, and what was heard from a keeper keeps no past that nobody reads. Who drains comes as one map, which three callers had made of duplicates and one had not. sidecar/: without lists = "whole" each list was written as JSON entry by entry, for nobody. sites/: one sum of work, one worth. lab/: the judge ran twice a play; a discovery was started for the text of its list.

Left: a mark taken from elsewhere is carried out alike in accord.rs and peers.rs; a keeper looks through all leases at each word.

--- a/accord/src/facts.rs
+++ b/accord/src/facts.rs
@@ -60,9 +60,49 @@
     hasher.finish()
 }
 
-/// A hash that does not depend on the order; zero of nothing.
-pub fn hash_all(facts: &Facts) -> u64 {
-    facts.iter().fold(0, |hash, (subject, fact)| hash ^ hash_of(subject, fact))
+/// Facts, and a hash of all of them that does not depend on the order; zero of nothing.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Content {
+    facts: Facts,
+    hash: u64,
+}
+
+impl Content {
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    fn put(&mut self, subject: Subject, fact: Option<Fact>) {
+        self.hash ^= fact.as_ref().map_or(0, |fact| hash_of(&subject, fact));
+        let known = match fact {
+            Some(fact) => self.facts.insert(subject.clone(), fact),
+            None => self.facts.remove(&subject),
+        };
+        self.hash ^= known.map_or(0, |known| hash_of(&subject, &known));
+    }
+
+    pub fn take(&mut self, changes: Vec<Change>) {
+        changes.into_iter().for_each(|(subject, fact)| self.put(subject, fact));
+    }
+
+    /// Takes what another's content has become; false if that does not follow from what is known here.
+    pub fn follow(&mut self, from: u64, to: u64, changes: Vec<Change>) -> bool {
+        if from != 0 && from != self.hash {
+            return false;
+        }
+        if from == 0 {
+            *self = Content::default();
+        }
+        self.take(changes);
+        if self.hash != to {
+            *self = Content::default();
+        }
+        self.hash == to
+    }
 }
 
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -77,44 +117,38 @@
 /// Facts with what they were before.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct Ledger {
-    facts: Facts,
-    hash: u64,
+    content: Content,
     past: VecDeque<Past>,
 }
 
 impl Ledger {
     pub fn facts(&self) -> &Facts {
-        &self.facts
+        &self.content.facts
     }
 
     pub fn hash(&self) -> u64 {
-        self.hash
+        self.content.hash
     }
 
     /// False if nothing changes by it.
     pub fn set(&mut self, now: Micros, subject: &Subject, fact: Option<Fact>) -> bool {
-        let known = self.facts.get(subject);
+        let known = self.facts().get(subject);
         if known == fact.as_ref() {
             return false;
         }
         let forbids = fact.as_ref().is_some_and(|fact| fact.forbids_beyond(known));
-        let known = known.map_or(0, |known| hash_of(subject, known));
-        self.past.push_back(Past { hash: self.hash, subject: subject.clone(), at: now, forbids });
+        self.past.push_back(Past { hash: self.hash(), subject: subject.clone(), at: now, forbids });
         if self.past.len() > MOST_PAST {
             self.past.pop_front();
         }
-        self.hash ^= known ^ fact.as_ref().map_or(0, |fact| hash_of(subject, fact));
-        match fact {
-            Some(fact) => _ = self.facts.insert(subject.clone(), fact),
-            None => _ = self.facts.remove(subject),
-        }
+        self.content.put(subject.clone(), fact);
         true
     }
 
     /// What has changed since the content had that hash, if that is remembered.
     fn after(&self, hash: u64) -> Option<impl Iterator<Item = &Past>> {
         let place = match hash {
-            _ if hash == self.hash => self.past.len(),
+            _ if hash == self.hash() => self.past.len(),
             _ => self.past.iter().rposition(|past| past.hash == hash)?,
         };
         Some(self.past.range(place..))
@@ -123,13 +157,14 @@
     /// From which hash on, and what whoever has that content lacks; from nothing on where that is not remembered.
     pub fn since(&self, hash: u64) -> (u64, Vec<Change>) {
         let Some(after) = self.after(hash) else {
-            let all = self.facts.iter().map(|(subject, fact)| (subject.clone(), Some(fact.clone())));
+            let all = self.facts().iter().map(|(subject, fact)| (subject.clone(), Some(fact.clone())));
             return (0, all.collect());
         };
         let mut subjects: Vec<&Subject> = after.map(|past| &past.subject).collect();
         subjects.sort_unstable();
         subjects.dedup();
-        let changes = subjects.iter().map(|subject| ((*subject).clone(), self.facts.get(*subject).cloned()));
+        let changes =
+            subjects.iter().map(|subject| ((*subject).clone(), self.facts().get(*subject).cloned()));
         (hash, changes.collect())
     }
 
@@ -137,27 +172,10 @@
     pub fn behind(&self, hash: u64, now: Micros) -> Option<Micros> {
         match self.after(hash) {
             Some(mut after) => Some(after.find(|past| past.forbids).map_or(Micros(0), |past| now - past.at)),
-            None if self.facts.values().any(|fact| fact.out) => None,
+            None if self.facts().values().any(|fact| fact.out) => None,
             None => Some(Micros(0)),
         }
     }
-
-    /// Takes what another's ledger has become; false if that does not follow from what is known here.
-    pub fn follow(&mut self, now: Micros, from: u64, to: u64, changes: Vec<Change>) -> bool {
-        if from != 0 && from != self.hash {
-            return false;
-        }
-        if from == 0 {
-            *self = Ledger::default();
-        }
-        for (subject, fact) in changes {
-            self.set(now, &subject, fact);
-        }
-        if self.hash != to {
-            *self = Ledger::default();
-        }
-        self.hash == to
-    }
 }
 
 /// Of each subject the most that is said by any.
--- a/accord/src/keeper.rs
+++ b/accord/src/keeper.rs
@@ -1,5 +1,5 @@
 //! One that grants leases, and lets a version hold once no lease stands in its way. It forgets all at a new start.
-use crate::facts::{hash_all, most, Change, Fact, Facts, Ledger, Subject, MOST_FACTS};
+use crate::facts::{most, Change, Content, Fact, Facts, Ledger, Subject, MOST_FACTS};
 use crate::{Holder, Micros, Version, Word, MOST_WAITING, UNEVEN};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -58,7 +58,7 @@
     pub(crate) leases: BTreeMap<Holder, Lease>,
     pub(crate) says: BTreeMap<Holder, Says>,
     /// What is said, by its hash: most say the same.
-    said: BTreeMap<u64, Facts>,
+    said: BTreeMap<u64, Content>,
     /// The most that any says of each server.
     ledger: Ledger,
     /// Numbers what is told of servers, over all lives of this keeper.
@@ -217,19 +217,14 @@
 
     /// Takes what one says of servers, as it follows from what it said before.
     fn take(&mut self, from: Holder, (base, to): (u64, u64), changes: Vec<Change>) {
-        let base = if base == 0 { Some(Facts::new()) } else { self.said.get(&base).cloned() };
-        let (Some(mut facts), Some(says)) = (base, self.says.get_mut(&from)) else { return };
-        for (subject, fact) in changes {
-            match fact {
-                Some(fact) => _ = facts.insert(subject, fact),
-                None => _ = facts.remove(&subject),
-            }
-        }
+        let base = if base == 0 { Some(Content::default()) } else { self.said.get(&base).cloned() };
+        let (Some(mut content), Some(says)) = (base, self.says.get_mut(&from)) else { return };
+        content.take(changes);
         // Whoever says something else than it means to is asked again.
         // What is told late must not undo what was asked with since: it counts once it is asked with.
-        if facts.len() <= MOST_FACTS && hash_all(&facts) == to {
+        if content.facts().len() <= MOST_FACTS && content.hash() == to {
             says.offered = to;
-            self.said.insert(to, facts);
+            self.said.insert(to, content);
         }
     }
 
@@ -239,7 +234,7 @@
         let in_use: BTreeSet<u64> = says.values().map(|says| says.hash).collect();
         let offered: BTreeSet<u64> = says.values().map(|says| says.offered).collect();
         said.retain(|hash, _| in_use.contains(hash) || offered.contains(hash));
-        let most = most(in_use.iter().filter_map(|hash| said.get(hash)));
+        let most = most(in_use.iter().filter_map(|hash| said.get(hash)).map(Content::facts));
         let over = ledger.facts().keys().filter(|subject| !most.contains_key(subject));
         let mut changes: Vec<(Subject, Option<Fact>)> = over.map(|subject| (subject.clone(), None)).collect();
         let fresh = most.iter().filter(|(subject, fact)| ledger.facts().get(subject) != Some(fact));
--- a/accord/src/lists.rs
+++ b/accord/src/lists.rs
@@ -1,5 +1,5 @@
 //! What an instance knows of servers: by its own list, by marks at its console, and by what keepers tell of the others.
-use crate::facts::{most, Change, Fact, Facts, Ledger, Subject, MOST_FACTS};
+use crate::facts::{most, Change, Content, Fact, Facts, Ledger, Subject, MOST_FACTS};
 use crate::{InstanceId, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -21,7 +21,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Heard {
-    ledger: Ledger,
+    content: Content,
     /// What it was numbered by that keeper.
     number: u64,
     /// When that keeper last said anything.
@@ -51,16 +51,20 @@
 
     /// The hash of what was heard from that keeper, and how it numbered that.
     pub fn heard_of(&self, keeper: InstanceId) -> (u64, u64) {
-        self.heard.get(&keeper).map_or((0, 0), |heard| (heard.ledger.hash(), heard.number))
+        self.heard.get(&keeper).map_or((0, 0), |heard| (heard.content.hash(), heard.number))
     }
 
     /// Servers to which nothing new may go, by others, and the life of theirs for which that was said.
-    pub fn out(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+    pub fn out(&self) -> BTreeMap<&Arc<str>, u64> {
+        let mut out = BTreeMap::new();
         let said = self.view.iter().chain(self.says.facts().iter().filter(|(_, fact)| !fact.first_hand));
-        said.filter_map(|(subject, fact)| match subject {
-            Subject::Server(name) if fact.out => Some((name, fact.since)),
-            _ => None,
-        })
+        for (subject, fact) in said.filter(|(_, fact)| fact.out) {
+            if let Subject::Server(name) = subject {
+                let since = out.entry(name).or_insert(fact.since);
+                *since = fact.since.max(*since);
+            }
+        }
+        out
     }
 
     /// Servers as others' lists word them, where this instance's own does not name them in that life.
@@ -80,7 +84,8 @@
             listed.index != self.index || listed.entries.is_empty(),
         );
         self.index = listed.index;
-        let there: BTreeSet<Arc<str>> = listed.entries.iter().map(|(name, _)| name.clone()).collect();
+        let names = || listed.entries.iter().map(|(name, _)| name.clone());
+        let there: Option<BTreeSet<Arc<str>>> = listed.whole.then(|| names().collect());
         for (name, fact) in listed.entries {
             match fact {
                 Some(fact) => {
@@ -93,7 +98,7 @@
                 None => self.leave(now, &name),
             }
         }
-        if listed.whole {
+        if let Some(there) = there {
             let missing = self.own.keys().filter(|name| !there.contains(*name) && !self.gone.contains(*name));
             let missing: Vec<Arc<str>> = missing.cloned().collect();
             for name in missing {
@@ -169,18 +174,16 @@
     }
 
     /// Takes what a keeper tells; false if that can't be taken.
-    pub fn hear(
-        &mut self, now: Micros, from: InstanceId, number: u64, told: (u64, u64, Vec<Change>),
-    ) -> bool {
+    pub fn hear(&mut self, from: InstanceId, number: u64, told: (u64, u64, Vec<Change>)) -> bool {
         let heard = self.heard.entry(from).or_default();
         let late = number <= heard.number;
         heard.number = heard.number.max(number);
-        !late && heard.ledger.follow(now, told.0, told.1, told.2)
+        !late && heard.content.follow(told.0, told.1, told.2)
     }
 
     /// Looks at what keepers tell. Gives the marks that are news if anything has changed.
     pub fn look(&mut self, now: Micros) -> Option<Vec<(Arc<str>, Fact)>> {
-        let most = most(self.heard.values().map(|heard| heard.ledger.facts()));
+        let most = most(self.heard.values().map(|heard| heard.content.facts()));
         let view: Facts = most.into_iter().map(|(subject, fact)| (subject.clone(), fact.clone())).collect();
         if view == self.view {
             return None;
@@ -216,8 +219,8 @@
 
     /// Forgets what a keeper told that has said nothing for as long as a lease lives; false if there is none.
     pub fn forget_silent(&mut self, now: Micros, within: Micros) -> bool {
-        let silent = |heard: &&mut Heard| heard.at + within <= now && heard.ledger.hash() != 0;
+        let silent = |heard: &&mut Heard| heard.at + within <= now && heard.content.hash() != 0;
         let forgotten = self.heard.values_mut().filter(silent);
-        forgotten.map(|heard| heard.ledger = Ledger::default()).count() > 0
+        forgotten.map(|heard| heard.content = Content::default()).count() > 0
     }
 }
--- a/accord/src/member.rs
+++ b/accord/src/member.rs
@@ -97,7 +97,7 @@
     }
 
     /// Servers to which nothing new may go by others' lists, and the life of theirs for which that was said.
-    pub fn out(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+    pub fn out(&self) -> BTreeMap<&Arc<str>, u64> {
         self.lists.out()
     }
 
@@ -133,7 +133,7 @@
                 self.ask_one(now, from, out);
             }
             Word::Says { at, from: base, to, changes } => {
-                if self.lists.hear(now, from, at, (base, to, changes)) {
+                if self.lists.hear(from, at, (base, to, changes)) {
                     self.look_at_lists(now, out);
                 }
             }
--- a/accord/tests/rules.rs
+++ b/accord/tests/rules.rs
@@ -171,7 +171,7 @@
 }
 
 fn out(few: &Few, at: usize) -> Vec<(String, u64)> {
-    few.members[at].out().map(|(name, since)| (name.to_string(), since)).collect()
+    few.members[at].out().into_iter().map(|(name, since)| (name.to_string(), since)).collect()
 }
 
 #[test]
--- a/accord/tests/world/mod.rs
+++ b/accord/tests/world/mod.rs
@@ -122,8 +122,7 @@
                     instance.out.clear();
                     for (server, since) in instance.member.out() {
                         let server = server[1..].parse().expect("a number");
-                        let known = instance.out.entry(server).or_default();
-                        *known = since.max(*known);
+                        instance.out.insert(server, since);
                     }
                 }
                 Action::Mark { .. } | Action::Log(_) => {}
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -148,8 +148,16 @@
     longest
 }
 
-/// What of the scene's expectations does not hold, a line each.
-pub fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered], logs: &[(String, String)]) -> Vec<String> {
+/// What the judge finds.
+pub struct Found {
+    pub contradiction: Option<Contradiction>,
+    pub in_vain: Option<InVain>,
+    /// What of the scene's expectations does not hold, a line each.
+    pub broken: Vec<String>,
+}
+
+pub fn judge(scene: &Scene, hops: &[Hop], answers: &[Answered], logs: &[(String, String)]) -> Found {
+    let in_vain = in_vain(scene, hops);
     let mut faults = Vec::new();
     let contradiction = match longest(scene, hops) {
         Ok(contradiction) => contradiction,
@@ -208,7 +216,7 @@
                 0 => None,
                 count => Some(format!("n{who} sends {count} hops to s{one} from {from} s to {to} s, none were expected")),
             },
-            Expected::Drains(most) => in_vain(scene, hops).filter(|found| found.length > most).map(|found| {
+            Expected::Drains(most) => in_vain.as_ref().filter(|found| found.length > most).map(|found| {
                 let InVain { length, server, told, sends } = found;
                 format!("n{sends} sends to s{server} {length:.3} s after n{told}, which serves, was told that it drains")
             }),
@@ -236,5 +244,5 @@
     if lost > 0 {
         faults.push(format!("{lost} calls without an answer"));
     }
-    faults
+    Found { contradiction, in_vain, broken: faults }
 }
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -1,5 +1,5 @@
 //! Plays one scene: starts everything, carries the script out on time, and has the judge read what was seen.
-use crate::judge::{self, Contradiction, InVain};
+use crate::judge::{self, Contradiction, Found, InVain};
 use crate::processes::{free, Sidecar};
 use crate::relay::Relay;
 use crate::scene::{Fault, Kind, Scene, LISTED, SERVERS};
@@ -76,12 +76,11 @@
             relays: Vec::new(),
             keepers: (0..scene.keepers).map(|_| free()).collect::<std::io::Result<_>>()?,
             discoveries: Vec::new(),
-            list: Discovery::start(&servers[..LISTED])?.whole(),
+            list: stand::first_list(&servers[..LISTED]),
             servers,
             seed: arm.seed,
             folder,
         };
-        let keepers = rig.keepers.clone();
         let first = *scene.versions.keys().next().unwrap_or(&1);
         for at in 0..scene.sidecars {
             let mut sidecar = Sidecar::new(arm.program, &format!("n{at}"), &rig.folder)?;
@@ -90,11 +89,11 @@
             }
             rig.discoveries.push(Discovery::start(&rig.servers[..LISTED])?);
             let relays: Vec<Relay> =
-                keepers.iter().map(|to| Relay::start(*to)).collect::<std::io::Result<_>>()?;
+                rig.keepers.iter().map(|to| Relay::start(*to)).collect::<std::io::Result<_>>()?;
             if arm.agreed {
                 let instances = (0..scene.sidecars).map(|other| {
                     // Its own keeper is no link away; those who keep nothing are dialled by nobody.
-                    let address = match keepers.get(other) {
+                    let address = match rig.keepers.get(other) {
                         Some(own) if other == at => *own,
                         Some(_) => relays[other].address,
                         None => SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -290,7 +289,8 @@
     let hops: Vec<_> = hops.into_iter().map(|hop| judge::Hop { at: hop.at - offset, ..hop }).collect();
     let answers = std::mem::take(&mut *notes.answers.lock().unwrap_or_else(PoisonError::into_inner));
     let logs: Vec<_> = rig.sidecars.iter().map(|sidecar| (sidecar.name.clone(), sidecar.log())).collect();
-    faults.extend(judge::broken(scene, &hops, &answers, &logs));
+    let Found { contradiction, in_vain, broken } = judge::judge(scene, &hops, &answers, &logs);
+    faults.extend(broken);
     let late = *notes.late.lock().unwrap_or_else(PoisonError::into_inner);
     let stops = scene.events.iter().any(|(_, _, fault)| matches!(fault, Fault::Stop | Fault::Kill));
     // Callers of a process that stands still wait for it.
@@ -298,8 +298,8 @@
         return Err(format!("{late} of {} calls went out late: no figure", answers.len()));
     }
     Ok(Report {
-        contradiction: judge::longest(scene, &hops).ok().flatten(),
-        in_vain: judge::in_vain(scene, &hops),
+        contradiction,
+        in_vain,
         faults,
         hops: hops.len(),
         answers: answers.len(),
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -103,12 +103,27 @@
 }
 
 impl Listing {
+    fn first(servers: &[SocketAddr]) -> Listing {
+        let named = servers.iter().enumerate().map(|(at, address)| Entry {
+            name: format!("s{at}"),
+            address: *address,
+            leaving: false,
+            since_ms: 0,
+        });
+        Listing { entries: named.collect(), index: 1, ..Listing::default() }
+    }
+
     fn whole(&self) -> String {
         let entries: Vec<String> = self.entries.iter().map(Entry::json).collect();
         format!(r#"{{"index":{},"snapshot":true,"endpoints":[{}]}}"#, self.index, entries.join(","))
     }
 }
 
+/// The whole list as every discovery begins with it.
+pub fn first_list(servers: &[SocketAddr]) -> String {
+    Listing::first(servers).whole()
+}
+
 /// A discovery of one instance, which tells it what the script says, and an empty line every second.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -121,24 +136,13 @@
 impl Discovery {
     pub fn start(servers: &[SocketAddr]) -> std::io::Result<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let named = servers.iter().enumerate().map(|(at, address)| Entry {
-            name: format!("s{at}"),
-            address: *address,
-            leaving: false,
-            since_ms: 0,
-        });
-        let listing = Listing { entries: named.collect(), index: 1, ..Listing::default() };
+        let listing = Listing::first(servers);
         let (address, listing) = (listener.local_addr()?, Arc::new(Mutex::new(listing)));
         let discovery = Discovery { address, listing: listing.clone() };
         each(listener, move |stream| _ = watch(stream, &listing));
         Ok(discovery)
     }
 
-    /// The whole list as it stands.
-    pub fn whole(&self) -> String {
-        self.listing().whole()
-    }
-
     fn listing(&self) -> std::sync::MutexGuard<'_, Listing> {
         self.listing.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -100,7 +100,12 @@
                 }
                 Action::Heard if self.how == How::NoDrains => {}
                 Action::Heard => {
-                    self.out = self.member.out().map(|(name, since)| (name.to_string(), since)).collect();
+                    self.out = self
+                        .member
+                        .out()
+                        .into_iter()
+                        .map(|(name, since)| (name.to_string(), since))
+                        .collect();
                 }
                 Action::Mark { .. } | Action::Log(_) => {}
             }
--- a/lab/src/traffic.rs
+++ b/lab/src/traffic.rs
@@ -231,15 +231,15 @@
     let change_s = fleet.run(within, holds(2));
     rest(&mut fleet, change_s);
     let change = beyond(fleet.heard().0);
-    let drains =
-        |index| Listed { index, whole: false, entries: vec![("s-00000003".into(), Some(fact(true)))] };
-    fleet.list(last, drains(2));
-    let drain_s = fleet.run(within, |member| member.out().next().is_some());
+    let drains = |index, server: &str| {
+        let entries = vec![(server.into(), Some(fact(true)))];
+        Listed { index, whole: false, entries }
+    };
+    fleet.list(last, drains(2, "s-00000003"));
+    let drain_s = fleet.run(within, |member| !member.out().is_empty());
     rest(&mut fleet, drain_s);
     fleet.heard();
-    let another =
-        |index| Listed { index, whole: false, entries: vec![("s-00000004".into(), Some(fact(true)))] };
-    (0..instances).for_each(|at| fleet.list(at, another(3)));
+    (0..instances).for_each(|at| fleet.list(at, drains(3, "s-00000004")));
     fleet.run(within, never);
     let drain = beyond(fleet.heard().0);
     fleet.silent = Some(last);
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -1,10 +1,14 @@
 //! What the judge makes of sidecars that do as they should not.
-use oakhollow_lab::judge::{broken, longest, Answered, Hop};
+use oakhollow_lab::judge::{judge, longest, Answered, Hop};
 use oakhollow_lab::scene::Scene;
 
 const SCENE: &str = "sidecars 3 keepers 1 within 1.0\nversion 1 view:read old:read fails:read\n\
     version 2 view:read new:read fails:once\nuntil 9\nexpect contradiction 0.2\nexpect n2 silent 4 5";
 
+fn broken(scene: &Scene, hops: &[Hop], answers: &[Answered], logs: &[(String, String)]) -> Vec<String> {
+    judge(scene, hops, answers, logs).broken
+}
+
 /// Hops as `TIME SIDECAR WORKLOAD ID`, and what the judge says is broken.
 fn judged(hops: &str) -> (Option<f64>, Vec<String>) {
     let scene = Scene::read(SCENE).expect("a scene");
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -173,10 +173,10 @@
     Ok((accord, running.run((document, known), keepers, (inputs, incoming))))
 }
 
-/// What a list tells, in the words of the agreement.
-fn told(list: &List) -> Listed {
+/// What a list tells, in the words of the agreement; with how it words each entry only where that is passed on.
+fn told(list: &List, lists: Lists) -> Listed {
     let fact = |entry: &Entry| {
-        let worded = Some(Arc::from(oakhollow_terms::to_json(entry)));
+        let worded = (lists == Lists::Whole).then(|| Arc::from(oakhollow_terms::to_json(entry)));
         Fact { since: entry.since_ms(), out: !entry.ready(), first_hand: true, entry: worded }
     };
     let entries = list.endpoints.iter().map(|entry| {
@@ -225,7 +225,7 @@
         let (mut actions, now) = (Vec::new(), self.parts.clock.now());
         self.member.written(now, first, &mut actions);
         if !known.endpoints.is_empty() {
-            self.member.listed(now, told(&known), &mut actions);
+            self.member.listed(now, told(&known, self.parts.operated.lists), &mut actions);
         }
         self.carry_out(actions).await;
         loop {
@@ -258,7 +258,7 @@
             }
             Some(Input::Listed(list)) => {
                 self.cut_off = false;
-                self.member.listed(now, told(&list), &mut actions);
+                self.member.listed(now, told(&list, self.parts.operated.lists), &mut actions);
             }
             Some(Input::ListFails) => {
                 self.cut_off = true;
@@ -366,11 +366,8 @@
 
     /// Whom others' lists let drain; and whom they name that this one does not, while it can't be had.
     async fn hear_lists(&mut self) {
-        let mut elsewhere = Elsewhere::new();
-        for (name, since) in self.member.out() {
-            let known = elsewhere.entry(name.to_string()).or_default();
-            *known = since.max(*known);
-        }
+        let out = self.member.out().into_iter().map(|(name, since)| (name.to_string(), since));
+        let elsewhere: Elsewhere = out.collect();
         if self.out != elsewhere {
             info!(self.parts.log, "by others' lists {} servers drain or have left", elsewhere.len());
             self.out = elsewhere.clone();
@@ -383,7 +380,11 @@
             if !entries.is_empty() {
                 let list = lock(&self.parts.board).add(entries);
                 info!(self.parts.log, "discovery fails: {} servers by others' lists", list.endpoints.len());
-                self.member.listed(self.parts.clock.now(), told(&list), &mut Vec::new());
+                self.member.listed(
+                    self.parts.clock.now(),
+                    told(&list, self.parts.operated.lists),
+                    &mut Vec::new(),
+                );
                 self.parts.orders.tell(Order::Listed(ListKind::Cached, Arc::new(list))).await;
             }
         }
--- a/sidecar/src/planned.rs
+++ b/sidecar/src/planned.rs
@@ -42,10 +42,7 @@
         "site", "room", "own", "others'", "served", "full"
     );
     for (site, held) in plan.sites.iter().zip(&held.sites).filter(|(_, held)| !held.lost) {
-        let work = |of: &dyn Fn(&oakhollow_sites::Row) -> f64| -> f64 {
-            held.rows.iter().zip(&plan.calls).map(|(row, calls)| of(row) * calls.work).sum()
-        };
-        let (own, others) = (work(&|row| row.own), work(&|row| row.others));
+        let (own, others) = (plan.work(&held.rows, |row| row.own), plan.work(&held.rows, |row| row.others));
         let full = held.work / site.room;
         let _ = writeln!(
             text,
--- a/sites/src/lib.rs
+++ b/sites/src/lib.rs
@@ -60,14 +60,21 @@
 impl Plan {
     /// All classes, the first to be refused first: as stated, then by payoff for the work that a call takes.
     pub fn order(&self) -> Vec<CallsId> {
-        let worth = |calls: CallsId| {
-            let calls = &self.calls[calls.0];
-            calls.payoff / calls.work
-        };
         let mut rest: Vec<CallsId> = (0..self.calls.len()).map(CallsId).collect();
         rest.retain(|calls| !self.first.contains(calls));
         // Equal ones in the order of the plan, so that all who read it refuse alike.
-        rest.sort_by(|one, other| worth(*one).total_cmp(&worth(*other)));
+        rest.sort_by(|one, other| self.worth(*one).total_cmp(&self.worth(*other)));
         self.first.iter().copied().chain(rest).collect()
     }
+
+    /// Payoff for the work that a call takes.
+    fn worth(&self, calls: CallsId) -> f64 {
+        let calls = &self.calls[calls.0];
+        calls.payoff / calls.work
+    }
+
+    /// The work of so many calls of each class.
+    pub fn work<'a>(&self, rows: &'a [Row], calls: impl Fn(&'a Row) -> f64) -> f64 {
+        rows.iter().zip(&self.calls).map(|(row, of)| calls(row) * of.work).sum()
+    }
 }
--- a/sites/src/reckoning.rs
+++ b/sites/src/reckoning.rs
@@ -107,8 +107,7 @@
     /// Floors first, then the dearest; of what others' callers bring no more than the bound allows.
     fn serve(&self, site: SiteId, mut rows: Vec<Row>, spare: f64, order: &[CallsId]) -> HeldSite {
         let of = &self.sites[site.0];
-        let others: f64 = rows.iter().zip(&self.calls).map(|(row, calls)| row.others * calls.work).sum();
-        let owns: f64 = rows.iter().zip(&self.calls).map(|(row, calls)| row.own * calls.work).sum();
+        let (owns, others) = (self.work(&rows, |row| row.own), self.work(&rows, |row| row.others));
         let room = if others > 0.0 { of.room.min(owns.min(of.room) + others.min(spare)) } else { of.room };
         let mut free = room;
         let floors: f64 =
@@ -142,7 +141,7 @@
     fn most_payoff(&self, left: &[SiteId], part: f64) -> f64 {
         let mut free: f64 = left.iter().map(|site| self.sites[site.0].room).sum();
         let mut classes: Vec<usize> = (0..self.calls.len()).collect();
-        let worth = |calls: &usize| self.calls[*calls].payoff / self.calls[*calls].work;
+        let worth = |calls: &usize| self.worth(CallsId(*calls));
         classes.sort_by(|one, other| worth(other).total_cmp(&worth(one)));
         let mut payoff = 0.0;
         for calls in classes {
