--- a/terms/src/place.rs
+++ b/terms/src/place.rs
@@ -23,6 +23,12 @@
 /// assert_eq!(fault, "rules.extra_window_s: must be over 0 and at most 3600");
 /// let place: oakhollow_terms::Place = oakhollow_terms::read(json.replace("idempotency_key", "read_like").as_bytes()).unwrap();
 /// assert_eq!(place.terms.most_hops, 3);
+/// // A repeat may arrive as much later than it is decided on as its connection takes: a quarter of a second here.
+/// let json = json.replace("\"group\":\"cell\"", "").replace("idempotency_key", "idempotency_key\",\"group\":\"cell\",\"memory_span_s\":\"x")
+///     .replace("\"x\"", "1.5").replace("\"most_hops\":3", "\"most_hops\":3,\"connect_timeout_s\":0.25");
+/// let place: oakhollow_terms::Place = oakhollow_terms::read(json.as_bytes()).unwrap();
+/// let memory = oakhollow::types::Micros::millis(1_250);
+/// assert_eq!(place.terms.workloads[0].kind, oakhollow::types::Kind::Tagged { group: oakhollow::types::Group::Cell, memory });
 /// assert_eq!(place.workloads[0].name, "view");
 /// ```
 #[derive(Clone, Debug, Deserialize)]
@@ -36,6 +42,8 @@
     pub zones: Vec<String>,
     /// Which tier's servers this instance sends to.
     pub tier: String,
+    /// How long a server that drains may still be sent new hops.
+    pub drain_grace: Micros,
     pub connect_within: Micros,
     /// When a server closes a connection that has stood idle, at the latest.
     pub idle_close: Micros,
@@ -170,6 +178,8 @@
     extra_window_s: Option<f64>,
     fall_s: f64,
     spare_attempts: Option<f64>,
+    #[serde(default)]
+    stop_sending_within_s: f64,
     warm_within_s: f64,
 }
 
@@ -244,7 +254,7 @@
         let Told { bounds, rules, .. } = &told;
         let mut kinds = Vec::new();
         for (at, class) in told.workloads.iter().enumerate() {
-            let kind = class.kind().ok_or_else(|| {
+            let kind = class.kind(bounds.connect_timeout_s).ok_or_else(|| {
                 format!(
                     ".workloads[{at}].group: must be all, zone or cell for idempotency_key, not {:?}",
                     class.group
@@ -284,6 +294,7 @@
             workloads: told.workloads.iter().map(named).collect(),
             customers: told.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             tier: told.stages.get(told.tier).cloned().unwrap_or_default(),
+            drain_grace: micros(rules.stop_sending_within_s),
             connect_within: micros(bounds.connect_timeout_s),
             idle_close: micros(bounds.idle_close_s),
             mixed: told.mixed(),
@@ -293,8 +304,9 @@
 }
 
 impl Told {
-    /// Settings that are each sound and don't go together, told by the key. There are two shapes: the list is asked
-    /// for and answers tell no load, or the list is pushed and they do; keys and messages belong to the second.
+    /// Settings that are each sound and don't go together, told by the key. A list is asked for where answers tell no
+    /// load. It may be pushed with or without: guards against refusing a fleet whose servers tell nothing. Keys and
+    /// messages belong to the shape that has both.
     fn mixed(&self) -> Option<String> {
         let Reporting { columns, source } = &self.report;
         let tells = *source == Source::Answers;
@@ -310,7 +322,6 @@
             _ if tells && !self.report.tells_load() => {
                 "report.columns: must name busy_reqs, and pending or cpu_share, where report.source is answers"
             }
-            _ if pushed && !tells => "report.source: must be answers where discovery is pushed",
             _ if !pushed && tells => "report.source: must not be answers where discovery is on_request",
             _ if !pushed && self.family_info.warm_keys => {
                 "family_info.warm_keys: must not be set where discovery is on_request"
@@ -318,6 +329,12 @@
             _ if !pushed && self.bounds.peer_messages => {
                 "bounds.peer_messages: must not be set where discovery is on_request"
             }
+            _ if !tells && self.family_info.warm_keys => {
+                "family_info.warm_keys: must not be set where report.source is not answers"
+            }
+            _ if !tells && self.bounds.peer_messages => {
+                "bounds.peer_messages: must not be set where report.source is not answers"
+            }
             _ => return None,
         };
         Some(why.into())
@@ -342,6 +359,7 @@
         from_zero(".rules.ask_within_s".into(), rules.ask_within_s)?;
         from_zero(".rules.cold_from".into(), rules.cold_from)?;
         from_zero(".rules.fall_s".into(), rules.fall_s)?;
+        from_zero(".rules.stop_sending_within_s".into(), rules.stop_sending_within_s)?;
         from_zero(".rules.warm_within_s".into(), rules.warm_within_s)?;
         for (at, class) in self.workloads.iter().enumerate() {
             let key = |name: &str| format!(".workloads[{at}].{name}");
@@ -380,8 +398,10 @@
 }
 
 impl Class {
-    fn kind(&self) -> Option<Kind> {
-        let memory = micros(self.memory_span_s);
+    /// A repeat arrives later than it is decided on, by as much as its connection takes: guards against one that comes up
+    /// when its server remembers no more.
+    fn kind(&self, connect_timeout_s: f64) -> Option<Kind> {
+        let memory = micros(self.memory_span_s - connect_timeout_s);
         let group = match self.group.as_str() {
             "all" => Some(Group::All),
             "zone" => Some(Group::Place),
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -68,6 +68,8 @@
     const FEWEST_SOCKETS: usize = 64;
     /// How long the list may go without being asked for, where the settings don't say.
     const ASK_WITHIN: Micros = Micros::millis(10_000);
+    /// However short the grace of a drain, so that asks which fail at once don't follow each other without a pause.
+    const LEAST_BETWEEN_ASKS: Micros = Micros::millis(50);
     const LEAST_MEMORY_MB: f64 = 16.0;
 
     /// Reads a file that takes the place of one of this shape, all of whose keys it must have.
@@ -103,10 +105,14 @@
     pub(crate) fn on_sockets(mut place: Place) -> Result<Place, String> {
         // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
         let terms = &mut place.terms;
-        terms.must_ask = true;
         if terms.ask_within.0 == 0 {
             terms.ask_within = Self::ASK_WITHIN;
         }
+        // What a pushed list says counts as told whether or not a watch is open: guards against being without one for
+        // longer than a server that drains may be sent to.
+        if !std::mem::replace(&mut terms.must_ask, true) && place.drain_grace.0 > 0 {
+            terms.ask_within = terms.ask_within.min(place.drain_grace.max(Self::LEAST_BETWEEN_ASKS));
+        }
         if let Some(mixed) = &place.mixed {
             return Err(mixed.clone());
         }
@@ -122,3 +128,29 @@
     let wrong = || serde::de::Error::custom(format!("must be up to 16 hexadecimal digits, not {text:?}"));
     u64::from_str_radix(&text, 16).map_err(|_| wrong())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_pushed_list_is_never_without_a_watch_for_longer_than_a_drain_s_grace() {
+        let ask_within = |discovery: &str, rest: &str| {
+            let json = format!(
+                r#"{{"me":0,"balancers":1,"discovery":"{discovery}","bounds":{{"most_hops":2}},"rules":{{"cold_from":0.5,"fall_s":1,"warm_within_s":5{rest}}},
+                "workloads":[{{"name":"view","quoted_time_s":1,"abandon_time_s":2,"semantics":"read_like"}}]}}"#
+            );
+            let terms = Start::on_sockets(read(json.as_bytes()).expect("settings")).expect("sound").terms;
+            assert!(terms.must_ask);
+            terms.ask_within
+        };
+        assert_eq!(ask_within("pushed", r#","stop_sending_within_s":0.15"#), Micros::millis(150));
+        assert_eq!(ask_within("pushed", r#","stop_sending_within_s":0.01"#), Start::LEAST_BETWEEN_ASKS);
+        assert_eq!(ask_within("pushed", r#","ask_within_s":3"#), Micros::millis(3_000));
+        assert_eq!(
+            ask_within("on_request", r#","stop_sending_within_s":0.15,"ask_within_s":3"#),
+            Micros::millis(3_000)
+        );
+        assert_eq!(ask_within("on_request", r#","stop_sending_within_s":0.15"#), Start::ASK_WITHIN);
+    }
+}
