A caller that has gone is seen wherever its call waits, also behind bytes nobody reads

To blame: callers.rs, answer() handed a request on without a look at the other side; gone and pump read until 16 KiB and then waited forever. Mend: one mechanism, Async::ended in reactor.rs, from the machine's word that the other side has ended, without reading. A socket just taken in is read only after the machine has told of it, which says both at once and saves a read.

--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -180,18 +180,19 @@
         let door = self.door;
         let id = request.head.only("Request-Id")?.unwrap_or_default();
         let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
+        // Guards against a hop for one that left before its request was read: it may have waited to be taken in.
+        if self.stream.has_ended() {
+            return Ok(None);
+        }
         let (call, verdict) = door.desk.take(ask, Outgoing::new(request)?).await;
         let answered = async { (&verdict).await };
         let (stream, inbox) = (&self.stream, &mut self.inbox);
-        let gone = async {
-            while read(stream, inbox.end()).await.is_some() {
-                if inbox.held() > MOST_AHEAD {
-                    return future::pending().await;
-                }
-            }
-            None
+        // Read on for a while, so that what the machine holds of the next request does not grow stale.
+        let ahead = async {
+            while inbox.held() <= MOST_AHEAD && read(stream, inbox.end()).await.is_some() {}
+            future::pending().await
         };
-        let verdict: Option<Verdict<_>> = future::or(answered, gone).await;
+        let verdict: Option<Verdict<_>> = future::or(answered, future::or(gone(stream), ahead)).await;
         if verdict.is_none() {
             door.desk.tell(Note::Withdrawn(call)).await;
         }
@@ -210,10 +211,14 @@
         let id = head.only("Request-Id")?.unwrap_or_default();
         let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
         let (content, feed) = Outgoing::begun(&head, kept, &rest, left)?;
+        if self.stream.has_ended() {
+            return Ok(None);
+        }
         let (call, verdict) = door.desk.take(ask, content).await;
         let answered = async { Ok((&verdict).await) };
         let pumped = pump(&self.stream, &mut rest, feed, came);
-        let verdict = future::or(answered, pumped).await;
+        let left = async { Ok(gone(&self.stream).await) };
+        let verdict = future::or(answered, future::or(left, pumped)).await;
         if !matches!(verdict, Ok(Some(_))) {
             door.desk.tell(Note::Withdrawn(call)).await;
         }
@@ -331,7 +336,14 @@
     Duration::from_secs_f64(bytes as f64 / SLOWEST)
 }
 
-/// Reads the rest of a request and hands it on, then waits for its caller to leave, which is none.
+/// Waits for the caller to leave, which is none. The one way to see it, wherever its call waits, also behind bytes that
+/// nobody reads: guards against a hop for one who has gone.
+async fn gone<T>(stream: &Async<TcpStream>) -> Option<T> {
+    stream.ended().await;
+    None
+}
+
+/// Reads the rest of a request and hands it on, and what is sent ahead of the next for a while.
 async fn pump<T>(
     stream: &Async<TcpStream>, rest: &mut Rest, mut feed: Feed, mut came: usize,
 ) -> Result<Option<T>, Fault> {
@@ -357,17 +369,14 @@
         };
         match future::or(read, late).await {
             Some(Some(_)) => waited += begun.elapsed(),
-            Some(None) => return Ok(None),
+            // Gone, which is seen elsewhere.
+            Some(None) => return future::pending().await,
             None => return Err(Fault { status: 408, why: "the request came too slowly" }),
         }
     }
     feed.finish();
-    while read(stream, rest.end()).await.is_some() {
-        if rest.behind().len() > MOST_AHEAD {
-            return future::pending().await;
-        }
-    }
-    Ok(None)
+    while rest.behind().len() <= MOST_AHEAD && read(stream, rest.end()).await.is_some() {}
+    future::pending().await
 }
 
 async fn read(stream: &Async<TcpStream>, into: &mut Vec<u8>) -> Option<usize> {
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -68,6 +68,8 @@
     writes: Side,
     /// The other side has ended its sending, or the connection is broken: reads tell at once, from now on.
     ended: Cell<bool>,
+    /// Who waits for that, whatever is still to be read before it.
+    end_awaited: Cell<Option<Waker>>,
 }
 
 /// Reading or writing: whether it may be tried, and who waits for that.
@@ -146,9 +148,11 @@
         let source = Rc::new(Source {
             slot: Cell::new(0),
             number: self.number() & 0xFFFF_FFFF,
-            reads: Side::new(true),
+            // The machine tells at the next turn what there is, and then whether its sender has gone since.
+            reads: Side::new(false),
             writes: Side::new(writable),
             ended: Cell::new(false),
+            end_awaited: Cell::default(),
         });
         let slot = self.sources.borrow_mut().insert(source.clone());
         source.slot.set(slot);
@@ -213,9 +217,16 @@
 }
 
 impl Source {
+    fn end(&self) {
+        self.ended.set(true);
+        if let Some(waker) = self.end_awaited.take() {
+            waker.wake();
+        }
+    }
+
     fn told(&self, flags: EventFlags) {
         if flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
-            self.ended.set(true);
+            self.end();
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             self.reads.told();
@@ -309,6 +320,24 @@
         .await
     }
 
+    /// Whether the other side has ended its sending, or the connection is broken, as far as the thread has been told.
+    /// Bytes that came before that may still be unread.
+    pub fn has_ended(&self) -> bool {
+        self.source.ended.get()
+    }
+
+    /// Waits for that, without reading.
+    pub async fn ended(&self) {
+        poll_fn(|context| match self.has_ended() {
+            true => Poll::Ready(()),
+            false => {
+                self.source.end_awaited.set(Some(context.waker().clone()));
+                Poll::Pending
+            }
+        })
+        .await
+    }
+
     /// Whether something has come, an end or a fault included, as far as the thread has been told.
     pub fn stirred(&self) -> bool {
         self.source.reads.ready.get()
@@ -323,6 +352,9 @@
         if matches!(read, Poll::Ready(Ok(count)) if count > 0 && count < room) && !self.source.ended.get() {
             self.source.reads.ready.set(false);
         }
+        if matches!(read, Poll::Ready(Ok(0) | Err(_))) && room > 0 {
+            self.source.end();
+        }
         read
     }
 }
@@ -458,6 +490,24 @@
         assert_eq!(read.expect("a reactor"), [3, 0]);
     }
 
+    #[test]
+    fn an_end_is_seen_behind_bytes_that_nobody_reads_and_on_one_just_taken_in() {
+        let (here, mut there) = pair();
+        there.write_all(b"abc").expect("written");
+        let soon = async { _ = Timer::after(Duration::from_millis(20)).await };
+        block_on(soon).expect("a reactor");
+        assert!(!here.has_ended());
+        there.shutdown(std::net::Shutdown::Write).expect("shut");
+        block_on(here.ended()).expect("a reactor");
+        // The first read of one that came with its end finds that told.
+        let (here, mut there) = pair();
+        there.write_all(b"abc").expect("written");
+        drop(there);
+        let read =
+            block_on(async { (&here).read(&mut [0; 64]).await.map(|count| (count, here.has_ended())) });
+        assert_eq!(read.expect("a reactor").expect("read"), (3, true));
+    }
+
     #[test]
     fn more_than_the_buffer_and_more_than_the_machine_holds_goes_through() {
         let (here, mut there) = pair();
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -4,11 +4,13 @@
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
-//!   once more), silent, absent (nobody listens), OTHER's-address; said again, it changes a server;
-//!   `servers COUNT HOW`
+//!   once more), silent, absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
+//!   NAME`, which the machine tries after 1 s; from then on it answers); said again, it changes a server; `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
-//!   ask, unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
+//!   ask, cancel, quoted and abandon (of all workloads), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
+//! - `freezes` and `thaws`: it is stopped by the machine between the two, so that what comes meanwhile comes at once to it;
+//!   `never WORDS`: its log does not say so
 //! - `puts ID WORKLOAD LEFT BYTES whole|chunked|slow|cut`: a long body, at once, in chunks, at 200 kB a second or ended in
 //!   its middle; `took NAME BYTES`: the body of the last request there; `gets ID STATUS BYTES`; `broken ID`: its answer
 //!   has no end
@@ -20,8 +22,8 @@
 //! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
-//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`; `asked COUNT` watches at
-//!   least, `asked COUNT only`
+//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`, `list drip BYTES` without a
+//!   line's end; `asked COUNT` watches at least, `asked COUNT only`
 //! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP; `spoils`: the same with nothing in it
 //! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
@@ -120,21 +122,40 @@
     name: String,
     address: SocketAddr,
     seen: Arc<Mutex<Seen>>,
+    /// Dropped when connections may come up.
+    door: Option<TcpStream>,
 }
 
 impl Server {
     fn start(name: &str) -> Server {
         let (listener, address) = listen();
-        let seen: Arc<Mutex<Seen>> = Arc::default();
-        let (shared, name) = (seen.clone(), name.to_string());
+        let server = Server { name: name.to_string(), address, seen: Arc::default(), door: None };
+        let shared = server.seen.clone();
+        thread::spawn(move || welcome(&listener, &shared));
+        server
+    }
+
+    /// One whose queue in the machine is full: another connection is not answered until somebody takes that one out.
+    fn shut(name: &str) -> Server {
+        let (listener, address) = listen();
+        rustix::net::listen(&listener, 0).expect("a short queue");
+        let door = Some(TcpStream::connect(address).expect("the one that fills it"));
+        let server = Server { name: name.to_string(), address, seen: Arc::default(), door };
+        let shared = server.seen.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let shared = shared.clone();
-                shared.lock().expect("seen").links += 1;
-                thread::spawn(move || serve(stream, &shared));
-            }
+            until("it is admitted", || shared.lock().expect("seen").how == "answers");
+            drop(listener.accept());
+            welcome(&listener, &shared);
         });
-        Server { name, address, seen }
+        server
+    }
+}
+
+fn welcome(listener: &TcpListener, shared: &Arc<Mutex<Seen>>) {
+    for stream in listener.incoming().map_while(Result::ok) {
+        let shared = shared.clone();
+        shared.lock().expect("seen").links += 1;
+        thread::spawn(move || serve(stream, &shared));
     }
 }
 
@@ -309,14 +330,16 @@
         };
         let workload = |name: &str, semantics: &str| {
             format!(
-                r#"{{"name":"{name}","semantics":"{semantics}","group":"cell","memory_span_s":5,"quoted_time_s":2,"abandon_time_s":3,"payoff":1,"overdue_payoff":0.5}}"#
+                r#"{{"name":"{name}","semantics":"{semantics}","group":"cell","memory_span_s":5,"quoted_time_s":{},"abandon_time_s":{},"payoff":1,"overdue_payoff":0.5}}"#,
+                get("quoted", "2"),
+                get("abandon", "3")
             )
         };
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         format!(
             r#"{{"name":"n0","listen":"{}",{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
-            "bounds":{{"most_hops":{},"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
+            "bounds":{{"most_hops":{},"cancel":{},"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
             "rules":{{{}"ask_within_s":{},"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},
             "workloads":[{},{},{}]}}}}"#,
@@ -325,6 +348,7 @@
             get("sockets", "1024"),
             self.list(true, &names),
             get("hops", "4"),
+            get("cancel", "true"),
             get("connect", "0.2"),
             get("idle", "60"),
             get("discovery", "on_request"),
@@ -474,6 +498,9 @@
             if how == "absent" {
                 server.address = listen().1; // free again at once
             }
+            if how == "shut-door" {
+                server = Server::shut(name);
+            }
             if let Some(other) = how.strip_suffix("'s-address") {
                 server.address = self.find(other).address;
             }
@@ -504,15 +531,19 @@
         let line = match words {
             ["whole", names @ ..] => self.list(true, names),
             ["changes", names @ ..] => self.list(false, names),
-            ["raw", line] => line.to_string(),
+            ["raw" | "drip", line] => line.to_string(),
             _ => "{\"index\":8,".to_string(),
         };
+        let bytes = match words[0] {
+            "drip" => format!("{:x}\r\n{line}\r\n", line.len()),
+            _ => chunk(&line),
+        };
         let mut discovery = self.discovery.lock().expect("discovery");
         match words[0] {
             "down" | "up" => discovery.down = words[0] == "down",
             "ends" => discovery.watches.clear(),
             _ => discovery.watches.iter_mut().for_each(|watch| {
-                let _ = watch.write_all(chunk(&line).as_bytes());
+                let _ = watch.write_all(bytes.as_bytes());
             }),
         }
         if words[0] == "down" {
@@ -587,6 +618,18 @@
                 let last = self.find(name).seen.lock().expect("seen").last.clone();
                 assert!(last.contains(&plain(words[2])), "{last}");
             }
+            ["admits", name] => {
+                let server = self.servers.iter_mut().find(|server| server.name == name).expect("a server");
+                server.seen.lock().expect("seen").how = "answers".into();
+                server.door = None;
+            }
+            ["freezes"] => self.signal("STOP"),
+            ["thaws"] => self.signal("CONT"),
+            ["never", ..] => {
+                let (words, said) = (words[1..].join(" "), &self.program.as_ref().expect("a sidecar").1);
+                let said = said.lock().expect("log");
+                assert!(!said.contains(&words), "{said}");
+            }
             ["list", ..] => self.discovery(&words[1..]),
             ["asked", count] => {
                 let count: usize = count.parse().expect("a count");
