No hop after its call's end or its server's drain; a restart cuts no call off; silent watches reopen

Where hops may not be cancelled, a hop that was still connecting when its call was answered or withdrawn wrote its request once the connection came up (late, up to 0.4 s). To blame: decider.rs, answer() and Note::Withdrawn left such hops to rules.rs drop_rest, which cancels only if may_cancel. Ruled out: the caller's end (the first traced case was dismissed, its caller stayed). A connection that comes up after its server was told to drain carried the request: hop.rs looked at the lease alone, and a hop polled after the retirement opened a new shelf. Matters where the grace is shorter than the time to connect (0.1 s against 0.25 s). 3. A call taken before SIGTERM kept its own time, past the kill: answer_by reached only those that came later (workers.rs, SayNo). Settings read again while leaving no longer move that moment (phases.rs). The start says what a restart cuts short. 4. watch.rs: a silent watch was told as a failed ask and opened anew 5.25 to 5.5 s after its last line, with what it missed told at 6 s; now at 5 s. Bytes that drip without a line's end kept it alive for ever.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -6,9 +6,10 @@
 use crate::generations::{ClassId, Left};
 use crate::lease::Lease;
 use crate::oneshot::{self, oneshot};
+use crate::reactor::Timer;
 use crate::roster::{self, Elsewhere, Roster};
 use crate::tasks::Tasks;
-use crate::timers::{Clock, Timers};
+use crate::timers::{duration, Clock, Timers};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::Task;
 use fnv::FnvHashMap;
@@ -23,6 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// What the module's task needs of a protocol.
 pub trait Protocol: 'static {
@@ -33,13 +35,16 @@
 
     /// Sends one hop and waits for its end, for `give_up` at most. Dropping the future cancels the hop.
     fn hop(
-        &self, content: Rc<Self::Content>, to: SocketAddr, give_up: Micros,
+        &self, content: Rc<Self::Content>, to: SocketAddr, give_up: Micros, written: Written,
     ) -> impl Future<Output = End<Self::Answer>> + 'static;
 
     /// Nothing new is wanted at this address.
     fn retire(&self, at: SocketAddr);
 }
 
+/// When the last byte of a hop's request was written; until then no server has begun it.
+pub type Written = Rc<Cell<Option<Instant>>>;
+
 /// What a server tells of its load at the end of a hop.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Told {
@@ -104,6 +109,10 @@
     Look,
     /// What the module has learnt is asked for.
     Asked(Sender<Taught>),
+    /// The program ends: calls have their answers by then.
+    AnswerBy(Micros),
+    /// That moment has come.
+    TimeUp,
 }
 
 /// How all else reaches the module.
@@ -159,6 +168,7 @@
 struct Hop {
     sent: Micros,
     went_out: bool,
+    written: Written,
     running: Option<Task<()>>,
 }
 
@@ -184,6 +194,8 @@
     left: FnvHashMap<ClassId, Left>,
     most_hops: usize,
     warm_within: Micros,
+    /// No API call may take longer than until then.
+    answer_by: Micros,
 }
 
 /// What goes into the making of a [`Decider`].
@@ -215,6 +227,7 @@
             left: FnvHashMap::default(),
             most_hops: place.terms.most_hops as usize,
             warm_within: place.terms.warm_within,
+            answer_by: Micros::NEVER,
             actions,
             protocol,
             desk,
@@ -275,6 +288,8 @@
         match note {
             Note::Taken(Taken { call, ask, content, verdict }) => {
                 let Ask { workload, class, customer, repeat, abandon, most_hops, key } = ask;
+                // One taken before the end was known may come here after it.
+                let abandon = abandon.min(self.answer_by);
                 let left = abandon - self.desk.clock.now();
                 let known =
                     Call { class, content, abandon, most_hops, verdict: Some(verdict), hops: Vec::new() };
@@ -284,6 +299,7 @@
             Note::Withdrawn(call) => {
                 if self.calls.get_mut(&call).is_some_and(|known| known.verdict.take().is_some()) {
                     self.desk.held.down();
+                    self.call_off(call);
                     self.on(Event::Withdrawn { call });
                     self.clear(call);
                 }
@@ -310,6 +326,32 @@
                 let _ = to.try_send(servers);
             }
             Note::Look => {}
+            Note::AnswerBy(by) => {
+                self.answer_by = by;
+                self.calls.values_mut().for_each(|call| call.abandon = call.abandon.min(by));
+                let (desk, left) = (self.desk.clone(), duration(by - self.desk.clock.now()));
+                self.tasks.run(async move {
+                    Timer::after(left).await;
+                    desk.tell(Note::TimeUp).await;
+                });
+                self.on(Event::AnswerBy(by));
+            }
+            Note::TimeUp => {
+                // Hops that are out were sent with more time: the module hears now that it is over.
+                let open = self.calls.iter_mut().filter(|(_, call)| call.verdict.is_some());
+                for (id, call) in open {
+                    for (hop, no) in call.hops.iter_mut().zip(0..) {
+                        let outcome = if hop.written.get().is_some() {
+                            Outcome::TimedOut
+                        } else {
+                            Outcome::NoConnection
+                        };
+                        let running = hop.running.take();
+                        self.ends.extend(running.map(|_| (*id, HopNo(no), outcome)));
+                    }
+                }
+                self.settle();
+            }
             Note::Retuned(terms, left, done) => {
                 self.left = left;
                 (self.most_hops, self.warm_within) = (terms.most_hops as usize, terms.warm_within);
@@ -396,6 +438,18 @@
             self.desk.held.down();
             // A client that has gone says so by a note of its own.
             client.send(verdict);
+            self.call_off(call);
+        }
+    }
+
+    /// Ends the hops of a call that is over which no server has begun. Guards against one that is still connecting, or has
+    /// its request half written, and is sent after the call's end where hops may not be cancelled.
+    fn call_off(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        for (hop, no) in call.hops.iter_mut().zip(0..) {
+            if hop.written.get().is_none() && hop.running.take().is_some() {
+                self.ends.push_back((id, HopNo(no), Outcome::Cancelled));
+            }
         }
     }
 
@@ -458,9 +512,10 @@
         let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < call.most_hops;
         let sound = sound && (!self.lease.on() || self.allowed(id, server, now));
         let address = self.roster.address(server).filter(|_| sound);
+        let written = Written::default();
         let running = address.and_then(|address| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
-            let hop = self.protocol.hop(content, address, give_up.min(left));
+            let hop = self.protocol.hop(content, address, give_up.min(left), written.clone());
             self.tasks.spawn(async move {
                 let end = hop.await;
                 desk.tell(Note::Ended { call: id, hop: no, end }).await;
@@ -471,7 +526,7 @@
         }
         let went_out = running.is_some();
         if let Some(call) = self.calls.get_mut(&id) {
-            call.hops.push(Hop { sent: now, went_out, running });
+            call.hops.push(Hop { sent: now, went_out, written, running });
         }
     }
 }
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -4,7 +4,7 @@
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use super::Fence;
-use crate::decider::{End, Told};
+use crate::decider::{End, Told, Written};
 use crate::reactor::{Async, Timer};
 use crate::timers::duration;
 use async_channel::{bounded, Receiver, Sender};
@@ -181,10 +181,25 @@
     }
 }
 
+/// Where a hop goes, and what forbids its first byte.
+pub struct Target {
+    pub at: SocketAddr,
+    /// False once its server wants nothing new.
+    pub wanted: Rc<Cell<bool>>,
+    pub fence: Fence,
+}
+
+impl Target {
+    /// Guards against a connection that comes up after its server drains, or after the lease.
+    fn shut(&self) -> bool {
+        !self.wanted.get() || self.fence.shut()
+    }
+}
+
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: (SocketAddr, Fence), give_up: Micros, tells_load: bool,
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (give_up, written): (Micros, Written),
+    tells_load: bool,
 ) -> End<Reply> {
-    let written = Cell::new(None);
     let exchange = async {
         let give_up = content.upload.as_ref().map_or(give_up, |upload| upload.left);
         let exchanged = exchange(&pool, &content, &to, give_up, &written).await;
@@ -205,19 +220,18 @@
 }
 
 async fn exchange(
-    pool: &Rc<Pool>, content: &Outgoing, to: &(SocketAddr, Fence), give_up: Micros,
-    written: &Cell<Option<Instant>>,
+    pool: &Rc<Pool>, content: &Outgoing, target: &Target, give_up: Micros, written: &Written,
 ) -> Result<Reply, Outcome> {
-    let (to, fence) = (to.0, &to.1);
+    let to = target.at;
     // What a hop before this one has passed on is gone.
     if content.upload.as_ref().is_some_and(|upload| upload.parts.borrow().is_none()) {
         return Err(Outcome::NotSent);
     }
     let link = match pool.idle(to) {
         Some(link) => link,
-        None => pool.connect(to).await?,
+        None => pool.connect(to, target.wanted.clone()).await?,
     };
-    if fence.shut() {
+    if target.shut() {
         return Err(Outcome::NotSent);
     }
     let mut inbox = Assembler::new(Side::Answers);
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -106,8 +106,16 @@
         }
     }
 
-    /// Opens a connection. The outcome of a failure proves that nothing ran.
-    pub async fn connect(&self, to: SocketAddr) -> Result<Rc<Link>, Outcome> {
+    /// Whether connections to that address are to be kept, and hops to begin there: false once it is retired.
+    pub fn wanted(&self, to: SocketAddr) -> Rc<Cell<bool>> {
+        let wanted = self.shelves.borrow_mut().entry(to).or_default().wanted.clone();
+        self.be_watched();
+        wanted
+    }
+
+    /// Opens a connection for one who has asked whether it is [`Pool::wanted`]. The outcome of a failure proves that
+    /// nothing ran.
+    pub async fn connect(&self, to: SocketAddr, wanted: Rc<Cell<bool>>) -> Result<Rc<Link>, Outcome> {
         // Before the first wait, so that connections on their way keep to the bound too.
         let place = match self.open.take() {
             Some(place) => place,
@@ -116,8 +124,6 @@
                 self.open.take().ok_or(Outcome::NotSent)?
             }
         };
-        let wanted = self.shelves.borrow_mut().entry(to).or_default().wanted.clone();
-        self.be_watched();
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
         let late = async {
             Timer::after(duration(self.connect_within.get())).await;
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -11,12 +11,17 @@
 use oakhollow_terms::{read, List, Version};
 use slog::{info, Logger};
 use std::convert::Infallible;
+use std::future::Future;
+use std::io::Result;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come.
+/// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come. What a silent watch
+/// misses counts as told 6 s after it fell silent, so the second that is left is for opening it anew.
 const SILENCE: Duration = Duration::from_millis(5_000);
+/// The slowest pace of a line, in bytes a second; one that comes more slowly is as good as silent.
+const SLOWEST: f64 = 48_000.0;
 
 pub struct Watch {
     discovery: SocketAddr,
@@ -42,15 +47,39 @@
     Asked,
     Moved(SocketAddr),
     Ended(String),
+    /// One that has told something does not any more.
+    Silent,
     Over,
 }
 
-async fn within<T>(work: impl std::future::Future<Output = std::io::Result<T>>) -> Result<T, String> {
+/// Why a watch is followed no longer.
+enum Break {
+    Failed(String),
+    Silent,
+}
+
+impl From<&str> for Break {
+    fn from(why: &str) -> Break {
+        Break::Failed(why.into())
+    }
+}
+
+impl From<String> for Break {
+    fn from(why: String) -> Break {
+        Break::Failed(why)
+    }
+}
+
+/// None if it takes longer than until then.
+async fn by<T>(
+    then: Instant, work: impl Future<Output = Result<T>>,
+) -> std::result::Result<Option<T>, Break> {
     let late = async {
-        Timer::after(SILENCE).await;
-        Err(std::io::ErrorKind::TimedOut.into())
+        Timer::at(then).await;
+        Ok(None)
     };
-    future::or(work, late).await.map_err(|fault| fault.to_string())
+    let work = async { work.await.map(Some) };
+    future::or(work, late).await.map_err(|fault| Break::Failed(fault.to_string()))
 }
 
 impl Watch {
@@ -64,16 +93,23 @@
 
     pub async fn run(mut self) {
         let (asks, moves) = (self.asks.clone(), self.moves.clone());
-        // The module asks again only if it has heard nothing: what is under way is given up then.
+        let moved = || async { moves.recv().await.map_or(Turn::Over, Turn::Moved) };
         let word = || {
+            // What was asked while a watch was under way has had its answer.
+            while asks.try_recv().is_ok() {}
             let asked = async { asks.recv().await.map_or(Turn::Over, |()| Turn::Asked) };
-            future::or(asked, async { moves.recv().await.map_or(Turn::Over, Turn::Moved) })
+            future::or(asked, moved())
         };
-        let mut turn = word().await;
+        let mut turn =
+            future::or(async { asks.recv().await.map_or(Turn::Over, |()| Turn::Asked) }, moved()).await;
         loop {
             match turn {
                 Turn::Over => return,
                 Turn::Asked => {}
+                // Guards against a wait before it is opened anew, in which what it misses comes to count as told.
+                Turn::Silent => {
+                    info!(self.log, "watch of the list silent for {} ms, opened anew", SILENCE.as_millis())
+                }
                 // Guards against following another service by the first one's versions: the whole list is asked for.
                 Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
                 Turn::Ended(why) => {
@@ -89,27 +125,38 @@
             }
             let ended = async {
                 match self.follow().await {
-                    Err(why) => Turn::Ended(why),
+                    Err(Break::Failed(why)) => Turn::Ended(why),
+                    Err(Break::Silent) => Turn::Silent,
                     Ok(never) => match never {},
                 }
             };
-            turn = future::or(word(), ended).await;
+            // An ask meanwhile changes nothing, since each watch ends by itself: guards against giving one up, again and
+            // again, that discovery has not come to yet.
+            turn = future::or(moved(), ended).await;
         }
     }
 
-    async fn follow(&mut self) -> Result<Infallible, String> {
-        let stream = within(Async::<TcpStream>::connect(self.discovery)).await?;
+    async fn follow(&mut self) -> std::result::Result<Infallible, Break> {
+        let late = || Break::Failed("no answer in time".into());
+        let stream = by(Instant::now() + SILENCE, Async::<TcpStream>::connect(self.discovery)).await?;
+        let stream = stream.ok_or_else(late)?;
         let ask = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.told.0, self.discovery
         );
-        within((&stream).write_all(ask.as_bytes())).await?;
+        by(Instant::now() + SILENCE, (&stream).write_all(ask.as_bytes())).await?.ok_or_else(late)?;
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
         let mut heard = false;
+        // Counted from the last whole line: guards against bytes that drip, by which nothing is ever told.
+        let (mut since, mut came) = (Instant::now(), 0);
         loop {
-            let count = within((&stream).read(&mut buffer)).await?;
+            let then = since + SILENCE + Duration::from_secs_f64(came as f64 / SLOWEST);
+            let Some(count) = by(then, (&stream).read(&mut buffer)).await? else {
+                return Err(if heard { Break::Silent } else { late() });
+            };
+            came += count;
             if count == 0 {
                 return Err("discovery closed the connection".into());
             }
@@ -120,7 +167,7 @@
                 match head.status().map_err(|fault| fault.why)? {
                     100..=199 => continue,
                     200 => framing = Some(head.answer_framing().map_err(|fault| fault.why)?),
-                    other => return Err(format!("discovery answered {other}")),
+                    other => return Err(format!("discovery answered {other}").into()),
                 }
             }
             match framing {
@@ -133,6 +180,7 @@
             while let Some(end) = lines.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
                 self.tell(line.trim_ascii(), !std::mem::replace(&mut heard, true)).await?;
+                (since, came) = (Instant::now(), 0);
             }
             if chunks.done() {
                 return Err("discovery ended the watch".into());
@@ -143,8 +191,8 @@
         }
     }
 
-    async fn tell(&mut self, line: &[u8], first: bool) -> Result<(), String> {
-        let list: Result<List, String> = match line {
+    async fn tell(&mut self, line: &[u8], first: bool) -> std::result::Result<(), String> {
+        let list: std::result::Result<List, String> = match line {
             // Guards against asking again and again where nothing has changed: the module waits for an answer.
             b"" if first => Ok(List { index: self.told, ..List::default() }),
             b"" => {
@@ -161,18 +209,47 @@
             info!(self.log, "a line of the list makes no sense: {}", fault);
             fault
         })?;
-        self.told = list.index;
         {
             let mut board = lock(&self.board);
             board.take(&list);
             board.settled = true;
         }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
-        let list = Arc::new(list);
+        let (index, list) = (list.index, Arc::new(list));
         self.told_to.tell(Order::Listed(kind, list.clone())).await;
         if let Some(accord) = &self.accord {
             accord.listed(list).await;
         }
+        // Not before all have been told: guards against a change that nobody asks for any more if this is given up between.
+        self.told = index;
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::board::Board;
+    use async_channel::bounded;
+    use oakhollow_terms::Marks;
+    use slog::{o, Discard};
+
+    #[test]
+    fn a_change_that_was_given_up_while_it_was_told_is_asked_for_again() {
+        let (sender, orders) = bounded(1);
+        let (asks, moves) = (bounded(1).1, bounded(1).1);
+        let board: Shared = Arc::new(std::sync::Mutex::new(Board::new(&List::default(), Marks::default())));
+        let told_to = (Orders::of(vec![sender.clone()]), board, None);
+        let at = "127.0.0.1:1".parse().expect("an address");
+        let log = Logger::root(Discard, o!());
+        let mut watch = Watch::new(at, Version(41), told_to, (asks, moves), log, 1 << 20);
+        let line = br#"{"index":42,"snapshot":false,"endpoints":[]}"#;
+        // The worker's queue is full, so that telling it waits, and meanwhile the watch is moved.
+        sender.try_send(Order::Look).expect("room");
+        let given_up = future::block_on(future::poll_once(watch.tell(line, true)));
+        assert!(given_up.is_none() && watch.told == Version(41), "{:?}", watch.told);
+        orders.try_recv().expect("the one before");
+        assert!(future::block_on(watch.tell(line, true)).is_ok() && watch.told == Version(42));
+        assert!(matches!(orders.try_recv(), Ok(Order::Listed(ListKind::Changes, _))));
+    }
+}
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -253,6 +253,20 @@
     longest.min(MOST_GRACE) + GRACE_BESIDES
 }
 
+/// Says what a restart does to calls that may take longer than it.
+fn say_if_cut_short(log: &Logger, longest: Micros) {
+    let last = grace(longest) - MARGIN;
+    if longest > last {
+        let (longest, last) = (longest.0 / 1000, last.0 / 1000);
+        info!(
+            log,
+            "calls may take {} ms: one open at a restart has its answer {} ms after the word to stop at the latest",
+            longest,
+            last
+        );
+    }
+}
+
 impl Program {
     fn build(
         start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: (Vec<TcpListener>, bool),
@@ -273,6 +287,7 @@
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
         let longest = longest(&place);
+        say_if_cut_short(&log, longest);
         let (clock, told) = (Clock::start(), known.index);
         let marks = match (&before, &keeper) {
             (Some(before), _) => before.marks.clone(),
@@ -445,7 +460,10 @@
                         }
                     }
                     let longest = longest(&start.place);
-                    (self.longest, self.grace) = (duration(longest), grace(longest));
+                    // Once the end has been ordered, its time is that of the settings which held then.
+                    if self.phase == Phase::Serving {
+                        (self.longest, self.grace) = (duration(longest), grace(longest));
+                    }
                     self.shape = start.shape;
                     // Where instances agree, the settings hold once that is settled.
                     if self.accord.is_none() {
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -71,6 +71,11 @@
 pub struct Orders(Vec<Sender<Order>>);
 
 impl Orders {
+    #[cfg(test)]
+    pub fn of(workers: Vec<Sender<Order>>) -> Orders {
+        Orders(workers)
+    }
+
     /// Tells an order and waits until the last worker has carried it out, or has ended.
     pub async fn have_done(&self, order: impl FnOnce(Sender<()>) -> Order) {
         let (done, all) = bounded(1);
@@ -366,11 +371,13 @@
                 }
                 door.part();
                 door.answer_by(by);
+                desk.tell(Note::AnswerBy(by)).await;
             }
             Order::SayNo(by) => {
                 door.set_able(false);
-                // Guards against a kill that finds an API call without its answer.
+                // Guards against a kill that finds an API call without its answer, also one taken before.
                 door.answer_by(by);
+                desk.tell(Note::AnswerBy(by)).await;
             }
             Order::Shut(done) => {
                 if let Some(welcome) = welcome.take() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -256,6 +256,17 @@
         Sliding { bound, taken: [(0, 0); PARTS as usize], spent: VecDeque::new(), next: None }
     }
 
+    /// By another bound, or by none, with what is known of hops under the one before. Guards against a bound that comes
+    /// anew and grants at once what calls of before it have spent.
+    pub fn retuned(known: Option<Sliding>, bound: Option<BeyondFirst>, now: Micros) -> Option<Sliding> {
+        bound.map(|bound| {
+            let nothing = BeyondFirst { few: 0.0, share: 0.0, ..bound };
+            let mut hops = known.unwrap_or_else(|| Sliding::new(nothing));
+            hops.retune(bound, now);
+            hops
+        })
+    }
+
     /// Another bound: what it takes holds at once, what it grants a window later. Guards against a window that holds what
     /// two bounds, or two processes that follow each other, grant together.
     pub fn retune(&mut self, bound: BeyondFirst, now: Micros) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,8 +18,7 @@
 const BUDGET_DEPTH: f64 = 8.0; // unspent budget kept, so that a burst of failures can be met
 const CHEAP_PART: f64 = 0.5; // the part of a bound on hops that a call of next to no payoff may use
 const HOP_SPREAD: f64 = 0.25; // in this part of the bound's window at most half of it is spent
-const SUPPRESS_AT: f64 = 1.0;
-const TRIP_FLOOR: f64 = 0.05;
+const TRIP_FLOOR: f64 = 0.05; // copies pause at the trip rate itself: the design's SuppressAt is 1
 const MINIMUM_CALLS: f64 = 10.0;
 const CROWDED: f64 = 1.65; // latency over its workload's uncrowded level that counts as crowding
 const EASED: f64 = 1.45; // and the one below which it is over
@@ -164,6 +163,7 @@
             Event::Withdrawn { call } => self.step(call, Left, out),
             Event::Heard { server, strain } => self.heard(server, strain),
             Event::Retuned(terms) => return self.retuned(terms),
+            Event::AnswerBy(by) => self.answer_by(by, out),
             Event::Woke(POKED) => self.poked = false,
             Event::Woke(ASK) => self.ask(out),
             Event::Woke(HEART) => self.beat(out),
@@ -206,14 +206,15 @@
 
     fn retuned(&mut self, terms: &Terms) {
         self.figures = Figures::new(terms);
-        let now = self.now;
-        let known = self.beyond_first.take();
-        self.beyond_first = terms.beyond_first.map(|bound| {
-            let mut hops =
-                known.unwrap_or_else(|| Sliding::new(BeyondFirst { few: 0.0, share: 0.0, ..bound }));
-            hops.retune(bound, now);
-            hops
-        });
+        self.beyond_first = Sliding::retuned(self.beyond_first.take(), terms.beyond_first, self.now);
+    }
+
+    /// This instance ends soon. Guards against an end that finds a call sent on, or waiting, for longer.
+    fn answer_by(&mut self, by: Micros, out: &mut Vec<Action>) {
+        for (id, call) in self.calls.iter_mut().filter(|(_, call)| call.abandon > by) {
+            (call.abandon, call.patience) = (by, call.patience.min(by));
+            out.push(Action::Wake { after: by - self.now, token: Token(u64::from(id.0) << 2 | PATIENT) });
+        }
     }
 
     // ---- API calls ----
@@ -684,7 +685,7 @@
         let trip = (2.0 * self.long_run.rate()).max(TRIP_FLOOR);
         let rate = self.outcomes.rate();
         let known = self.outcomes.total() >= MINIMUM_CALLS && self.outcomes.bad >= 2.0;
-        let shut = known && rate > SUPPRESS_AT * trip;
+        let shut = known && rate > trip;
         if shut != self.suppressed {
             self.suppressed = shut;
             let word = if shut { "paused" } else { "resumed" };
--- a/src/types.rs
+++ b/src/types.rs
@@ -268,6 +268,8 @@
         server: ServerId,
         strain: f64,
     },
+    /// This instance ends soon: whatever is open is answered by then.
+    AnswerBy(Micros),
     /// The place lays down something else from now on; workloads keep their numbers. A whole list must follow, by which
     /// servers are measured anew.
     Retuned(&'a Terms),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,7 +5,7 @@
 //! - `workload NAME KIND QUOTED PAYOFF`, KIND one of repeatable, once-only, tagged:GROUP:SPAN
 //! - `list whole|changes|cached|failed SERVER ...`, SERVER as NAME[:cell=N][:place=N][:size=X][:draining|:gone][:new]
 //! - `call ID WORKLOAD LEFT [customer=N] [key=N] [repeat]`, `calls FIRST..LAST ...`, `ends ID.HOP OUTCOME WAITED [load=HELD:WAITING]`, `heard SERVER STRAIN`, `leaves ID`, `streams ID.HOP`
-//! - `wait LENGTH`: time passes, timers fire in order
+//! - `wait LENGTH`: time passes, timers fire in order; `ends-in LENGTH`: the instance does, calls are answered by then
 //! - `traffic COUNT WORKLOAD EVERY TOOK`: calls from 1000 up, each hop answered TOOK after its send; several by turns as
 //!   WORKLOAD*N:TOOK+WORKLOAD*N:TOOK and `mixed` for TOOK; `dismissed LEAST..MOST` counts since `count`
 //! - `expect ACTION`: takes one such action out of those not yet expected; `never ACTION`: there is none such;
@@ -299,6 +299,7 @@
             ["streams", which] => self.tell(Event::Streaming { call: hop(which).0, hop: hop(which).1 }),
             ["leaves", id] => self.tell(Event::Withdrawn { call: CallId(id.parse().expect("an id")) }),
             ["wait", time] => self.wait(self.now + length(time)),
+            ["ends-in", time] => self.tell(Event::AnswerBy(self.now + length(time))),
             ["traffic", count, workload, every, took] => {
                 let turns = self.turns(workload, took);
                 self.traffic(count.parse().expect("a count"), length(every), &turns)
