A late second answer is no longer given to the next caller on that connection

To blame: pool.rs, park() offered a connection again at once; the peek before its use sees only what has come by then. Weighed and left: no connection kept at all to such a server (each costs a handshake); a fixed rest for all (10 ms at 40,000 calls a second are 400 connections). Not closed: a first stray of a server on a connection that answers within 1 ms. Also: bytes between requests are looked for by one function.

--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -143,6 +143,8 @@
     link: Rc<Link>,
     pool: Rc<Pool>,
     from: SocketAddr,
+    /// When its request was written.
+    begun: Instant,
 }
 
 impl Download {
@@ -176,7 +178,7 @@
     /// Keeps the connection, where it can carry another.
     pub fn done(self, lasts: bool) {
         if lasts && self.rest.whole() && self.rest.lasts() {
-            self.pool.park(self.from, self.link);
+            self.pool.park(self.from, self.link, self.begun.elapsed());
         }
     }
 }
@@ -244,11 +246,12 @@
         // A server that has its answer before it has the request wants no more of it.
         match future::or(sent, early).await {
             Ok(None) => late = Some(Timer::after(duration(upload.left))),
-            Ok(Some(came)) => return Ok(reply(came, pool, to, link, false)),
+            Ok(Some(came)) => return Ok(reply(came, pool, to, link, (false, Instant::now()))),
             Err(_) => return Err(Outcome::NoConnection),
         }
     }
-    written.set(Some(Instant::now()));
+    let begun = Instant::now();
+    written.set(Some(begun));
     // From here on it may have run, whatever breaks.
     let late = async {
         match late {
@@ -259,7 +262,10 @@
     let came = read(&link, &mut inbox, late).await?;
     // Bytes behind a whole answer are nobody's: what comes next on that connection could be taken for an answer.
     let lasts = inbox.held() == 0;
-    Ok(reply(came, pool, to, link, lasts))
+    if !lasts {
+        pool.stray();
+    }
+    Ok(reply(came, pool, to, link, (lasts, begun)))
 }
 
 /// The rest of a long request, as its caller gives it.
@@ -279,16 +285,18 @@
     Ok(())
 }
 
-fn reply(came: Came, pool: &Rc<Pool>, from: SocketAddr, link: Rc<Link>, lasts: bool) -> Reply {
+fn reply(
+    came: Came, pool: &Rc<Pool>, from: SocketAddr, link: Rc<Link>, (lasts, begun): (bool, Instant),
+) -> Reply {
     match came {
         Came::Whole(Message { head, body, lasts: asked }) => {
             if asked && lasts {
-                pool.park(from, link);
+                pool.park(from, link, begun.elapsed());
             }
             Reply { head, body, rest: None }
         }
         Came::Begun(Begun { head, kept, rest }) => {
-            let rest = Some(Download { rest, link, pool: pool.clone(), from });
+            let rest = Some(Download { rest, link, pool: pool.clone(), from, begun });
             Reply { head, body: kept, rest }
         }
     }
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -6,6 +6,7 @@
 use crate::timers::duration;
 use futures_lite::future;
 use oakhollow::types::{Micros, Outcome};
+use slog::{info, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io::ErrorKind;
@@ -16,6 +17,13 @@
 /// How often idle connections are looked through for those that have ended or are old.
 const SWEEP: Duration = Duration::from_millis(20);
 
+/// How long a connection rests after an answer before it carries another request, where servers were seen to send more
+/// than an answer: a second one may come some milliseconds late. Guards against giving it to the next call.
+const REST: Duration = Duration::from_millis(10);
+/// The part of the time that an answer took for which a connection rests at most where none was seen, so that no more than
+/// so many more connections are held for it.
+const REST_PART: f64 = 0.1;
+
 /// One open connection; dropping it closes it.
 pub struct Link {
     pub stream: Async<TcpStream>,
@@ -25,17 +33,24 @@
 }
 
 impl Link {
-    /// Nothing has come and the other side has not closed: between requests anything else means the end.
-    fn quiet(&self) -> bool {
-        if self.stream.stirred() {
-            return false;
+    /// What has come between requests, where anything but nothing means the end; also what the thread has not been told of.
+    fn come(&self) -> Come {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Err(fault) if fault.kind() == ErrorKind::WouldBlock => Come::Nothing,
+            Ok(count) if count > 0 => Come::Bytes,
+            _ => Come::End,
         }
-        // What the thread has not been told of yet.
-        let peeked = self.stream.get_ref().peek(&mut [0]);
-        matches!(peeked, Err(fault) if fault.kind() == ErrorKind::WouldBlock)
     }
 }
 
+#[derive(PartialEq, Eq)]
+enum Come {
+    Nothing,
+    /// Of nobody: more than an answer.
+    Bytes,
+    End,
+}
+
 /// One stay of a connection in the pool; the longer ago it began, the lower.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct LinkId(u64);
@@ -44,6 +59,7 @@
     link: Rc<Link>,
     id: LinkId,
     since: Instant,
+    rested: Instant,
 }
 
 /// The connections to one address, since it was last retired.
@@ -71,11 +87,16 @@
     watched: Cell<bool>,
     connect_within: Cell<Micros>,
     keep: Cell<Micros>,
+    /// A server has sent more than an answer.
+    strays: Cell<bool>,
+    log: Logger,
 }
 
 impl Pool {
     /// As many connections as `open` has places; `idle_close` is when the servers close one that has stood idle.
-    pub fn new(tasks: Tasks, open: Rc<Share>, connect_within: Micros, idle_close: Micros) -> Rc<Pool> {
+    pub fn new(
+        tasks: Tasks, open: Rc<Share>, (connect_within, idle_close): (Micros, Micros), log: Logger,
+    ) -> Rc<Pool> {
         Rc::new_cyclic(|me| Pool {
             me: me.clone(),
             tasks,
@@ -86,6 +107,8 @@
             watched: Cell::default(),
             connect_within: Cell::new(connect_within),
             keep: Cell::new(keep(idle_close)),
+            strays: Cell::default(),
+            log,
         })
     }
 
@@ -97,15 +120,34 @@
 
     /// A connection that was used before, if one is free.
     pub fn idle(&self, to: SocketAddr) -> Option<Rc<Link>> {
+        let now = Instant::now();
         loop {
-            let taken = self.shelves.borrow_mut().get_mut(&to)?.idle.pop()?;
+            let taken = {
+                let mut shelves = self.shelves.borrow_mut();
+                let idle = &mut shelves.get_mut(&to)?.idle;
+                let last = idle.iter().rposition(|idle| idle.rested <= now)?;
+                idle.remove(last)
+            };
             self.ages.borrow_mut().remove(&taken.id);
-            if taken.link.quiet() {
-                return Some(taken.link);
+            match taken.link.come() {
+                Come::Nothing => return Some(taken.link),
+                Come::Bytes => self.stray(),
+                Come::End => {}
             }
         }
     }
 
+    /// A server has sent more than an answer: others may come later.
+    pub fn stray(&self) {
+        if !self.strays.replace(true) {
+            info!(
+                self.log,
+                "a server sent more than an answer: connections rest {} ms between requests",
+                REST.as_millis()
+            );
+        }
+    }
+
     /// Whether connections to that address are to be kept, and hops to begin there: false once it is retired.
     pub fn wanted(&self, to: SocketAddr) -> Rc<Cell<bool>> {
         let wanted = self.shelves.borrow_mut().entry(to).or_default().wanted.clone();
@@ -140,15 +182,17 @@
         }
     }
 
-    /// Keeps a connection whose answer has come whole.
-    pub fn park(&self, to: SocketAddr, link: Rc<Link>) {
+    /// Keeps a connection whose answer has come whole, and took so long.
+    pub fn park(&self, to: SocketAddr, link: Rc<Link>, took: Duration) {
         // Guards against keeping one whose server has been replaced at that address, or has left, meanwhile.
         if !link.wanted.get() {
             return;
         }
         let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
         if let Some(shelf) = self.shelves.borrow_mut().get_mut(&to) {
-            shelf.idle.push(Idle { link, id, since: Instant::now() });
+            let since = Instant::now();
+            let rest = if self.strays.get() { REST } else { REST.min(took.mul_f64(REST_PART)) };
+            shelf.idle.push(Idle { link, id, since, rested: since + rest });
             self.ages.borrow_mut().insert(id, to);
         }
     }
@@ -165,7 +209,11 @@
         let (mut shelves, mut ages) = (self.shelves.borrow_mut(), self.ages.borrow_mut());
         shelves.retain(|_, shelf| {
             shelf.idle.retain(|idle| {
-                let stays = !idle.link.stream.stirred() && now - idle.since < keep;
+                let stirred = idle.link.stream.stirred();
+                if stirred && idle.link.come() == Come::Bytes {
+                    self.stray();
+                }
+                let stays = !stirred && now - idle.since < keep;
                 if !stays {
                     ages.remove(&idle.id);
                 }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -297,7 +297,7 @@
     let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
     let (desk, notes) = Desk::new(kit.clock, gauges.calls);
     let links = Share::of(kit.links);
-    let pool = Pool::new(tasks.clone(), links, place.connect_within, place.idle_close);
+    let pool = Pool::new(tasks.clone(), links, (place.connect_within, place.idle_close), log.clone());
     // One watch feeds all: the first asks for all of them, and they hear the same.
     let ask = if number == 0 { kit.ask } else { bounded(1).0 };
     let parts = Parts {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -2,7 +2,7 @@
 //! The notation, beside that of `tests/scenarios.rs`:
 //!
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
-//!   (after its answer, unsaid), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
+//!   (after its answer, unsaid), echoes (the request's id), echoes-late-twice (the same, and once more 5 ms later, before it reads on), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
 //!   once more), silent, absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
 //!   NAME`, which the machine tries after 1 s; from then on it answers); said again, it changes a server; `servers COUNT HOW`
@@ -19,7 +19,7 @@
 //!   so many of them dismissed; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
 //! - `raw ID BYTES` and `more ID BYTES`, with `\r`, `\n`, `_` for a blank and `*N` for N times an `x`
-//! - `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
+//! - `own COUNT WORKLOAD LEFT`: calls one after the other, each answered 200 with its own id; `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`, `list drip BYTES` without a
@@ -204,6 +204,11 @@
             "hints" => "HTTP/1.1 102 Processing\r\n\r\n".repeat(99),
             "stalls" => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{say}", say.len() + 9),
             "twice" => format!("{whole}{whole}"),
+            "echoes" | "echoes-late-twice" => {
+                let id = shared.lock().expect("seen").last.clone();
+                let id = id.lines().find_map(|line| line.strip_prefix("Request-Id: ")).expect("an id").to_string();
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len())
+            }
             "breaks" => return,
             "silent" => {
                 let gone = stream.read(&mut [0]).is_ok_and(|count| count == 0);
@@ -222,6 +227,10 @@
             }
             continue;
         }
+        if how == "echoes-late-twice" {
+            let _ = stream.write_all(answer.as_bytes());
+            thread::sleep(Duration::from_millis(5));
+        }
         if stream.write_all(answer.as_bytes()).is_err()
             || matches!(
                 how.as_str(),
@@ -589,6 +598,13 @@
                 self.more(id, bytes);
             }
             ["more", id, bytes] => self.more(id, bytes),
+            ["own", count, workload, left] => {
+                for _ in 0..count.parse().expect("a count") {
+                    self.call("own", self.connect(), workload, left);
+                    let own = format!("{:016x}", self.calls);
+                    self.expect("own", "200", &own);
+                }
+            }
             ["expect", id, status] => self.expect(id, status, ""),
             ["expect", id, status, body] => self.expect(id, status, body),
             ["closed", id] => {
