A short call waits by what its own kind takes, not by what the long ones beside it do

To blame: rules.rs, arrived(): the patience in our own queue was cut by twice the median over all workloads, so that a short call never waited at all (scenario short-waits.txt, without this: 'dismiss 621 soon' at once). Now by its own workload's level, times how much longer all calls take by now (Crowding::usual); where it has no level yet, as before.

--- a/src/records.rs
+++ b/src/records.rs
@@ -305,6 +305,14 @@
         &mut self.own[workload.0]
     }
 
+    /// What a call of this workload takes by now: its own level, by so much longer as all calls take. Guards against a
+    /// short one among long ones that is held against what those take, and never waits.
+    pub fn usual(&self, workload: WorkloadId) -> Micros {
+        let level = self.own.get(workload.0).and_then(|own| own.level.level);
+        let own = level.map(|level| Micros((level * self.strained()) as u64));
+        own.or(self.recent.median()).unwrap_or_default()
+    }
+
     /// All calls of late, in time or not.
     pub fn late(&self) -> Tally {
         self.own.iter().map(|own| own.late).sum()
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -237,14 +237,14 @@
         let worth = (worth * 1000.0) as u32; // in thousandths, as the queue orders it
         self.arrivals += 1;
         self.beyond_first.iter_mut().for_each(|hops| hops.take(self.now));
-        let (hope, median) = (terms.quoted.min(left), self.crowd.recent.median().unwrap_or_default());
+        let (hope, usual) = (terms.quoted.min(left), self.crowd.usual(WorkloadId(workload)));
         let call = Call {
             workload,
             state: Fresh,
             turn: (u32::MAX - worth, self.arrivals),
             key: key.filter(|_| self.figures.warm_keys),
             abandon: self.now + left,
-            patience: self.now + hope.times(PATIENCE).min(hope - median.times(2.0)),
+            patience: self.now + hope.times(PATIENCE).min(hope - usual.times(2.0)),
             most_hops: self.figures.most_hops,
             hops: Vec::new(),
         };
