--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -283,8 +283,7 @@
         let executor = Rc::new(LocalExecutor::new());
         let (open, times) = (Share::of(Bound::new(8, 1)), (Micros::millis(1_000), Micros::millis(60_000)));
         let pool = Pool::new(Tasks::of(&executor), open, times, Logger::root(Discard, o!()));
-        let connect =
-            || block_on(pool.connect(to, pool.wanted(to))).expect("a reactor").ok().expect("connected");
+        let connect = || block_on(pool.connect(to, pool.wanted(to))).expect("a reactor").expect("connected");
         let after = |link: &Rc<Link>, took| {
             let before = Instant::now();
             pool.park(to, link.clone(), took);
