--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -143,8 +143,6 @@
     link: Rc<Link>,
     pool: Rc<Pool>,
     from: SocketAddr,
-    /// When its request was written.
-    begun: Instant,
 }
 
 impl Download {
@@ -178,7 +176,7 @@
     /// Keeps the connection, where it can carry another.
     pub fn done(self, lasts: bool) {
         if lasts && self.rest.whole() && self.rest.lasts() {
-            self.pool.park(self.from, self.link, self.begun.elapsed());
+            self.pool.park(self.from, self.link);
         }
     }
 }
@@ -246,12 +244,11 @@
         // A server that has its answer before it has the request wants no more of it.
         match future::or(sent, early).await {
             Ok(None) => late = Some(Timer::after(duration(upload.left))),
-            Ok(Some(came)) => return Ok(reply(came, pool, to, link, (false, Instant::now()))),
+            Ok(Some(came)) => return Ok(reply(came, pool, to, link, false)),
             Err(_) => return Err(Outcome::NoConnection),
         }
     }
-    let begun = Instant::now();
-    written.set(Some(begun));
+    written.set(Some(Instant::now()));
     // From here on it may have run, whatever breaks.
     let late = async {
         match late {
@@ -265,7 +262,7 @@
     if !lasts {
         pool.stray();
     }
-    Ok(reply(came, pool, to, link, (lasts, begun)))
+    Ok(reply(came, pool, to, link, lasts))
 }
 
 /// The rest of a long request, as its caller gives it.
@@ -285,18 +282,16 @@
     Ok(())
 }
 
-fn reply(
-    came: Came, pool: &Rc<Pool>, from: SocketAddr, link: Rc<Link>, (lasts, begun): (bool, Instant),
-) -> Reply {
+fn reply(came: Came, pool: &Rc<Pool>, from: SocketAddr, link: Rc<Link>, lasts: bool) -> Reply {
     match came {
         Came::Whole(Message { head, body, lasts: asked }) => {
             if asked && lasts {
-                pool.park(from, link, begun.elapsed());
+                pool.park(from, link);
             }
             Reply { head, body, rest: None }
         }
         Came::Begun(Begun { head, kept, rest }) => {
-            let rest = Some(Download { rest, link, pool: pool.clone(), from, begun });
+            let rest = Some(Download { rest, link, pool: pool.clone(), from });
             Reply { head, body: kept, rest }
         }
     }
