Read again: one way to end a call's hops, one reminder, one word to the watch

Behaviour stays. decider.rs: TimeUp and call_off walked a call's hops with a copy each; both say by an outcome what ends (end_hops). rules.rs: answer_by made its wake-up by hand because remind borrowed the whole; remind needs nothing of it and is called by all five. watch.rs: the first wait for a word was written out beside the later ones, which only drop stale asks before. Seen and left: answer() and carry() each look at has_ended before they hand a request on. Checks: clippy, module scenarios, the sidecar's tests whole (100 s), all passed.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -338,17 +338,12 @@
             }
             Note::TimeUp => {
                 // Hops that are out were sent with more time: the module hears now that it is over.
-                let open = self.calls.iter_mut().filter(|(_, call)| call.verdict.is_some());
-                for (id, call) in open {
-                    for (hop, no) in call.hops.iter_mut().zip(0..) {
-                        let outcome = if hop.written.get().is_some() {
-                            Outcome::TimedOut
-                        } else {
-                            Outcome::NoConnection
-                        };
-                        let running = hop.running.take();
-                        self.ends.extend(running.map(|_| (*id, HopNo(no), outcome)));
-                    }
+                let open = self.calls.iter().filter(|(_, call)| call.verdict.is_some());
+                let open: Vec<CallId> = open.map(|(id, _)| *id).collect();
+                for id in open {
+                    self.end_hops(id, |begun| {
+                        Some(if begun { Outcome::TimedOut } else { Outcome::NoConnection })
+                    });
                 }
                 self.settle();
             }
@@ -445,10 +440,17 @@
     /// Ends the hops of a call that is over which no server has begun. Guards against one that is still connecting, or has
     /// its request half written, and is sent after the call's end where hops may not be cancelled.
     fn call_off(&mut self, id: CallId) {
+        self.end_hops(id, |begun| (!begun).then_some(Outcome::Cancelled));
+    }
+
+    /// Ends the hops of a call that are still out, each with the outcome that it has by whether a server may have begun it;
+    /// one without an outcome goes on.
+    fn end_hops(&mut self, id: CallId, outcome: impl Fn(bool) -> Option<Outcome>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         for (hop, no) in call.hops.iter_mut().zip(0..) {
-            if hop.written.get().is_none() && hop.running.take().is_some() {
-                self.ends.push_back((id, HopNo(no), Outcome::Cancelled));
+            let Some(outcome) = outcome(hop.written.get().is_some()) else { continue };
+            if hop.running.take().is_some() {
+                self.ends.push_back((id, HopNo(no), outcome));
             }
         }
     }
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -95,13 +95,10 @@
         let (asks, moves) = (self.asks.clone(), self.moves.clone());
         let moved = || async { moves.recv().await.map_or(Turn::Over, Turn::Moved) };
         let word = || {
-            // What was asked while a watch was under way has had its answer.
-            while asks.try_recv().is_ok() {}
             let asked = async { asks.recv().await.map_or(Turn::Over, |()| Turn::Asked) };
             future::or(asked, moved())
         };
-        let mut turn =
-            future::or(async { asks.recv().await.map_or(Turn::Over, |()| Turn::Asked) }, moved()).await;
+        let mut turn = word().await;
         loop {
             match turn {
                 Turn::Over => return,
@@ -119,6 +116,8 @@
                     if let Some(accord) = &self.accord {
                         accord.list_fails().await;
                     }
+                    // What was asked while a watch was under way has had its answer.
+                    while asks.try_recv().is_ok() {}
                     turn = word().await;
                     continue;
                 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -200,7 +200,7 @@
         }
     }
 
-    fn remind(&self, call: CallId, what: u64, after: Micros, out: &mut Vec<Action>) {
+    fn remind(call: CallId, what: u64, after: Micros, out: &mut Vec<Action>) {
         out.push(Action::Wake { after, token: Token(u64::from(call.0) << 2 | what) });
     }
 
@@ -213,7 +213,7 @@
     fn answer_by(&mut self, by: Micros, out: &mut Vec<Action>) {
         for (id, call) in self.calls.iter_mut().filter(|(_, call)| call.abandon > by) {
             (call.abandon, call.patience) = (by, call.patience.min(by));
-            out.push(Action::Wake { after: by - self.now, token: Token(u64::from(id.0) << 2 | PATIENT) });
+            Self::remind(*id, PATIENT, by - self.now, out);
         }
     }
 
@@ -325,7 +325,7 @@
         }
         if !copy {
             let threshold = self.slices.quantile(now).unwrap_or(give_up);
-            self.remind(id, COPY, threshold.min(give_up), out);
+            Self::remind(id, COPY, threshold.min(give_up), out);
         }
         None
     }
@@ -350,7 +350,7 @@
             return Some(Hopeless);
         }
         self.queue.insert(call.turn, id);
-        self.remind(id, PATIENT, call.patience - self.now, out);
+        Self::remind(id, PATIENT, call.patience - self.now, out);
         // Answers leave at about width / latency a second, half of them to dearer calls, if any come: guards
         // against holding a call only to turn it away. Who would wait past its patience is told at once.
         while let Some((_, &last)) = self.queue.iter().next_back() {
@@ -420,7 +420,7 @@
         let Some(hop) = call.hops.last_mut().filter(|hop| hop.open() && !hop.copy) else { return };
         let age = self.now - hop.sent;
         if age < threshold {
-            return self.remind(id, COPY, (threshold - age).min(left), out);
+            return Self::remind(id, COPY, (threshold - age).min(left), out);
         }
         let (server, workload) = (hop.server, WorkloadId(call.workload));
         if !std::mem::replace(&mut hop.outlived, true) {
@@ -438,7 +438,7 @@
         if may && self.budget >= 1.0 && self.may_add(id) && self.pick(id).is_some() {
             self.step(id, Outlived, out);
         } else {
-            self.remind(id, COPY, threshold.min(left), out);
+            Self::remind(id, COPY, threshold.min(left), out);
         }
     }
 
