The traffic rig no longer walks all instances at each event

Cost by the square lay partly in the rig: it asked all that wait after each event. Now the one concerned.

--- a/lab/src/traffic.rs
+++ b/lab/src/traffic.rs
@@ -7,7 +7,7 @@
 };
 use oakhollow_terms::to_json;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 /// What of a length of time was said, for each instance.
@@ -153,13 +153,18 @@
     /// Until then, or until all but the silent one are as wanted: in seconds from now.
     fn run(&mut self, most: Micros, done: impl Fn(&Member) -> bool) -> f64 {
         let (begun, end) = (self.now, self.now + most);
-        let mut waiting: Vec<usize> = (0..self.members.len()).filter(|at| self.silent != Some(*at)).collect();
+        let waits = |at: &usize| self.silent != Some(*at) && !done(&self.members[*at]);
+        let mut waiting: BTreeSet<usize> = (0..self.members.len()).filter(waits).collect();
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 self.events.push(Reverse((at, 0, event)));
                 break;
             }
             self.now = at;
+            let concerned = match &event {
+                Event::ToMember(at, ..) | Event::Member(at) => Some(*at),
+                Event::ToKeeper(..) | Event::Keeper(_) => None,
+            };
             match event {
                 Event::ToKeeper(keeper, from, word) => {
                     let mut out = Vec::new();
@@ -184,7 +189,9 @@
                     self.keeper_says(at, out);
                 }
             }
-            waiting.retain(|at| !done(&self.members[*at]));
+            if let Some(at) = concerned.filter(|at| done(&self.members[*at])) {
+                waiting.remove(&at);
+            }
             if waiting.is_empty() {
                 return (self.now - begun).secs();
             }
