oakhollow-lab scale: hollow instances beside real keepers, at rest and on a zone's loss

Nothing in the repository said what happens at thousands of instances. The new command runs so many hollow ones in one process, each with the real member and the real words over TCP and a list of its own out of 400 services, a few threads over epoll, and beside them three real keepers and sidecars that carry calls. It tells for each role processor time, memory, descriptors, words, bytes and how long a drain takes, draws slopes over the steps with their interval, and gives no figure where its own turns came late or a bound of memory broke a step off.

lab/src/stand.rs: the caller's end is asked for at each call, since a run's length is not known beforehand.

Failed try: hollow lists that say nothing between changes. Then nobody takes back what was taken over from others, since that is over only with a line of the own list that tells nothing new; so hollow lists now say they are there every 2 s.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod play;
 pub mod processes;
 pub mod relay;
+pub mod scale;
 pub mod scene;
 pub mod stand;
 pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,10 @@
 //! `oakhollow-lab`: plays scenes with many processes of the program.
 use clap::{Parser, Subcommand};
 use oakhollow_lab::play::{self, play, Arm};
+use oakhollow_lab::scale::catalogue::Shape;
+use oakhollow_lab::scale::day::Day;
+use oakhollow_lab::scale::report;
+use oakhollow_lab::scale::run::{step, Plan};
 use oakhollow_lab::scene::Scene;
 use oakhollow_lab::stand_in::{run, How};
 use oakhollow_lab::traffic::{measure, Report};
@@ -47,6 +51,9 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Thousands of hollow instances beside real keepers and sidecars: what a day costs each, and by what that grows.
+    /// The exit is not 0 if any phase gave no figure.
+    Scale(Scale),
     /// Stands in for a sidecar, in a scene.
     #[command(hide = true)]
     StandIn {
@@ -57,6 +64,98 @@
     },
 }
 
+#[derive(clap::Args)]
+struct Scale {
+    /// So many hollow instances, one run after the other.
+    #[arg(long, value_delimiter = ',', default_values_t = [250, 500, 1_000, 2_000, 4_000])]
+    steps: Vec<usize>,
+    #[arg(long, default_value = "rest")]
+    day: Day,
+    /// How long two instances may differ, in seconds.
+    #[arg(long, default_value_t = 13.0)]
+    within: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 400)]
+    services: usize,
+    /// Servers of each service.
+    #[arg(long, default_value_t = 16)]
+    servers: usize,
+    #[arg(long, default_value_t = 7)]
+    zones: usize,
+    /// Services that an instance calls.
+    #[arg(long, default_value_t = 6)]
+    calls: usize,
+    /// Real sidecars that carry calls, and so many calls a second at each.
+    #[arg(long, default_value_t = 2)]
+    sidecars: usize,
+    #[arg(long, default_value_t = 105.0)]
+    rate: f64,
+    /// Threads that carry hollow instances.
+    #[arg(long, default_value_t = 3)]
+    threads: usize,
+    /// A step is broken off once all together hold that many GB of memory.
+    #[arg(long, default_value_t = 10.0)]
+    memory: f64,
+    /// The size for which figures are reckoned.
+    #[arg(long, default_value_t = 6_500)]
+    reckon: usize,
+    /// An object a line.
+    #[arg(long)]
+    json: bool,
+    /// The program; beside this one if it is not named.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+fn scale(args: &Scale) -> ExitCode {
+    let own = std::env::current_exe().unwrap_or_default();
+    let program = args.program.clone().unwrap_or_else(|| own.with_file_name("oakhollow"));
+    let plan = Plan {
+        program: &program,
+        day: args.day,
+        within: args.within,
+        seed: args.seed,
+        shape: Shape {
+            services: args.services.max(1),
+            servers: args.servers.max(1),
+            zones: args.zones.max(1),
+            calls: args.calls.max(1),
+        },
+        sidecars: args.sidecars,
+        rate: args.rate,
+        threads: args.threads,
+        most_resident: (args.memory * 1e9) as u64,
+    };
+    let (mut steps, mut whole) = (Vec::new(), true);
+    for instances in &args.steps {
+        match step(&plan, *instances, &mut |what| eprintln!("{instances}: {what}")) {
+            Ok(report) => {
+                match args.json {
+                    true => report::objects(&report).iter().for_each(|object| println!("{object}")),
+                    false => report::text(&report).iter().for_each(|line| println!("{line}")),
+                }
+                whole &= report.phases.iter().all(|phase| phase.sound());
+                steps.push(report);
+            }
+            Err(why) => {
+                whole = false;
+                match args.json {
+                    true => println!("{}", serde_json::json!({"instances": instances, "no_figure": why})),
+                    false => println!("{instances} instances: no figure: {why}"),
+                }
+            }
+        }
+    }
+    for slope in report::slopes(&steps, args.reckon) {
+        match args.json {
+            true => println!("{}", slope.object()),
+            false => println!("{}", slope.text()),
+        }
+    }
+    ExitCode::from(u8::from(!whole))
+}
+
 fn tell(file: &str, scene: &Scene, report: &play::Report, json: bool) {
     let settings = report.contradiction.as_ref().map_or(0.0, |found| found.length);
     let drains = report.in_vain.as_ref().map_or(0.0, |found| found.length);
@@ -97,6 +196,7 @@
             }
             ExitCode::SUCCESS
         }
+        Command::Scale(args) => scale(&args),
         Command::Play { files, seed, json, alone, program, logs } => {
             let own = std::env::current_exe().unwrap_or_default();
             let program = program.unwrap_or_else(|| own.with_file_name("oakhollow"));
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -234,14 +234,14 @@
 }
 
 /// Asks a console; the head of its answer.
-fn ask(console: SocketAddr, method: &str, path: &str) -> Option<String> {
+pub(crate) fn ask(console: SocketAddr, method: &str, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(console).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).ok()?;
     stand::read_head(&mut stream)
 }
 
-fn healthy(console: SocketAddr) -> bool {
+pub(crate) fn healthy(console: SocketAddr) -> bool {
     ask(console, "GET", "/healthcheck").is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
@@ -257,7 +257,9 @@
         for (at, sidecar) in rig.sidecars.iter().enumerate() {
             for workload in scene.workloads() {
                 let (to, notes) = (sidecar.listen, &notes);
-                scope.spawn(move || stand::caller(to, (at, workload), scene.rate, begun, scene.until, notes));
+                scope.spawn(move || {
+                    stand::caller(to, (at, workload), scene.rate, begun, || scene.until, notes);
+                });
             }
         }
         let rig = &mut rig;
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -135,6 +135,16 @@
         }
     }
 
+    /// Of the process that runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Where its file stands.
+    pub fn path(&self) -> PathBuf {
+        self.folder.join("sidecar.json")
+    }
+
     /// Killed outright; none is left.
     pub fn kill(&mut self) {
         for mut child in self.child.take().into_iter().chain(self.first.take()) {
--- /dev/null
+++ b/lab/src/scale/mod.rs
@@ -0,0 +1,13 @@
+//! The scale run: thousands of hollow instances, each with the real state machine and the real words over TCP, beside real
+//! processes of the program. A hollow one carries no calls.
+pub mod catalogue;
+pub mod count;
+pub mod day;
+pub mod fit;
+pub mod fleet;
+pub mod hollow;
+pub mod link;
+pub mod report;
+pub mod run;
+pub mod shard;
+pub mod usage;
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -218,14 +218,18 @@
     }
 }
 
-/// Calls one workload at one sidecar, so many a second, until the end. Each call is counted from when it was due.
+/// Calls one workload at one sidecar, so many a second, until the end, which may be set meanwhile. Each call is counted
+/// from when it was due.
 pub fn caller(
-    to: SocketAddr, (sidecar, workload): (usize, &str), rate: f64, begun: Instant, end: f64, notes: &Notes,
+    to: SocketAddr, (sidecar, workload): (usize, &str), rate: f64, begun: Instant, end: impl Fn() -> f64,
+    notes: &Notes,
 ) {
     let mut stream: Option<TcpStream> = None;
-    let count = (end * rate) as usize;
-    for call in 0..count {
+    for call in 0.. {
         let due = call as f64 / rate;
+        if due >= end() {
+            return;
+        }
         let now = begun.elapsed().as_secs_f64();
         if due > now {
             thread::sleep(Duration::from_secs_f64(due - now));
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -70,7 +70,8 @@
     Ok(place.workloads.into_iter().map(|named| named.name).zip(kinds).collect())
 }
 
-fn document(path: &Path) -> Result<(Start, Own, Document), String> {
+/// What a sidecar's file says, its own part of the settings, and the part that is the same for all.
+pub(crate) fn document(path: &Path) -> Result<(Start, Own, Document), String> {
     let start = Start::from_file(path)?;
     let (own, common) = Own::part(&start.settings)?;
     let number = start.version.ok_or("version: missing")?;
--- /dev/null
+++ b/lab/tests/scale.rs
@@ -0,0 +1,117 @@
+//! The scale run: its arithmetic, and one run of a dozen instances.
+use oakhollow_lab::scale::catalogue::{Catalogue, Shape};
+use oakhollow_lab::scale::day::Day;
+use oakhollow_lab::scale::fit::Fit;
+use oakhollow_lab::scale::run::{step, Plan, StepReport};
+use std::path::Path;
+
+/// A small fleet, in which each service is called by several.
+const SMALL: Shape = Shape { services: 4, servers: 7, zones: 7, calls: 3 };
+const INSTANCES: usize = 14;
+
+/// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
+fn play(day: Day) -> StepReport {
+    let own = std::env::current_exe().expect("this test's path");
+    let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
+    assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
+    let plan = Plan {
+        program: &program as &Path,
+        day,
+        within: 2.0,
+        seed: 3,
+        shape: SMALL,
+        sidecars: 1,
+        rate: 20.0,
+        threads: 2,
+        most_resident: 4_000_000_000,
+    };
+    step(&plan, INSTANCES, &mut |_| {}).expect("all come to act")
+}
+
+#[test]
+fn a_drain_that_one_list_tells_comes_to_all_who_call_there() {
+    let report = play(Day::Rest);
+    let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
+    assert_eq!(names, ["rest", "drain"]);
+    let [rest, drain] = &report.phases[..] else { panic!("two phases") };
+    assert_eq!((&rest.broken_off, &drain.broken_off), (&None, &None));
+    assert_eq!((rest.alive, rest.acted), (INSTANCES, INSTANCES));
+    // Three of four services are called by each: so is the one whose server drains by several.
+    let heard = drain.heard.expect("awaited");
+    assert!(heard.listeners > INSTANCES / 2, "{heard:?}");
+    assert_eq!(heard.missing, 0, "{heard:?}");
+    // What instances say a keeper answers: each counts both, and none is lost.
+    let said = rest.said();
+    assert!(said.words_in > 0 && said.words_out > 0 && said.bytes_in > said.words_in, "{said:?}");
+    assert!(rest.carried.calls > 0 && rest.keeper.resident > 0 && rest.keeper.descriptors > INSTANCES);
+    assert!(report.operator_bytes > INSTANCES * 10);
+}
+
+#[test]
+fn a_zone_is_lost_and_comes_back() {
+    let report = play(Day::Zone);
+    let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
+    assert_eq!(names, ["rest", "lost", "back"]);
+    let [_, lost, back] = &report.phases[..] else { panic!("three phases") };
+    assert_eq!((&lost.broken_off, &back.broken_off), (&None, &None));
+    // A seventh is gone, and all others hear of it by the keepers.
+    assert_eq!((lost.alive, lost.acted), (INSTANCES / 7 * 6, INSTANCES / 7 * 6));
+    let (out, again) = (lost.heard.expect("awaited"), back.heard.expect("awaited"));
+    assert_eq!((out.listeners, out.missing), (INSTANCES / 7 * 6, 0));
+    assert_eq!((again.listeners, again.missing), (INSTANCES / 7 * 6, 0));
+    // Those that are there again act again.
+    assert_eq!((back.alive, back.acted), (INSTANCES, INSTANCES));
+}
+
+#[test]
+fn a_catalogue_follows_from_the_seed_and_fills_zones_evenly() {
+    let shape = Shape { services: 400, servers: 16, zones: 7, calls: 6 };
+    let catalogue = Catalogue::new(shape);
+    let list = |seed| catalogue.list_of(&mut nanorand::WyRand::new_seed(seed));
+    assert_eq!((list(1), list(1).len()), (list(1), 96));
+    assert_ne!(list(1), list(2));
+    for zone in 0..shape.zones {
+        assert!((914..=915).contains(&catalogue.servers_in(zone).count()));
+    }
+}
+
+fn near(one: f64, other: f64) -> bool {
+    (one - other).abs() <= 1e-9 * (1.0 + other.abs())
+}
+
+#[test]
+fn a_line_without_noise_is_found_with_no_width() {
+    let points = [(250.0, 507.0), (500.0, 1_007.0), (1_000.0, 2_007.0), (2_000.0, 4_007.0)];
+    let fit = Fit::linear(&points).expect("a line");
+    assert!(near(fit.slope, 2.0) && near(fit.intercept, 7.0) && fit.slope_error < 1e-9, "{fit:?}");
+    let reckoned = fit.at(6_500.0);
+    assert!(near(reckoned.value, 13_007.0) && reckoned.high - reckoned.low < 1e-6, "{reckoned:?}");
+}
+
+#[test]
+fn a_power_shows_as_the_slope_of_the_logarithms() {
+    let points: Vec<(f64, f64)> = [250.0, 500.0, 1_000.0, 4_000.0].map(|x: f64| (x, 3.0 * x * x)).into();
+    let fit = Fit::power(&points).expect("a line");
+    assert!(near(fit.slope, 2.0), "{fit:?}");
+    assert!(near(fit.power_at(6_500.0).value / (3.0 * 6_500.0 * 6_500.0), 1.0));
+}
+
+/// By hand: the points (1, 1), (2, 3), (3, 2), (4, 4) have the slope 0.8 and the intercept 0.5; the squares of what is left
+/// sum up to 1.8, so the spread is the root of 0.9, and the slope's error 4.303 times that over the root of 5.
+#[test]
+fn the_interval_is_that_of_the_books() {
+    let fit = Fit::linear(&[(1.0, 1.0), (2.0, 3.0), (3.0, 2.0), (4.0, 4.0)]).expect("a line");
+    assert!(near(fit.slope, 0.8) && near(fit.intercept, 0.5), "{fit:?}");
+    assert!(near(fit.slope_error, 4.303 * (0.9_f64).sqrt() / 5.0_f64.sqrt()), "{fit:?}");
+    let (inside, beyond) = (fit.at(2.5), fit.at(40.0));
+    assert!(near(inside.high - inside.value, 4.303 * (0.9_f64 * 1.25).sqrt()), "{inside:?}");
+    // Further away it is less sure.
+    assert!(beyond.high - beyond.low > 10.0 * (inside.high - inside.low));
+}
+
+#[test]
+fn too_little_gives_no_line() {
+    assert_eq!(Fit::linear(&[(1.0, 1.0), (2.0, 2.0)]), None);
+    assert_eq!(Fit::linear(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)]), None);
+    assert_eq!(Fit::power(&[(1.0, 1.0), (2.0, 0.0), (3.0, 3.0)]), None);
+}
