What agreement costs at 100 and at 400 instances is counted by a test

A cost that grows with the fleet is to fail by itself, on any machine: words and bytes of an instance and entries that a keeper looks at for each word, by the package's own code in one process, each instance with a list of its own. A first form with larger services was dropped: at 100 instances nearly everybody called every one, so the two sizes were not alike.

--- a/lab/src/traffic.rs
+++ b/lab/src/traffic.rs
@@ -1,5 +1,6 @@
 //! How much instances say to agree, and how long a change takes, simulated: members and keepers by the package's own code,
 //! all in one process, in virtual time, with links of 0.5 to 2 ms. Bytes are those of the words' lines.
+use crate::scale::catalogue::{Catalogue, Shape, Told};
 use nanorand::{Rng, WyRand};
 use oakhollow::types::Micros;
 use oakhollow_accord::{
@@ -61,7 +62,7 @@
 const SERVERS: usize = 100;
 
 impl Fleet {
-    fn new(instances: usize, within: Micros, seed: u64) -> Fleet {
+    fn new(instances: usize, within: Micros, seed: u64, listed: impl Fn(usize) -> Listed) -> Fleet {
         let judge: Judge = Arc::new(|_: &[Arc<str>]| Ok(()));
         let names: Vec<InstanceId> = (0..KEEPERS as u32).map(InstanceId).collect();
         let member = || Member::new(names.clone(), lease(within), judge.clone());
@@ -78,9 +79,7 @@
         };
         for at in 0..instances {
             fleet.write(at, 1);
-            let fact = |server| (Arc::from(format!("s-{server:08x}")), Some(fact(false)));
-            let listed = Listed { index: 1, whole: true, entries: (0..SERVERS).map(fact).collect() };
-            fleet.list(at, listed);
+            fleet.list(at, listed(at));
         }
         fleet
     }
@@ -216,7 +215,10 @@
 /// Plays a calm, a change, a server that drains, and a change while one is cut off.
 pub fn measure(instances: usize, within_s: f64, seed: u64) -> Report {
     let within = Micros((within_s * 1e6) as u64);
-    let mut fleet = Fleet::new(instances, within, seed);
+    let mut fleet = Fleet::new(instances, within, seed, |_| {
+        let fact = |server| (Arc::from(format!("s-{server:08x}")), Some(fact(false)));
+        Listed { index: 1, whole: true, entries: (0..SERVERS).map(fact).collect() }
+    });
     let never = |_: &Member| false;
     fleet.run(within.times(3.0), never);
     fleet.heard();
@@ -254,3 +256,76 @@
     let silent_s = fleet.run(within.times(2.0), holds(3));
     Report { instances, calm, keeper, change, drain, change_s, drain_s, silent_s }
 }
+
+/// What a length of time cost, counted: an instance's words and bytes, a keeper's, and entries that a keeper looked at.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    pub instance: Said,
+    pub keeper: Said,
+    /// For each word that a keeper heard or said meanwhile.
+    pub steps_a_word: f64,
+}
+
+/// What a fleet costs in which each instance has a small list of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Costs {
+    /// A second at rest.
+    pub rest: Cost,
+    /// For one change of the settings; for one server that drains by all lists that name it; and for those of a zone, a
+    /// seventh of all, which they tell within a second. All beyond what rest costs meanwhile.
+    pub change: Cost,
+    pub drain: Cost,
+    pub zone: Cost,
+}
+
+const ZONES: usize = 7;
+/// Services that an instance calls, and servers of each: few, so that at a hundred instances already each calls a part only.
+const CALLS: usize = 6;
+const EACH: usize = 4;
+
+/// Counts, and times nothing: the same for one seed on any machine. There is an instance for each server.
+pub fn costs(instances: usize, within_s: f64, seed: u64) -> Costs {
+    let within = Micros((within_s * 1e6) as u64);
+    let shape = Shape { services: instances.div_ceil(EACH), servers: EACH, zones: ZONES, calls: CALLS };
+    let (catalogue, mut random) = (Catalogue::new(shape), WyRand::new_seed(seed));
+    let lists: Vec<Vec<u32>> = (0..instances).map(|_| catalogue.list_of(&mut random)).collect();
+    let told = |at: usize, index: u64, out: bool, tells: &dyn Fn(usize) -> bool| {
+        let servers = lists[at].iter().map(|server| *server as usize).filter(|server| tells(*server));
+        catalogue.told(index, index == 1, servers.map(|server| (server, Told { since: 7, out })))
+    };
+    let mut fleet = Fleet::new(instances, within, seed, |at| told(at, 1, false, &|_| true));
+    let never = |_: &Member| false;
+    fleet.run(within.times(3.0), never);
+    let mut cost_of = |length: Micros, begin: &mut dyn FnMut(&mut Fleet)| {
+        fleet.heard();
+        let steps = |fleet: &Fleet| fleet.keepers.iter().map(Keeper::steps).sum::<u64>() as f64;
+        let before = steps(&fleet);
+        begin(&mut fleet);
+        fleet.run(length, never);
+        let (instance, keeper) = fleet.heard();
+        let steps_a_word = (steps(&fleet) - before) / (KEEPERS as f64 * keeper.words);
+        Cost { instance, keeper, steps_a_word }
+    };
+    let times = |cost: Cost, by: f64| {
+        let said = |said: Said| Said { words: said.words * by, bytes: said.bytes * by };
+        Cost { instance: said(cost.instance), keeper: said(cost.keeper), ..cost }
+    };
+    let length = within.times(4.0);
+    let rest = times(cost_of(length, &mut |_| {}), 1.0 / length.secs());
+    let beyond = |cost: Cost| {
+        let rest = times(rest, within.secs());
+        let less =
+            |one: Said, other: Said| Said { words: one.words - other.words, bytes: one.bytes - other.bytes };
+        Cost { instance: less(cost.instance, rest.instance), keeper: less(cost.keeper, rest.keeper), ..cost }
+    };
+    let change = beyond(cost_of(within, &mut |fleet| fleet.write(instances - 1, 2)));
+    let server = lists[0][0] as usize;
+    let drain = beyond(cost_of(within, &mut |fleet| {
+        (0..instances).for_each(|at| fleet.list(at, told(at, 2, true, &|other| other == server)));
+    }));
+    let zone_of = |server: usize| catalogue.zone_of(server);
+    let zone = beyond(cost_of(within, &mut |fleet| {
+        (0..instances).for_each(|at| fleet.list(at, told(at, 3, true, &|other| zone_of(other) == 0)));
+    }));
+    Costs { rest, change, drain, zone }
+}
