--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -2,6 +2,8 @@
 //! the fleet fails here by itself. `docs/CAPACITY.md` has what it means at full size.
 use oakhollow_lab::traffic::{costs, Cost};
 
+type Figure = fn(&Cost) -> f64;
+
 /// By so much may a figure be higher at four times the size: chance alone, measured at up to 5 %.
 const FLAT: f64 = 1.15;
 /// And so much where the whole fleet hears of what happens to a part of it.
@@ -13,7 +15,7 @@
     let words = |cost: &Cost| cost.instance.words;
     let bytes = |cost: &Cost| cost.instance.bytes;
     let steps = |cost: &Cost| cost.steps_a_word;
-    let figures: [(&str, fn(&Cost) -> f64); 3] =
+    let figures: [(&str, Figure); 3] =
         [("words an instance", words), ("bytes an instance", bytes), ("a keeper's steps a word", steps)];
     let mut broken = Vec::new();
     for (name, of) in figures {
