The lab's test plays as many scenes at once as the machine has room for

The rig was right; it starved itself: as many scenes at once as cores, four or five processes each, the program and the rig without optimisation, a system call for each byte that the rig read, a look at a list each 5 ms.

- Heads are read through a buffer; watches and the stand-in wait for a word instead of looking each 5 ms (the stand-in still looks at its file, each 20 ms); the stand-in keeps its connections to servers.
- Scenes enter while there is room: what one starts (processes, relays, calls a second) at measured costs, against a quarter of what others leave of the cores, half of them at least; in the order in which they ask.
- Why a play has no report is a type: no figure, or a fault.
The bounds on late calls and on the script stay.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! A rig for experiments with many processes of the program `oakhollow` on loopback: stand-in servers and discoveries, a
 //! relay on every link between instances, faults by script, and a judge who reads what servers and callers saw.
 //! A scene is a small text file, see [`scene`].
+pub mod admission;
 pub mod judge;
 pub mod play;
 pub mod processes;
 pub mod relay;
+pub mod replays;
 pub mod scene;
 pub mod stand;
 pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,13 @@
 //! `oakhollow-lab`: plays scenes with many processes of the program.
 use clap::{Parser, Subcommand};
+use oakhollow_lab::admission::{demand, spent};
 use oakhollow_lab::play::{self, play, Arm};
 use oakhollow_lab::scene::Scene;
 use oakhollow_lab::stand_in::{run, How};
 use oakhollow_lab::traffic::{measure, Report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Instant;
 
 /// A rig for many processes of oakhollow, with faults between them.
 #[derive(Parser)]
@@ -57,7 +59,7 @@
     },
 }
 
-fn tell(file: &str, scene: &Scene, report: &play::Report, json: bool) {
+fn tell(file: &str, scene: &Scene, report: &play::Report, took: f64, json: bool) {
     let settings = report.contradiction.as_ref().map_or(0.0, |found| found.length);
     let drains = report.in_vain.as_ref().map_or(0.0, |found| found.length);
     let length = settings.max(drains);
@@ -65,6 +67,7 @@
         let line = serde_json::json!({
             "scene": file, "longest_contradiction_s": length, "of_settings_s": settings, "of_drains_s": drains, "within_s": scene.within, "hops": report.hops,
             "answers": report.answers, "unanswered": report.unanswered, "faults": report.faults,
+            "millicores": took.round(), "reckoned_millicores": demand(scene),
         });
         return println!("{line}");
     }
@@ -74,6 +77,7 @@
         report.hops, report.answers, report.unanswered
     );
     println!("{file}: longest contradiction {length:.3} s of {:.3} s", scene.within);
+    println!("{file}: took {took:.0} thousandths of a core, reckoned {}", demand(scene));
 }
 
 fn main() -> ExitCode {
@@ -112,10 +116,11 @@
 /// False if anything that the scene expects does not hold.
 fn play_one(file: &Path, arm: &Arm, json: bool, logs: bool) -> bool {
     let name = file.display().to_string();
+    let (before, begun) = (spent(), Instant::now());
     let read = std::fs::read_to_string(file).map_err(|fault| fault.to_string());
     let played = read.and_then(|text| {
         let scene = Scene::read(&text)?;
-        let report = play(&scene, arm)?;
+        let report = play(&scene, arm).map_err(|why| why.to_string())?;
         Ok((scene, report))
     });
     match played {
@@ -123,7 +128,8 @@
             if logs {
                 report.logs.iter().for_each(|(name, log)| println!("--- {name}\n{log}"));
             }
-            tell(&name, &scene, &report, json);
+            let took = before.zip(spent()).map_or(0.0, |(before, after)| after - before);
+            tell(&name, &scene, &report, 1000.0 * took / begun.elapsed().as_secs_f64(), json);
             report.faults.is_empty()
         }
         Err(why) => {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -7,7 +7,8 @@
 use nanorand::{Rng, WyRand};
 use oakhollow_terms::Greeting;
 use rustix::process::Signal;
-use std::io::Write;
+use std::fmt;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -33,6 +34,33 @@
     pub logs: Vec<(String, String)>,
 }
 
+/// Why a play has no report.
+#[derive(Debug)]
+pub enum NoReport {
+    /// The rig ran late: nothing can be said of the program. What would have been broken is told, and proves nothing.
+    NoFigure { why: String, broken: Vec<String> },
+    /// Something could not be built, does not serve, or has ended by itself.
+    Fault(String),
+}
+
+impl From<std::io::Error> for NoReport {
+    fn from(fault: std::io::Error) -> NoReport {
+        NoReport::Fault(fault.to_string())
+    }
+}
+
+impl fmt::Display for NoReport {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NoReport::NoFigure { why, broken } if broken.is_empty() => write!(out, "{why}: no figure"),
+            NoReport::NoFigure { why, broken } => {
+                write!(out, "{why}: no figure (it had: {})", broken.join("; "))
+            }
+            NoReport::Fault(why) => out.write_str(why),
+        }
+    }
+}
+
 /// With what a scene is played.
 #[derive(Clone, Copy)]
 pub struct Arm<'a> {
@@ -153,13 +181,14 @@
     }
 
     /// All answer that they serve.
-    fn serves(&mut self) -> Result<(), String> {
+    fn serves(&mut self) -> Result<(), NoReport> {
         let begun = Instant::now();
         for at in 0..self.sidecars.len() {
             while !healthy(self.sidecars[at].console) {
                 let sidecar = &mut self.sidecars[at];
                 if sidecar.ended() || begun.elapsed() > STARTS {
-                    return Err(format!("{} does not serve:\n{}", sidecar.name, sidecar.log()));
+                    let why = format!("{} does not serve:\n{}", sidecar.name, sidecar.log());
+                    return Err(NoReport::Fault(why));
                 }
                 thread::sleep(Duration::from_millis(20));
             }
@@ -228,7 +257,7 @@
             let mut stream = TcpStream::connect(keeper).ok()?;
             // It may be cut short: that is for the other side to do.
             let _ = stream.write_all(said.as_bytes());
-            stand::read_head(&mut stream)
+            stand::read_head(&mut BufReader::new(stream))
         });
     }
 }
@@ -238,22 +267,22 @@
     let mut stream = TcpStream::connect(console).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).ok()?;
-    stand::read_head(&mut stream)
+    stand::read_head(&mut BufReader::new(stream))
 }
 
 fn healthy(console: SocketAddr) -> bool {
     ask(console, "GET", "/healthcheck").is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
-/// Plays a scene. An error means that the rig could not be built, or ran late: there is no figure then.
-pub fn play(scene: &Scene, arm: &Arm) -> Result<Report, String> {
+/// Plays a scene.
+pub fn play(scene: &Scene, arm: &Arm) -> Result<Report, NoReport> {
     let (building, notes) = (Instant::now(), Arc::new(Notes::default()));
-    let mut rig = Rig::build(scene, arm, building, &notes).map_err(|fault| fault.to_string())?;
+    let mut rig = Rig::build(scene, arm, building, &notes)?;
     rig.serves()?;
     let offset = building.elapsed().as_secs_f64();
     let begun = Instant::now();
     let mut random = WyRand::new_seed(arm.seed);
-    let struck = thread::scope(|scope| {
+    let played = thread::scope(|scope| {
         for (at, sidecar) in rig.sidecars.iter().enumerate() {
             for workload in scene.workloads() {
                 let (to, notes) = (sidecar.listen, &notes);
@@ -269,15 +298,12 @@
             thread::sleep(Duration::from_secs_f64((due - now).max(0.0)));
             // As it was, for the judge.
             struck.push((begun.elapsed().as_secs_f64(), *who, fault.clone()));
-            rig.strike(scene, *who, fault).map_err(|fault| fault.to_string())?;
-        }
-        if late > JITTER {
-            Err(format!("the script ran {late:.3} s late"))
-        } else {
-            Ok(struck)
+            rig.strike(scene, *who, fault)?;
         }
+        Ok::<_, std::io::Error>((late, struck))
     });
-    let scene = &Scene { events: struck?, ..scene.clone() };
+    let (script_late, struck) = played?;
+    let scene = &Scene { events: struck, ..scene.clone() };
     let mut faults = Vec::new();
     let killed = |at: usize| scene.events.iter().any(|(_, who, fault)| *who == at && *fault == Fault::Kill);
     for (at, sidecar) in rig.sidecars.iter_mut().enumerate() {
@@ -290,12 +316,21 @@
     let answers = std::mem::take(&mut *notes.answers.lock().unwrap_or_else(PoisonError::into_inner));
     let logs: Vec<_> = rig.sidecars.iter().map(|sidecar| (sidecar.name.clone(), sidecar.log())).collect();
     let Found { contradiction, in_vain, broken } = judge::judge(scene, &hops, &answers, &logs);
-    faults.extend(broken);
     let late = *notes.late.lock().unwrap_or_else(PoisonError::into_inner);
     let stops = scene.events.iter().any(|(_, _, fault)| matches!(fault, Fault::Stop | Fault::Kill));
     // Callers of a process that stands still wait for it.
-    if late * 10 > answers.len() && !stops {
-        return Err(format!("{late} of {} calls went out late: no figure", answers.len()));
+    let why = if script_late > JITTER {
+        Some(format!("the script ran {script_late:.3} s late"))
+    } else if late * 10 > answers.len() && !stops {
+        Some(format!("{late} of {} calls went out late", answers.len()))
+    } else {
+        None
+    };
+    match why {
+        None => faults.extend(broken),
+        Some(why) if faults.is_empty() => return Err(NoReport::NoFigure { why, broken }),
+        // That a process has ended by itself is true whenever it is seen.
+        Some(why) => return Err(NoReport::Fault(format!("{}; {why}", faults.join("; ")))),
     }
     Ok(Report {
         contradiction,
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -1,9 +1,9 @@
 //! Stand-ins: servers that note each hop, discoveries that tell a list, and callers with a constant load.
 use crate::judge::{Answered, Hop};
 use crate::scene::Told;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -16,14 +16,18 @@
     pub late: Mutex<usize>,
 }
 
+/// The longest head, in bytes.
+const HEAD: u64 = 16 * 1024;
+
 /// The head of one message; its body is read and dropped.
-pub fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let (mut head, mut byte) = (Vec::new(), [0]);
+pub fn read_head(stream: &mut impl BufRead) -> Option<String> {
+    let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
-        if head.len() > 16 * 1024 || stream.read(&mut byte).ok()? == 0 {
+        let room = HEAD - head.len() as u64;
+        // No line's end: the stream's, or that of the room.
+        if stream.by_ref().take(room).read_until(b'\n', &mut head).ok()? == 0 {
             return None;
         }
-        head.push(byte[0]);
     }
     let head = String::from_utf8(head).ok()?;
     let length = header(&head, "Content-Length").and_then(|length| length.parse().ok()).unwrap_or(0);
@@ -52,8 +56,9 @@
 pub fn server(number: usize, begun: Instant, notes: Arc<Notes>) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
-    each(listener, move |mut stream| {
+    each(listener, move |stream| {
         let _ = stream.set_nodelay(true);
+        let mut stream = BufReader::new(stream);
         while let Some(head) = read_head(&mut stream) {
             let at = begun.elapsed().as_secs_f64();
             let workload = head.split(' ').nth(1).unwrap_or_default().trim_start_matches('/').to_string();
@@ -65,7 +70,7 @@
             };
             let hop = Hop { at, sidecar, server: number, workload, id };
             notes.hops.lock().unwrap_or_else(PoisonError::into_inner).push(hop);
-            if stream.write_all(answer).is_err() {
+            if stream.get_mut().write_all(answer).is_err() {
                 return;
             }
         }
@@ -117,6 +122,29 @@
         let entries: Vec<String> = self.entries.iter().map(Entry::json).collect();
         format!(r#"{{"index":{},"snapshot":true,"endpoints":[{}]}}"#, self.index, entries.join(","))
     }
+
+    fn tell(&mut self, told: Told, server: usize, address: SocketAddr) {
+        let name = format!("s{server}");
+        self.index += 1;
+        if told == Told::Gone {
+            self.entries.retain(|entry| entry.name != name);
+            let whole = self.whole();
+            return self.lines.push(whole);
+        }
+        let at = self.entries.iter().position(|entry| entry.name == name).unwrap_or_else(|| {
+            self.entries.push(Entry { name, address, leaving: false, since_ms: 0 });
+            self.entries.len() - 1
+        });
+        let entry = &mut self.entries[at];
+        entry.leaving = told == Told::Drain;
+        if told == Told::Again {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            entry.since_ms = unix.as_millis() as u64;
+        }
+        let json = entry.json();
+        let line = format!(r#"{{"index":{},"snapshot":false,"endpoints":[{json}]}}"#, self.index);
+        self.lines.push(line);
+    }
 }
 
 /// The whole list as every discovery begins with it.
@@ -127,64 +155,51 @@
 /// A discovery of one instance, which tells it what the script says, and an empty line every second.
 pub struct Discovery {
     pub address: SocketAddr,
-    listing: Arc<Mutex<Listing>>,
+    listing: Arc<Watched>,
 }
 
-/// How often a watch looks for something new.
-const LOOK: Duration = Duration::from_millis(5);
+/// A listing, and the word to its watches that it has changed.
+type Watched = (Mutex<Listing>, Condvar);
+
+/// How long a watch may be silent.
+const SILENCE: Duration = Duration::from_secs(1);
 
 impl Discovery {
     pub fn start(servers: &[SocketAddr]) -> std::io::Result<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let listing = Listing::first(servers);
-        let (address, listing) = (listener.local_addr()?, Arc::new(Mutex::new(listing)));
+        let (address, listing) = (listener.local_addr()?, Arc::new((Mutex::new(listing), Condvar::new())));
         let discovery = Discovery { address, listing: listing.clone() };
         each(listener, move |stream| _ = watch(stream, &listing));
         Ok(discovery)
     }
 
-    fn listing(&self) -> std::sync::MutexGuard<'_, Listing> {
-        self.listing.lock().unwrap_or_else(PoisonError::into_inner)
+    fn change(&self, change: impl FnOnce(&mut Listing)) {
+        let (listing, changed) = &*self.listing;
+        change(&mut listing.lock().unwrap_or_else(PoisonError::into_inner));
+        changed.notify_all();
     }
 
     pub fn tell(&self, told: Told, server: usize, address: SocketAddr) {
-        let (name, mut listing) = (format!("s{server}"), self.listing());
-        listing.index += 1;
-        if told == Told::Gone {
-            listing.entries.retain(|entry| entry.name != name);
-            let whole = listing.whole();
-            return listing.lines.push(whole);
-        }
-        let at = listing.entries.iter().position(|entry| entry.name == name).unwrap_or_else(|| {
-            listing.entries.push(Entry { name, address, leaving: false, since_ms: 0 });
-            listing.entries.len() - 1
-        });
-        let entry = &mut listing.entries[at];
-        entry.leaving = told == Told::Drain;
-        if told == Told::Again {
-            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            entry.since_ms = unix.as_millis() as u64;
-        }
-        let json = entry.json();
-        let line = format!(r#"{{"index":{},"snapshot":false,"endpoints":[{json}]}}"#, listing.index);
-        listing.lines.push(line);
+        self.change(|listing| listing.tell(told, server, address));
     }
 
     pub fn set_down(&self, down: bool) {
-        let mut listing = self.listing();
-        (listing.down, listing.life) = (down, listing.life + 1);
+        self.change(|listing| (listing.down, listing.life) = (down, listing.life + 1));
     }
 
     /// Starts again, and numbers from the first.
     pub fn renumber(&self) {
-        let mut listing = self.listing();
-        (listing.index, listing.life) = (1, listing.life + 1);
-        listing.lines.clear();
+        self.change(|listing| {
+            (listing.index, listing.life) = (1, listing.life + 1);
+            listing.lines.clear();
+        });
     }
 }
 
-fn watch(mut stream: TcpStream, listing: &Mutex<Listing>) -> Option<()> {
+fn watch(stream: TcpStream, (listing, changed): &Watched) -> Option<()> {
     let lock = || listing.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut stream = BufReader::new(stream);
     read_head(&mut stream)?;
     let (life, mut told, first) = {
         let listing = lock();
@@ -195,26 +210,20 @@
     };
     let line = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut stream = stream.into_inner();
     stream.write_all(format!("{head}{}", line(&first)).as_bytes()).ok()?;
-    let mut spoke = Instant::now();
     loop {
-        let fresh = {
-            let listing = lock();
-            if listing.life != life {
-                return None;
-            }
-            listing.lines[told..].to_vec()
-        };
-        told += fresh.len();
-        let mut said: String = fresh.iter().map(|fresh| line(fresh)).collect();
-        if said.is_empty() && spoke.elapsed() > Duration::from_secs(1) {
-            said = line("");
-        }
-        if !said.is_empty() {
-            spoke = Instant::now();
-            stream.write_all(said.as_bytes()).ok()?;
+        let waits = |listing: &mut Listing| listing.life == life && listing.lines.len() == told;
+        let (listing, _) =
+            changed.wait_timeout_while(lock(), SILENCE, waits).unwrap_or_else(PoisonError::into_inner);
+        if listing.life != life {
+            return None;
         }
-        thread::sleep(LOOK);
+        let fresh: String = listing.lines[told..].iter().map(|fresh| line(fresh)).collect();
+        told = listing.lines.len();
+        drop(listing);
+        let said = if fresh.is_empty() { line("") } else { fresh };
+        stream.write_all(said.as_bytes()).ok()?;
     }
 }
 
@@ -222,7 +231,7 @@
 pub fn caller(
     to: SocketAddr, (sidecar, workload): (usize, &str), rate: f64, begun: Instant, end: f64, notes: &Notes,
 ) {
-    let mut stream: Option<TcpStream> = None;
+    let mut stream: Option<BufReader<TcpStream>> = None;
     let count = (end * rate) as usize;
     for call in 0..count {
         let due = call as f64 / rate;
@@ -237,9 +246,9 @@
             }
         }
         // A call sent once more by us is another call: whatever repeats an id is the sidecar's doing.
-        let asked = |stream: &mut TcpStream, again: &str| {
+        let asked = |stream: &mut BufReader<TcpStream>, again: &str| {
             let ask = format!("GET /{workload} HTTP/1.1\r\nHost: x\r\nRequest-Id: {sidecar}-{workload}-{call}{again}\r\nRequest-Timeout-Ms: 900\r\n\r\n");
-            stream.write_all(ask.as_bytes()).ok()?;
+            stream.get_mut().write_all(ask.as_bytes()).ok()?;
             let head = read_head(stream)?;
             let status = head.split(' ').nth(1)?.parse().ok()?;
             let lasts = header(&head, "Connection") != Some("close");
@@ -249,7 +258,7 @@
             let stream = TcpStream::connect(to).ok()?;
             stream.set_nodelay(true).ok()?;
             stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-            Some(stream)
+            Some(BufReader::new(stream))
         };
         // Its connection may have been closed for being idle.
         let at = begun.elapsed().as_secs_f64();
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Sender};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,8 @@
 }
 
 const LATE: Duration = Duration::from_secs(3);
-const TICK: Duration = Duration::from_millis(5);
+/// How often it looks at its file, which nobody tells it of.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// Workloads that are offered, and whether they may be repeated.
 type Offered = BTreeMap<String, bool>;
@@ -54,14 +55,15 @@
     out: BTreeMap<String, u64>,
     servers: BTreeMap<String, Entry>,
     until: Micros,
-    ways: HashMap<InstanceId, Sender<Word>>,
+    ways: HashMap<InstanceId, Sender<Option<Word>>>,
     turns: usize,
 }
 
-type Shared = Arc<Mutex<Inside>>;
+/// What is inside, and the word that somebody has changed when it is due.
+type Shared = Arc<(Mutex<Inside>, Condvar)>;
 
 fn lock(inside: &Shared) -> MutexGuard<'_, Inside> {
-    inside.lock().unwrap_or_else(PoisonError::into_inner)
+    inside.0.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn offered(own: &Own, texts: &[&str]) -> Result<Offered, String> {
@@ -86,7 +88,7 @@
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Say(to, word) => _ = self.ways.get(&to).map(|way| way.send(word)),
+                Action::Say(to, word) => _ = self.ways.get(&to).map(|way| way.send(Some(word))),
                 Action::Act => {
                     let texts: Vec<Arc<str>> = self.member.keeps_to().map(|(_, text)| text.clone()).collect();
                     let texts: Vec<&str> = texts.iter().map(|text| &**text).collect();
@@ -151,6 +153,13 @@
         }
     }
 
+    /// How long until something is due.
+    fn rests(&self) -> Duration {
+        let due = Duration::from_micros((self.member.due() - self.now()).0);
+        let later = self.later.iter().map(|(at, _)| at.saturating_duration_since(Instant::now())).min();
+        due.min(later.unwrap_or(LOOK)).min(LOOK)
+    }
+
     fn listed(&mut self, list: &List) {
         if list.snapshot {
             self.servers.clear();
@@ -209,7 +218,7 @@
             offered(&own, &texts).map(|_| ())
         })
     };
-    let inside: Shared = Arc::new(Mutex::new(Inside {
+    let inside = Inside {
         how,
         begun: Instant::now(),
         within,
@@ -224,7 +233,8 @@
         until: Micros(0),
         ways: HashMap::new(),
         turns: 0,
-    }));
+    };
+    let inside: Shared = Arc::new((Mutex::new(inside), Condvar::new()));
     for (name, keeper) in agreed.keepers.iter().zip(&keepers) {
         dial(&inside, *keeper, agreed.instances[name], &start.name);
     }
@@ -235,19 +245,22 @@
     watch(&inside, start.discovery);
     let listener = |at: SocketAddr| TcpListener::bind(at).map_err(|fault| fault.to_string());
     let door = inside.clone();
-    each(listener(start.listen)?, move |stream| _ = serve(&door, stream));
+    each(listener(start.listen)?, move |stream| _ = serve(&door, BufReader::new(stream)));
     if let Some(at) = start.console {
         let door = inside.clone();
-        each(listener(at)?, move |mut stream| {
+        each(listener(at)?, move |stream| {
             let status = if lock(&door).acts() && !lock(&door).servers.is_empty() { 200 } else { 503 };
+            let mut stream = BufReader::new(stream);
             if read_head(&mut stream).is_some() {
-                let _ = stream.write_all(answer(status).as_bytes());
+                let _ = stream.get_mut().write_all(answer(status).as_bytes());
             }
         });
     }
+    let mut own = lock(&inside);
     loop {
-        lock(&inside).tick();
-        thread::sleep(TICK);
+        own.tick();
+        let rests = own.rests();
+        own = inside.1.wait_timeout(own, rests).unwrap_or_else(PoisonError::into_inner).0;
     }
 }
 
@@ -256,8 +269,9 @@
 }
 
 fn dial(inside: &Shared, keeper: InstanceId, at: SocketAddr, name: &str) {
-    let (way, words) = channel::<Word>();
-    lock(inside).ways.insert(keeper, way);
+    // A link that has broken says so by none.
+    let (way, words) = channel::<Option<Word>>();
+    lock(inside).ways.insert(keeper, way.clone());
     let (inside, greeting) = (inside.clone(), Greeting::new(name, u64::from(std::process::id())).to_json());
     thread::spawn(move || loop {
         thread::sleep(Duration::from_millis(50));
@@ -268,23 +282,21 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let inside = inside.clone();
+        let (inside, way) = (inside.clone(), way.clone());
         let reader = thread::spawn(move || {
             for line in BufReader::new(reads).lines().map_while(Result::ok) {
-                match read::<Word>(line.as_bytes()) {
-                    Ok(word) => lock(&inside).hear(keeper, word),
-                    Err(_) => return,
-                }
+                let Ok(word) = read::<Word>(line.as_bytes()) else { break };
+                lock(&inside).hear(keeper, word);
+                inside.1.notify_all();
             }
+            let _ = way.send(None);
         });
-        // Until the link breaks.
-        while !reader.is_finished() {
-            let Ok(word) = words.recv_timeout(TICK) else { continue };
+        while let Ok(Some(word)) = words.recv() {
             if stream.write_all(format!("{}\n", to_json(&word)).as_bytes()).is_err() {
                 break;
             }
         }
-        let _ = stream.shutdown(std::net::Shutdown::Both);
+        let _ = (stream.shutdown(std::net::Shutdown::Both), reader.join());
     });
 }
 
@@ -296,6 +308,7 @@
             for line in BufReader::new(stream).lines().map_while(Result::ok) {
                 if let Ok(list) = read::<List>(line.as_bytes()) {
                     lock(&inside).listed(&list);
+                    inside.1.notify_all();
                 }
             }
         }
@@ -303,8 +316,9 @@
     });
 }
 
-fn serve(inside: &Shared, mut stream: TcpStream) -> Option<()> {
-    let _ = stream.set_nodelay(true);
+fn serve(inside: &Shared, mut stream: BufReader<TcpStream>) -> Option<()> {
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut kept = Kept::new();
     loop {
         let head = read_head(&mut stream)?;
         let workload = head.split(' ').nth(1)?.trim_start_matches('/').to_string();
@@ -323,18 +337,31 @@
             if repeat && !may_repeat {
                 break;
             }
-            status = hop(to, &workload, &id).unwrap_or(502);
+            status = hop(&mut kept, to, &workload, &id).unwrap_or(502);
             if status == 200 {
                 break;
             }
         }
-        stream.write_all(answer(status).as_bytes()).ok()?;
+        stream.get_mut().write_all(answer(status).as_bytes()).ok()?;
     }
 }
 
-fn hop(to: SocketAddr, workload: &str, id: &str) -> Option<u16> {
-    let mut stream = TcpStream::connect(to).ok()?;
+/// Connections to servers that are kept: a new one costs a server two threads' turns before it notes the hop, and on a busy
+/// machine a hop that was allowed when it went out would be noted after its lease.
+type Kept = HashMap<SocketAddr, BufReader<TcpStream>>;
+
+fn hop(kept: &mut Kept, to: SocketAddr, workload: &str, id: &str) -> Option<u16> {
+    let mut stream = match kept.remove(&to) {
+        Some(stream) => stream,
+        None => {
+            let stream = TcpStream::connect(to).ok()?;
+            stream.set_nodelay(true).ok()?;
+            BufReader::new(stream)
+        }
+    };
     let ask = format!("GET /{workload} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\n\r\n");
-    stream.write_all(ask.as_bytes()).ok()?;
-    read_head(&mut stream)?.split(' ').nth(1)?.parse().ok()
+    stream.get_mut().write_all(ask.as_bytes()).ok()?;
+    let status = read_head(&mut stream)?.split(' ').nth(1)?.parse().ok()?;
+    kept.insert(to, stream);
+    Some(status)
 }
