--- a/lab/src/scale/count.rs
+++ b/lab/src/scale/count.rs
@@ -62,6 +62,12 @@
     pub unsure_us: u64,
 }
 
+impl Default for Counts {
+    fn default() -> Counts {
+        Counts::new(0, 0)
+    }
+}
+
 impl Counts {
     pub fn new(keepers: usize, from: usize) -> Counts {
         // Sound for any bounds with a low end over 0 and half of the high one.
--- a/lab/src/scale/day.rs
+++ b/lab/src/scale/day.rs
@@ -6,6 +6,10 @@
     Rest,
     /// The servers of a zone leave by all lists, and its instances fall silent at once; later both are there again.
     Zone,
+    /// Settings change at ten times the mean rate, each change told to one instance alone.
+    Change,
+    /// The servers of a service are replaced one by one.
+    Release,
 }
 
 /// What is done at the beginning of a phase.
@@ -16,6 +20,10 @@
     OneDrains,
     ZoneLost,
     ZoneBack,
+    /// One instance's file says the next version.
+    Write,
+    /// One more server of the first service leaves, by all lists, and the one before it is there again.
+    ReplaceOne,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -26,12 +34,23 @@
     pub leases: f64,
     /// Whether it gives figures.
     pub measured: bool,
+    /// After how many seconds it is done again, over and over; once if 0.
+    pub every_s: f64,
 }
 
 const fn phase(name: &'static str, deed: Deed, leases: f64, measured: bool) -> Phase {
-    Phase { name, deed, leases, measured }
+    Phase { name, deed, leases, measured, every_s: 0.0 }
 }
 
+const fn again(name: &'static str, deed: Deed, leases: f64, every_s: f64) -> Phase {
+    Phase { name, deed, leases, measured: true, every_s }
+}
+
+/// 5,900 changes a day are one in 14.6 s; ten times as many.
+const BETWEEN_CHANGES_S: f64 = 1.46;
+/// A server that is replaced stays away for that long.
+const BETWEEN_SERVERS_S: f64 = 3.0;
+
 const SETTLING: Phase = phase("settling", Deed::Nothing, 2.0, false);
 const REST: Phase = phase("rest", Deed::Nothing, 4.0, true);
 
@@ -40,12 +59,16 @@
     &[SETTLING, REST, phase("lost", Deed::ZoneLost, 10.0, true), phase("back", Deed::ZoneBack, 8.0, true)];
 /// T is 2.06 leases.
 const REST_DAY: &[Phase] = &[SETTLING, REST, phase("drain", Deed::OneDrains, 2.06, true)];
+const CHANGE_DAY: &[Phase] = &[SETTLING, REST, again("change", Deed::Write, 10.0, BETWEEN_CHANGES_S)];
+const RELEASE_DAY: &[Phase] = &[SETTLING, REST, again("release", Deed::ReplaceOne, 10.0, BETWEEN_SERVERS_S)];
 
 impl Day {
     pub fn phases(self) -> &'static [Phase] {
         match self {
             Day::Rest => REST_DAY,
             Day::Zone => ZONE_DAY,
+            Day::Change => CHANGE_DAY,
+            Day::Release => RELEASE_DAY,
         }
     }
 }
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -133,13 +133,17 @@
         ),
     ];
     if let Some(heard) = &phase.heard {
-        let how = match heard.after_s {
-            Some(after) => format!("heard by all {} who call there in {after:.3} s", heard.listeners),
-            None => format!(
-                "not heard by {} of {} who call there within {:.0} s",
-                heard.missing, heard.listeners, phase.length_s
-            ),
-        };
+        let (told, whole) = (heard.told, heard.whole());
+        let at =
+            |part: usize| heard.after_s.get(part).map_or("never".into(), |after| format!("{after:.3} s"));
+        let how = format!(
+            "told {told} times, came {whole} times to all who are to hear it while that could be seen: in {} at the middle, {} at most; \
+             at last {} of {} had not heard it",
+            at(whole / 2),
+            at(whole.saturating_sub(1)),
+            heard.missing,
+            heard.listeners
+        );
         lines.push(format!("{head}: {how}"));
     }
     lines
@@ -185,6 +189,7 @@
             object["calls_200"] = json!(phase.carried.succeeded);
             object["dismissed_s"] = json!(phase.carried.dismissed_s);
             if let Some(heard) = &phase.heard {
+                object["told"] = json!(heard.told);
                 object["listeners"] = json!(heard.listeners);
                 object["not_heard"] = json!(heard.missing);
                 object["heard_s"] = json!(heard.after_s);
@@ -199,9 +204,14 @@
 pub struct Slope {
     pub phase: &'static str,
     pub figure: &'static str,
+    /// Through the logarithms, and through the figures as they are: a part that stands, and one for each instance.
     pub power: Fit,
-    /// At the size that is asked for; and whether that lies beyond the last step.
-    pub at: (usize, Reckoned, bool),
+    pub linear: Fit,
+    /// The size that is asked for, and whether it lies beyond the last step; what each of the two lines gives there.
+    pub size: usize,
+    pub beyond: bool,
+    pub by_power: Reckoned,
+    pub by_line: Reckoned,
 }
 
 /// Of phases that gave figures at three steps at least.
@@ -223,9 +233,17 @@
             let own = sound.iter().filter(|(_, phase)| phase.name == name);
             let points: Vec<(f64, f64)> = own.map(|(size, phase)| (*size, (figure.of)(phase))).collect();
             let last = points.iter().map(|(size, _)| *size).fold(0.0, f64::max);
-            if let Some(power) = Fit::power(&points) {
-                let at = (size, power.power_at(size as f64), size as f64 > last);
-                slopes.push(Slope { phase: name, figure: figure.name, power, at });
+            if let Some((power, linear)) = Fit::power(&points).zip(Fit::linear(&points)) {
+                slopes.push(Slope {
+                    phase: name,
+                    figure: figure.name,
+                    power,
+                    linear,
+                    size,
+                    beyond: size as f64 > last,
+                    by_power: power.power_at(size as f64),
+                    by_line: linear.at(size as f64),
+                });
             }
         }
     }
@@ -234,27 +252,35 @@
 
 impl Slope {
     pub fn text(&self) -> String {
-        let (size, reckoned, beyond) = &self.at;
+        let Slope { power, linear, .. } = self;
+        let reckoned = |reckoned: &Reckoned| {
+            format!("{} ({} to {})", short(reckoned.value), short(reckoned.low), short(reckoned.high))
+        };
         format!(
-            "{}: {}: grows by the power {:.2} +- {:.2} over {} steps; {} {} ({} to {}) at {size}",
+            "{}: {}: power {:.2} +- {:.2}, line {} and {:.3e} +- {:.1e} an instance, over {} steps; {} at {}: {} by the power, {} by the line",
             self.phase,
             self.figure,
-            self.power.slope,
-            self.power.slope_error,
-            self.power.points,
-            if *beyond { "reckoned" } else { "by the line" },
-            short(reckoned.value),
-            short(reckoned.low),
-            short(reckoned.high)
+            power.slope,
+            power.slope_error,
+            short(linear.intercept),
+            linear.slope,
+            linear.slope_error,
+            power.points,
+            if self.beyond { "reckoned" } else { "fitted" },
+            self.size,
+            reckoned(&self.by_power),
+            reckoned(&self.by_line)
         )
     }
 
     pub fn object(&self) -> Value {
-        let (size, reckoned, beyond) = &self.at;
+        let reckoned = |reckoned: &Reckoned| json!([reckoned.value, reckoned.low, reckoned.high]);
         json!({
-            "phase": self.phase, "figure": self.figure, "power": self.power.slope, "error": self.power.slope_error,
-            "steps": self.power.points, "size": size, "value": reckoned.value, "low": reckoned.low,
-            "high": reckoned.high, "reckoned": beyond,
+            "phase": self.phase, "figure": self.figure, "steps": self.power.points,
+            "power": self.power.slope, "power_error": self.power.slope_error,
+            "line_at_0": self.linear.intercept, "line": self.linear.slope, "line_error": self.linear.slope_error,
+            "size": self.size, "reckoned": self.beyond,
+            "by_power": reckoned(&self.by_power), "by_line": reckoned(&self.by_line),
         })
     }
 }
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -65,15 +65,25 @@
 }
 
 /// Whether what was told has come to all who are to hear it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Heard {
+    /// How often something was told.
+    pub told: usize,
+    /// Those that are to hear what was told last, and those of them that have not.
     pub listeners: usize,
     pub missing: usize,
-    /// From the order on, by the last of them; only where none is missing.
-    pub after_s: Option<f64>,
+    /// Each time from the order on until the last had heard it, shortest first; not where some had not when the next came.
+    pub after_s: Vec<f64>,
 }
 
-#[derive(Clone, Debug)]
+impl Heard {
+    /// How often it came to all, in time to be seen.
+    pub fn whole(&self) -> usize {
+        self.after_s.len()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
 pub struct PhaseReport {
     pub name: &'static str,
     pub length_s: f64,
@@ -120,7 +130,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct StepReport {
     pub instances: usize,
     pub operator_bytes: usize,
@@ -139,6 +149,8 @@
     catalogue: Arc<Catalogue>,
     born: Vec<Born>,
     notes: Arc<Notes>,
+    /// When each server started last, in milliseconds of Unix time, as lists tell it.
+    since: Vec<u64>,
     resident_peak: u64,
 }
 
@@ -188,7 +200,8 @@
         Shard::start(part, common, catalogue.clone(), keepers, clock, plan.seed.wrapping_add(at as u64))
     });
     let shards = shards.collect::<std::io::Result<_>>().map_err(|fault| fault.to_string())?;
-    let mut rig = Rig { plan, clock, fleet, shards, catalogue, born, notes, resident_peak: 0 };
+    let since = vec![0; plan.shape.services * plan.shape.servers];
+    let mut rig = Rig { plan, clock, fleet, shards, catalogue, born, notes, since, resident_peak: 0 };
     let lease = Duration::from_micros(lease.0);
     rig.fleet.serves(lease)?;
     rig.all_act(lease)?;
@@ -274,13 +287,23 @@
         })
     }
 
+    /// Sees how it stands with what was told last.
+    fn see_heard(&self, told_at: Micros, heard: &mut Heard) {
+        heard.told += 1;
+        heard.missing = self.waiting();
+        if heard.missing == 0 {
+            let last = self.shards.iter().map(|shard| shard.status.heard_at.load(Ordering::Relaxed)).max();
+            heard.after_s.push((Micros(last.unwrap_or(0)) - told_at).secs());
+        }
+    }
+
     /// Waits for that second of the run; says why not, if something is amiss before.
-    fn until(&mut self, second: usize) -> Option<String> {
+    fn until(&mut self, second: f64) -> Option<String> {
         loop {
             if let Some(why) = self.fleet.ended().or_else(|| self.too_large()) {
                 return Some(why);
             }
-            let left = Micros(second as u64 * 1_000_000) - self.clock.now();
+            let left = Micros((second * 1e6) as u64) - self.clock.now();
             if left.0 == 0 {
                 return None;
             }
@@ -324,14 +347,25 @@
         &mut self, phase: &Phase, lease: Duration, offset: Duration, progress: &mut dyn FnMut(&str),
     ) -> PhaseReport {
         let from = self.clock.now().secs() as usize + 1;
-        let mut off = self.until(from);
+        let mut off = self.until(from as f64);
         self.collect(from, from);
         self.resident_peak = 0;
         let before = self.before(from);
-        let (told_at, listeners) = self.does(phase.deed);
         let length = (phase.leases * lease.as_secs_f64()).ceil().max(1.0) as usize;
+        let (mut heard, mut deeds) = (Heard::default(), 0);
+        let mut told_at = Micros(0);
+        let mut next = Some(from as f64);
         for second in from + 1..=from + length {
-            off = off.or_else(|| self.until(second));
+            while let Some(due) = next.filter(|due| *due < second as f64 && off.is_none()) {
+                off = self.until(due);
+                if deeds > 0 {
+                    self.see_heard(told_at, &mut heard);
+                }
+                (told_at, heard.listeners) = self.does(phase.deed, deeds);
+                deeds += 1;
+                next = (phase.every_s > 0.0).then_some(due + phase.every_s);
+            }
+            off = off.or_else(|| self.until(second as f64));
             if off.is_some() {
                 break;
             }
@@ -341,10 +375,9 @@
         }
         let length_s = (self.clock.now() - Micros(from as u64 * 1_000_000)).secs();
         let heard = (phase.deed != Deed::Nothing).then(|| {
-            let (missing, last) = (self.waiting(), self.shards.iter());
-            let last = last.map(|shard| shard.status.heard_at.load(Ordering::Relaxed)).max().unwrap_or(0);
-            let after_s = (missing == 0).then(|| (Micros(last) - told_at).secs());
-            Heard { listeners, missing, after_s }
+            self.see_heard(told_at, &mut heard);
+            heard.after_s.sort_by(f64::total_cmp);
+            heard
         });
         let mut report = self.report(phase, &before, length_s);
         report.carried = self.carried(from as f64 - offset.as_secs_f64(), length_s);
@@ -377,8 +410,8 @@
         }
     }
 
-    /// Does what a phase begins with. When it was ordered, and how many are to hear of it.
-    fn does(&mut self, deed: Deed) -> (Micros, usize) {
+    /// Does what a phase does, for that time in it. When it was ordered, and how many are to hear of it.
+    fn does(&mut self, deed: Deed, time: usize) -> (Micros, usize) {
         let zone = self.plan.seed as usize % self.plan.shape.zones;
         let all = self.plan.shape.services * self.plan.shape.servers;
         let marked = Arc::new((0..all).map(|at| self.catalogue.zone_of(at) == zone).collect::<Vec<bool>>());
@@ -401,11 +434,38 @@
                 self.reached();
                 (now, self.waiting())
             }
+            Deed::Write => {
+                let mut document = self.fleet.document.clone();
+                document.version.number += 1;
+                self.fleet.document = document.clone();
+                let listeners = self.awaits(Awaited::Version(document.version));
+                let now = self.clock.now();
+                let who = self.born.len() / self.shards.len() / 2;
+                self.shards[0].order(Order::Write(Some(who), document));
+                (now, listeners)
+            }
+            Deed::ReplaceOne => {
+                let servers = self.catalogue.servers_of(0);
+                let (leaves, before) = (time % servers.len(), (time + servers.len() - 1) % servers.len());
+                let one = |server: usize| Arc::new((0..all).map(|at| at == server).collect::<Vec<bool>>());
+                let listeners = self.awaits(Awaited::Servers(one(leaves), true));
+                let now = self.clock.now();
+                self.order(&Order::ListsTell(one(leaves), Told { since: self.since[leaves], out: true }));
+                self.fleet.lists_tell(leaves, scene::Told::Drain);
+                if time > 0 {
+                    self.since[before] = unix_ms();
+                    self.order(&Order::ListsTell(
+                        one(before),
+                        Told { since: self.since[before], out: false },
+                    ));
+                    self.fleet.lists_tell(before, scene::Told::Again);
+                }
+                (now, listeners)
+            }
             Deed::ZoneBack => {
                 let listeners = self.awaits(Awaited::Servers(marked.clone(), false));
-                let (now, unix) = (self.clock.now(), SystemTime::now().duration_since(UNIX_EPOCH));
-                let since = unix.unwrap_or_default().as_millis() as u64;
-                self.order(&Order::ListsTell(marked, Told { since, out: false }));
+                let now = self.clock.now();
+                self.order(&Order::ListsTell(marked, Told { since: unix_ms(), out: false }));
                 self.order(&Order::Return(zone));
                 self.fleet_tells(zone, scene::Told::Again);
                 (now, listeners)
@@ -442,6 +502,10 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 fn role(used: &[(Usage, Usage)], length_s: f64) -> Role {
     let cpu = |(before, after): &(Usage, Usage)| (after.cpu_s - before.cpu_s) / length_s.max(0.001);
     let each = || used.iter().map(cpu);
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -1,8 +1,10 @@
 //! The scale run: its arithmetic, and one run of a dozen instances.
 use oakhollow_lab::scale::catalogue::{Catalogue, Shape};
+use oakhollow_lab::scale::count::{Counts, Running, Said};
 use oakhollow_lab::scale::day::Day;
 use oakhollow_lab::scale::fit::Fit;
-use oakhollow_lab::scale::run::{step, Plan, StepReport};
+use oakhollow_lab::scale::report;
+use oakhollow_lab::scale::run::{step, PhaseReport, Plan, Role, StepReport};
 use std::path::Path;
 
 /// A small fleet, in which each service is called by several.
@@ -37,7 +39,7 @@
     assert_eq!((&rest.broken_off, &drain.broken_off), (&None, &None));
     assert_eq!((rest.alive, rest.acted), (INSTANCES, INSTANCES));
     // Three of four services are called by each: so is the one whose server drains by several.
-    let heard = drain.heard.expect("awaited");
+    let heard = drain.heard.clone().expect("awaited");
     assert!(heard.listeners > INSTANCES / 2, "{heard:?}");
     assert_eq!(heard.missing, 0, "{heard:?}");
     // What instances say a keeper answers: each counts both, and none is lost.
@@ -56,7 +58,7 @@
     assert_eq!((&lost.broken_off, &back.broken_off), (&None, &None));
     // A seventh is gone, and all others hear of it by the keepers.
     assert_eq!((lost.alive, lost.acted), (INSTANCES / 7 * 6, INSTANCES / 7 * 6));
-    let (out, again) = (lost.heard.expect("awaited"), back.heard.expect("awaited"));
+    let (out, again) = (lost.heard.clone().expect("awaited"), back.heard.clone().expect("awaited"));
     assert_eq!((out.listeners, out.missing), (INSTANCES / 7 * 6, 0));
     assert_eq!((again.listeners, again.missing), (INSTANCES / 7 * 6, 0));
     // Those that are there again act again.
@@ -115,3 +117,66 @@
     assert_eq!(Fit::linear(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)]), None);
     assert_eq!(Fit::power(&[(1.0, 1.0), (2.0, 0.0), (3.0, 3.0)]), None);
 }
+
+/// What is counted of one instance that says as many bytes in each second.
+fn counts(bytes: u64) -> Counts {
+    let (mut counts, mut running) = (Counts::new(1, 5), Running::default());
+    for second in [5, 5, 6, 7] {
+        let said = Said { words_in: 1, words_out: 1, bytes_in: bytes, bytes_out: 0 };
+        counts.said(second, 0, said, &mut running);
+    }
+    counts.over(&mut running);
+    counts
+}
+
+#[test]
+fn the_worst_second_of_an_instance_is_its_own() {
+    let mut both = counts(100);
+    both.merge(&counts(150));
+    let worst: Vec<u64> = both.seconds.iter().map(|second| second.worst).collect();
+    let sums: Vec<u64> = both.seconds.iter().map(|second| second.keepers[0].bytes()).collect();
+    assert_eq!((worst, sums), (vec![300, 150, 150], vec![500, 250, 250]));
+}
+
+fn reported(instances: usize, late: u64) -> StepReport {
+    let keeper = Role { cpu: 0.001 * instances as f64, ..Role::default() };
+    let counts = counts(instances as u64);
+    let phase = PhaseReport {
+        name: "rest",
+        length_s: 3.0,
+        keeper,
+        alive: instances,
+        counts,
+        turns: 1_000,
+        late,
+        ..PhaseReport::default()
+    };
+    StepReport { instances, phases: vec![phase], ..StepReport::default() }
+}
+
+#[test]
+fn a_slope_beyond_the_last_step_says_that_it_is_reckoned() {
+    let steps: Vec<StepReport> = [250, 500, 1_000].map(|size| reported(size, 0)).into();
+    let slopes = report::slopes(&steps, 6_500);
+    let core = slopes.iter().find(|slope| slope.figure == "keeper, core").expect("of processor time");
+    assert!(
+        near(core.power.slope, 1.0) && near(core.by_power.value, 6.5) && near(core.by_line.value, 6.5),
+        "{}",
+        core.text()
+    );
+    assert!(core.text().contains("reckoned at 6500: 6.500"), "{}", core.text());
+    let within = report::slopes(&steps, 1_000);
+    assert!(within.iter().all(|slope| slope.text().contains("fitted at 1000") && !slope.beyond));
+}
+
+#[test]
+fn a_rig_that_ran_late_gives_no_figure() {
+    let steps: Vec<StepReport> =
+        [(250, 0), (500, 51), (1_000, 50)].map(|(size, late)| reported(size, late)).into();
+    let says = |step: &StepReport| report::text(step).iter().any(|line| line.contains("no figure: 5.1 %"));
+    assert_eq!(steps.iter().map(says).collect::<Vec<_>>(), [false, true, false]);
+    assert_eq!(report::objects(&steps[1])[0].get("figures"), None);
+    assert!(report::objects(&steps[2])[0]["figures"].is_object());
+    // Two sound steps are left, which make no line.
+    assert!(report::slopes(&steps, 6_500).is_empty());
+}
