oakhollow-lab scale: the members' own processor time, and turns that don't crowd out what is told

The rig said that it was late without saying why. Seen by perf at 60 instances on a zone's loss: half of its time is the member's walk over all that keepers tell (`Lists::look`) at each word, which is the program's work. So the members' own processor time is counted by the thread's clock and told beside the rig's. Timers that pile up are carried out some at a time, and a list that was late says less often that it is there, so that the rig adds nothing to it.

--- a/lab/src/scale/count.rs
+++ b/lab/src/scale/count.rs
@@ -49,6 +49,8 @@
     /// The second of the run in which these counts begin.
     pub from: usize,
     pub seconds: Vec<Second>,
+    /// Processor time in the members themselves, in microseconds: the program's own work, not the rig's.
+    pub work_us: u64,
     /// From asking for a lease until it is granted, in microseconds.
     pub answers: Histogram<u64>,
     /// Words that found the queue to a keeper full.
@@ -76,6 +78,7 @@
             keepers,
             from,
             seconds: Vec::new(),
+            work_us: 0,
             answers,
             lost: 0,
             longest: 0,
@@ -120,6 +123,7 @@
             second.worst = second.worst.max(theirs.worst);
             second.keepers.iter_mut().zip(&theirs.keepers).for_each(|(own, said)| own.add(*said));
         }
+        self.work_us += other.work_us;
         let _ = self.answers.add(&other.answers);
         self.lost += other.lost;
         self.longest = self.longest.max(other.longest);
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -110,25 +110,21 @@
 
     /// Its list tells something of those servers on it that are marked.
     pub fn list_tells(
-        &mut self, now: Micros, catalogue: &Catalogue, marked: &[bool], told: Told,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
+        &mut self, now: Micros, catalogue: &Catalogue, marked: &[bool], told: Told, actions: &mut Vec<Action>,
+    ) {
         self.index += 1;
         let servers = self.born.list.iter().map(|server| *server as usize);
         let servers = servers.filter(|server| marked[*server]).map(|server| (server, told));
         let listed = catalogue.told(self.index, false, servers);
         if !listed.entries.is_empty() {
-            self.member.listed(now, listed, &mut actions);
+            self.member.listed(now, listed, actions);
         }
-        actions
     }
 
     /// Its list is there, and has nothing new.
-    pub fn list_is_quiet(&mut self, now: Micros) -> Vec<Action> {
-        let mut actions = Vec::new();
+    pub fn list_is_quiet(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let listed = Listed { index: self.index, whole: false, entries: Vec::new() };
-        self.member.listed(now, listed, &mut actions);
-        actions
+        self.member.listed(now, listed, actions);
     }
 
     /// From now on it is seen whether it has heard that; false if there is nothing for it to hear.
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -9,13 +9,14 @@
     of: fn(&PhaseReport) -> f64,
 }
 
-const FIGURES: [Figure; 10] = [
+const FIGURES: [Figure; 11] = [
     Figure { name: "keeper, core", of: |phase| phase.keeper.cpu },
     Figure { name: "keeper, microseconds of work a word", of: work_a_word },
     Figure { name: "keeper, resident MB", of: |phase| phase.keeper.resident as f64 / 1e6 },
     Figure { name: "keeper, descriptors", of: |phase| phase.keeper.descriptors as f64 },
     Figure { name: "keeper, bytes a second", of: |phase| keeper_rate(phase, |said| said.bytes() as f64) },
     Figure { name: "keeper, bytes in its worst second", of: |phase| phase.worst_of_keeper() as f64 },
+    Figure { name: "instance, core for the member alone", of: member_core },
     Figure { name: "instance, words a second", of: |phase| instance_rate(phase, |said| said.words() as f64) },
     Figure { name: "instance, bytes a second", of: |phase| instance_rate(phase, |said| said.bytes() as f64) },
     Figure { name: "instance, bytes in its worst second", of: |phase| phase.worst_of_instance() as f64 },
@@ -37,6 +38,11 @@
     phase.keeper.cpu * 1e6 / words.max(0.001)
 }
 
+/// What the state machine of one instance needs, as the rig's threads count it: on average over those that live.
+fn member_core(phase: &PhaseReport) -> f64 {
+    phase.counts.work_us as f64 / 1e6 / phase.length_s / phase.alive.max(1) as f64
+}
+
 fn answer_ms(phase: &PhaseReport, quantile: f64) -> f64 {
     phase.counts.answers.value_at_quantile(quantile) as f64 / 1e3
 }
@@ -72,8 +78,11 @@
         let limit = MOST_LATE * 100.0;
         return vec![format!(
             "{head}: no figure: {why} (over {limit} % late is too much); real processes had {keepers:.0} MB at most, \
-             the rig {rig:.0} MB; {} of {} act",
-            phase.acting, phase.alive
+             the rig {rig:.0} MB; {} of {} act; the rig's threads had {:.1} core-seconds, of which the members took {:.1}",
+            phase.acting,
+            phase.alive,
+            phase.rig.cpu * phase.length_s,
+            phase.counts.work_us as f64 / 1e6
         )];
     }
     let role = |name: &str, role: &Role| {
@@ -97,12 +106,13 @@
             phase.keeper.resident_peak as f64 / 1e6
         ),
         format!(
-            "{head}: instance {} words, {} bytes a second (in {}, out {}), worst second {} bytes; {} of {} act, {} lapses, unsure {:.2} s in all",
+            "{head}: instance {} words, {} bytes a second (in {}, out {}), worst second {} bytes; its member {:.3} % of a core; {} of {} act, {} lapses, unsure {:.2} s in all",
             short(instance_rate(phase, |said| said.words() as f64)),
             short(instance_rate(phase, |said| said.bytes() as f64)),
             short(instance_rate(phase, |said| said.bytes_in as f64)),
             short(instance_rate(phase, |said| said.bytes_out as f64)),
             phase.worst_of_instance(),
+            100.0 * member_core(phase),
             phase.acting,
             phase.alive,
             counts.lapses,
--- a/lab/src/scale/shard.rs
+++ b/lab/src/scale/shard.rs
@@ -10,6 +10,7 @@
 use rustix::event::epoll::{self, Event, EventData, EventFlags};
 use rustix::event::{eventfd, EventfdFlags, Timespec};
 use rustix::io::Errno;
+use rustix::time::{clock_gettime, ClockId};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::Result;
@@ -44,6 +45,12 @@
     }
 }
 
+/// Processor time of this thread.
+fn own_time() -> Micros {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+}
+
 #[derive(Clone)]
 pub enum Order {
     /// All lists tell this of the servers that are marked, each at a moment within a second.
@@ -224,10 +231,11 @@
         }
         self.counts.said(now.secs() as usize, keeper, said, &mut hollow.running);
         for word in words {
-            let (now, mut actions) = (self.clock.now(), Vec::new());
+            let now = self.clock.now();
             self.granted(at, keeper, now, &word);
-            self.hollows[at].member.on(now, InstanceId(keeper as u32), word, &mut actions);
-            self.carry_out(at, actions);
+            self.works(at, |hollow, actions| {
+                hollow.member.on(now, InstanceId(keeper as u32), word, actions);
+            });
         }
         if became == Became::Broken {
             self.counts.broken += 1;
@@ -236,6 +244,14 @@
         }
     }
 
+    /// Has the member of one work on something, counts its time, and carries out what comes of it.
+    fn works(&mut self, at: usize, work: impl FnOnce(&mut Hollow, &mut Vec<Action>)) {
+        let (began, mut actions) = (own_time(), Vec::new());
+        work(&mut self.hollows[at], &mut actions);
+        self.counts.work_us += (own_time() - began).0;
+        self.carry_out(at, actions);
+    }
+
     /// Sees how long a grant took.
     fn granted(&mut self, at: usize, keeper: usize, now: Micros, word: &Word) {
         let Word::Grant { turn, .. } = word else { return };
@@ -303,9 +319,9 @@
         }
     }
 
-    /// Does all that is due.
+    /// Does what is due, and no more at a time than leaves what the machine tells its turn.
     fn due(&mut self) {
-        loop {
+        for _ in 0..BATCH {
             let now = self.clock.now();
             let Some(Reverse((due, at, what))) = self.timers.peek().copied().filter(|next| next.0 .0 <= now)
             else {
@@ -325,9 +341,8 @@
                     self.list_tells(at, now, &marked, told);
                 }
                 Due::Quiet if self.hollows[at].quiet_at == due => {
-                    let actions = self.hollows[at].list_is_quiet(now);
-                    self.carry_out(at, actions);
-                    self.quiet(at, due);
+                    self.works(at, |hollow, actions| hollow.list_is_quiet(now, actions));
+                    self.quiet(at, now);
                 }
                 // Of an earlier life.
                 Due::Quiet => {}
@@ -360,18 +375,16 @@
     }
 
     fn woke(&mut self, at: usize, now: Micros) {
-        let (hollow, mut actions) = (&mut self.hollows[at], Vec::new());
-        hollow.armed = Micros::NEVER;
-        if hollow.alive {
-            hollow.member.woke(now, &mut actions);
-            self.carry_out(at, actions);
+        self.hollows[at].armed = Micros::NEVER;
+        if self.hollows[at].alive {
+            self.works(at, |hollow, actions| hollow.member.woke(now, actions));
         }
     }
 
     fn list_tells(&mut self, at: usize, now: Micros, marked: &[bool], told: Told) {
         if self.hollows[at].alive {
-            let actions = self.hollows[at].list_tells(now, &self.catalogue, marked, told);
-            self.carry_out(at, actions);
+            let catalogue = self.catalogue.clone();
+            self.works(at, |hollow, actions| hollow.list_tells(now, &catalogue, marked, told, actions));
         }
     }
 
@@ -411,10 +424,11 @@
             Order::Write(who, document) => {
                 self.common.document = document.clone();
                 for at in who.map_or(0..self.hollows.len(), |who| who..who + 1) {
-                    let mut actions = Vec::new();
+                    let document = document.clone();
                     if self.hollows[at].alive {
-                        self.hollows[at].member.written(now, document.clone(), &mut actions);
-                        self.carry_out(at, actions);
+                        self.works(at, |hollow, actions| {
+                            hollow.member.written(now, document, actions);
+                        });
                     }
                 }
             }
