--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -10,6 +10,7 @@
 use crate::stand::{self, Notes};
 use nanorand::WyRand;
 use oakhollow::types::Micros;
+use rustix::process::{getrlimit, Resource};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -34,6 +35,8 @@
 
 /// Instances that start within a second.
 const STARTS_A_SECOND: usize = 1_000;
+/// For stand-ins, callers and the rig itself.
+const SPARE_DESCRIPTORS: usize = 300;
 const LOOK: Duration = Duration::from_millis(50);
 /// More than this of the rig's own turns late, and there is no figure.
 pub const MOST_LATE: f64 = 0.05;
@@ -164,6 +167,11 @@
 
 /// Plays one step; an error means that there is no rig, or that the instances never came to act.
 pub fn step(plan: &Plan, instances: usize, progress: &mut dyn FnMut(&str)) -> Result<StepReport, String> {
+    // Each instance has a link to each keeper. Guards against a run that fails half way, as its sockets do.
+    let (needs, has) = (instances * KEEPERS + SPARE_DESCRIPTORS, getrlimit(Resource::Nofile).current);
+    if has.is_some_and(|has| needs as u64 > has) {
+        return Err(format!("{needs} descriptors are needed, and the machine gives {}", has.unwrap_or(0)));
+    }
     let clock = Clock(Instant::now());
     let catalogue = Arc::new(Catalogue::new(plan.shape));
     let mut random = WyRand::new_seed(plan.seed);
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -12,7 +12,7 @@
 const INSTANCES: usize = 14;
 
 /// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
-fn play(day: Day) -> StepReport {
+fn play(day: Day, instances: usize) -> Result<StepReport, String> {
     let own = std::env::current_exe().expect("this test's path");
     let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
     assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
@@ -27,12 +27,18 @@
         threads: 2,
         most_resident: 4_000_000_000,
     };
-    step(&plan, INSTANCES, &mut |_| {}).expect("all come to act")
+    step(&plan, instances, &mut |_| {})
+}
+
+#[test]
+fn more_instances_than_there_are_descriptors_for_are_refused_at_once() {
+    let why = play(Day::Rest, 1_000_000_000).expect_err("a line");
+    assert!(why.starts_with("3000000300 descriptors are needed"), "{why}");
 }
 
 #[test]
 fn a_drain_that_one_list_tells_comes_to_all_who_call_there() {
-    let report = play(Day::Rest);
+    let report = play(Day::Rest, INSTANCES).expect("all come to act");
     let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
     assert_eq!(names, ["rest", "drain"]);
     let [rest, drain] = &report.phases[..] else { panic!("two phases") };
@@ -51,7 +57,7 @@
 
 #[test]
 fn a_zone_is_lost_and_comes_back() {
-    let report = play(Day::Zone);
+    let report = play(Day::Zone, INSTANCES).expect("all come to act");
     let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
     assert_eq!(names, ["rest", "lost", "back"]);
     let [_, lost, back] = &report.phases[..] else { panic!("three phases") };
