What discovery has is heard within 6 s after any failed, hung or given-up call to it

A change counts as told 6 s after discovery had it and could be reached, whatever the settings allow.

Cause: watch.rs gave each step of a call a time of its own and left every pause to the module's back-off; start.rs left that back-off to the settings. Now connection, head and first line have 5 s together; what was silent for as long, or failed having told nothing for 2.5 s, is opened anew at once; on sockets the list is asked for within 5 s at most, so that no back-off is over 2.5 s. A long line has more than 5 s only while it flows. Asks from before an end are dropped before the module hears of it, not after, when the one that answers it could be among them.

Ruled out: a shorter time to the first line, since discovery works through calls in turn and an unchanged list's first line may be the empty one that is due after 2 s.

The stand-in for discovery can now refuse, hold back connections, hang, cut and stall; what it did before it does as before.

--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -8,7 +8,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::ListKind;
-use oakhollow_terms::{read, List, Version};
+use oakhollow_terms::{read, List, Start, Version};
 use slog::{info, Logger};
 use std::convert::Infallible;
 use std::future::Future;
@@ -18,8 +18,14 @@
 use std::time::{Duration, Instant};
 
 /// Discovery sends an empty line every 2 s while nothing changes: two of them have failed to come. What a silent watch
-/// misses counts as told 6 s after it fell silent, so the second that is left is for opening it anew.
+/// misses counts as told 6 s after it fell silent, so the second that is left is for opening it anew. It is also the longest
+/// that a call may take to its first line, connection and all: what it keeps us from hearing counts as told by then too.
 const SILENCE: Duration = Duration::from_millis(5_000);
+/// How long a pause within a line may be that takes longer than that.
+const FLOWS: Duration = Duration::from_millis(500);
+/// A call that told nothing for the longest back-off has been a pause itself. Guards against the sum of both, which may
+/// come to more than what is missed counts as told after.
+const PAUSE: Duration = Duration::from_micros(Start::MOST_BETWEEN_ASKS.0);
 /// The slowest pace of a line, in bytes a second; one that comes more slowly is as good as silent.
 const SLOWEST: f64 = 48_000.0;
 
@@ -40,6 +46,10 @@
     log: Logger,
     /// The longest line that is taken, in bytes.
     most_line: usize,
+    /// When the last whole line came, or the call began that has told none.
+    since: Instant,
+    /// The call has told something.
+    heard: bool,
 }
 
 /// Why a watch is begun, or no more.
@@ -47,8 +57,8 @@
     Asked,
     Moved(SocketAddr),
     Ended(String),
-    /// One that has told something does not any more.
-    Silent,
+    /// It is opened anew at once.
+    Stale(String),
     Over,
 }
 
@@ -88,7 +98,8 @@
         words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
     ) -> Watch {
         let ((asks, moves), (told_to, board, accord)) = (words, told_to);
-        Watch { discovery, told, told_to, board, accord, asks, moves, log, most_line }
+        let (since, heard) = (Instant::now(), false);
+        Watch { discovery, told, told_to, board, accord, asks, moves, log, most_line, since, heard }
     }
 
     pub async fn run(mut self) {
@@ -104,28 +115,30 @@
                 Turn::Over => return,
                 Turn::Asked => {}
                 // Guards against a wait before it is opened anew, in which what it misses comes to count as told.
-                Turn::Silent => {
-                    info!(self.log, "watch of the list silent for {} ms, opened anew", SILENCE.as_millis())
+                Turn::Stale(why) => {
+                    info!(self.log, "watch of the list {}, opened anew", why);
+                    if !self.heard {
+                        self.fails().await;
+                    }
                 }
                 // Guards against following another service by the first one's versions: the whole list is asked for.
                 Turn::Moved(to) => (self.discovery, self.told) = (to, Version::default()),
                 Turn::Ended(why) => {
                     info!(self.log, "watch of the list ended: {}", why);
-                    lock(&self.board).settled = true;
-                    self.told_to.tell(Order::Listed(ListKind::Failed, Arc::default())).await;
-                    if let Some(accord) = &self.accord {
-                        accord.list_fails().await;
-                    }
-                    // What was asked while a watch was under way has had its answer.
+                    // What was asked while a watch was under way has had its answer. Before the module hears: guards
+                    // against losing the ask with which it answers this.
                     while asks.try_recv().is_ok() {}
+                    self.told_to.tell(Order::Listed(ListKind::Failed, Arc::default())).await;
+                    self.fails().await;
                     turn = word().await;
                     continue;
                 }
             }
             let ended = async {
                 match self.follow().await {
+                    Err(Break::Failed(why)) if self.since.elapsed() >= PAUSE => Turn::Stale(why),
                     Err(Break::Failed(why)) => Turn::Ended(why),
-                    Err(Break::Silent) => Turn::Silent,
+                    Err(Break::Silent) => Turn::Stale(format!("silent for {} ms", SILENCE.as_millis())),
                     Ok(never) => match never {},
                 }
             };
@@ -135,41 +148,51 @@
         }
     }
 
+    /// Discovery has been called, and has told nothing.
+    async fn fails(&self) {
+        lock(&self.board).settled = true;
+        if let Some(accord) = &self.accord {
+            accord.list_fails().await;
+        }
+    }
+
     async fn follow(&mut self) -> std::result::Result<Infallible, Break> {
-        let late = || Break::Failed("no answer in time".into());
-        let stream = by(Instant::now() + SILENCE, Async::<TcpStream>::connect(self.discovery)).await?;
-        let stream = stream.ok_or_else(late)?;
+        (self.since, self.heard) = (Instant::now(), false);
+        let due = self.since + SILENCE;
+        let stream = by(due, Async::<TcpStream>::connect(self.discovery)).await?.ok_or(Break::Silent)?;
         let ask = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.told.0, self.discovery
         );
-        by(Instant::now() + SILENCE, (&stream).write_all(ask.as_bytes())).await?.ok_or_else(late)?;
+        by(due, (&stream).write_all(ask.as_bytes())).await?.ok_or(Break::Silent)?;
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
-        let mut heard = false;
-        // Counted from the last whole line: guards against bytes that drip, by which nothing is ever told.
-        let (mut since, mut came) = (Instant::now(), 0);
+        let (mut last, mut came) = (self.since, 0);
         loop {
-            let then = since + SILENCE + Duration::from_secs_f64(came as f64 / SLOWEST);
-            let Some(count) = by(then, (&stream).read(&mut buffer)).await? else {
-                return Err(if heard { Break::Silent } else { late() });
-            };
-            came += count;
+            // Counted from the last whole line: guards against bytes that drip, by which nothing is ever told. A long line has
+            // longer, but only while it flows: guards against waiting on for one that was cut off.
+            let due = self.since + SILENCE;
+            let most = due + Duration::from_secs_f64(came as f64 / SLOWEST);
+            let read = by(most.min(due.max(last + FLOWS)), (&stream).read(&mut buffer)).await?;
+            let count = read.ok_or(Break::Silent)?;
+            (last, came) = (Instant::now(), came + count);
             if count == 0 {
                 return Err("discovery closed the connection".into());
             }
             bytes.extend_from_slice(&buffer[..count]);
-            if framing.is_none() {
-                let Some((head, taken)) = Head::parse(&bytes).map_err(|fault| fault.why)? else { continue };
+            // An interim answer may come in one piece with what follows it.
+            while framing.is_none() {
+                let Some((head, taken)) = Head::parse(&bytes).map_err(|fault| fault.why)? else { break };
                 bytes.drain(..taken);
                 match head.status().map_err(|fault| fault.why)? {
-                    100..=199 => continue,
+                    100..=199 => {}
                     200 => framing = Some(head.answer_framing().map_err(|fault| fault.why)?),
                     other => return Err(format!("discovery answered {other}").into()),
                 }
             }
             match framing {
+                None => continue,
                 Some(Framing::Chunked) => {
                     let fed = chunks.feed(&bytes, &mut lines, self.most_line).map_err(|fault| fault.why)?;
                     bytes.drain(..fed);
@@ -178,8 +201,8 @@
             }
             while let Some(end) = lines.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
-                self.tell(line.trim_ascii(), !std::mem::replace(&mut heard, true)).await?;
-                (since, came) = (Instant::now(), 0);
+                self.tell(line.trim_ascii(), !self.heard).await?;
+                (self.since, self.heard, came) = (Instant::now(), true, 0);
             }
             if chunks.done() {
                 return Err("discovery ended the watch".into());
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -22,9 +22,14 @@
 //! - `own COUNT WORKLOAD LEFT`: calls one after the other, each answered 200 with its own id; `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
-//! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`, `list drip BYTES` without a
-//!   line's end; `asked COUNT` watches at least, `asked COUNT only`
-//! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
+//! - `list whole|changes NAME[:leaving|:left] ...`, `list garbage|ends`, `list raw LINE`, `list drip BYTES` without a
+//!   line's end; `list next whole|changes ...`: what a watch is told first from now on; `asked COUNT` watches at least,
+//!   `asked COUNT only`
+//! - how calls to discovery are met from then on: `list up`; `list down`: by a 503, and the watches end; `list refuses`: nobody
+//!   listens, and the watches end; `list shut`: connections don't come up; `list hangs`: never; `list halves`: by half a
+//!   line and the end; `list stalls`: by the beginning of a long line, and no more; `list interim`: by a 1xx and all else in one
+//!   piece. `list lets-go` ends the calls that hang; `connects`: a connection to discovery is on its way
+//! - `moves [HOW]`: discovery at another address, where calls are met as after `list HOW`, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
 //!   replaced, SIGHUP; `spoils`: the same with nothing in it
 //! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
 //!   healthcheck says yes soon; `hangs COUNT [BYTES]`:
@@ -243,11 +248,64 @@
 /// The stand-in for discovery: one whole list, then what the scenario says.
 #[derive(Default)]
 struct Discovery {
-    down: bool,
+    /// How calls are met.
+    how: String,
     asked: usize,
     /// What a watch is told first.
     first: String,
     watches: Vec<TcpStream>,
+    /// Calls that are not answered, or not to the end.
+    hung: Vec<TcpStream>,
+    /// Its address, kept by a socket that never listens.
+    place: Option<(SocketAddr, TcpListener)>,
+    listener: Option<TcpListener>,
+    /// Fills the queue in the machine until connections may come up.
+    door: Option<TcpStream>,
+}
+
+/// A socket at an address that others of ours may have too.
+fn bound(to: SocketAddr) -> TcpListener {
+    use rustix::net::{bind, socket, sockopt, AddressFamily, SocketType};
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    sockopt::set_socket_reuseport(&socket, true).expect("its option");
+    bind(&socket, &to).expect("a port");
+    TcpListener::from(socket)
+}
+
+impl Discovery {
+    fn address(&self) -> SocketAddr {
+        self.place.as_ref().expect("discovery").0
+    }
+
+    /// Nobody listens any more.
+    fn refuse(&mut self) {
+        self.door = None;
+        if let Some(listener) = self.listener.take() {
+            rustix::net::shutdown(&listener, rustix::net::Shutdown::Read).expect("it ends");
+        }
+    }
+
+    /// Connections don't come up until somebody takes out the one that fills the queue.
+    fn shut(&mut self) {
+        self.refuse();
+        let listener = bound(self.address());
+        rustix::net::listen(&listener, 0).expect("a short queue");
+        self.door = Some(TcpStream::connect(self.address()).expect("the one that fills it"));
+        self.listener = Some(listener);
+    }
+
+    /// Calls are taken in, if they were not before.
+    fn open(&mut self, shared: &Arc<Mutex<Discovery>>) {
+        let Some(address) = self.place.as_ref().map(|place| place.0) else { return };
+        if self.listener.is_some() && self.door.is_none() {
+            return;
+        }
+        self.door = None;
+        let listener = self.listener.get_or_insert_with(|| bound(address));
+        rustix::net::listen(&*listener, 4096).expect("a queue");
+        let (listener, shared) = (listener.try_clone().expect("a descriptor"), shared.clone());
+        thread::spawn(move || discover(listener, shared));
+    }
 }
 
 fn chunk(line: &str) -> String {
@@ -260,14 +318,22 @@
         assert!(head.starts_with("GET /v1/endpoints?stream=1&index="), "{head}");
         let mut discovery = shared.lock().expect("discovery");
         discovery.asked += 1;
-        let answer = match discovery.down {
-            true => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
-            false => {
-                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&discovery.first))
-            }
+        let (head, first) =
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(&discovery.first));
+        let answer = match discovery.how.as_str() {
+            "down" => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
+            "hangs" => String::new(),
+            "halves" => format!("{head}{}", &first[..first.len() / 2]),
+            "stalls" => format!("{head}{:x}\r\n{{\"index\":8,{}", 400_000, " ".repeat(300_000)),
+            "interim" => format!("HTTP/1.1 103 Early Hints\r\n\r\n{head}{first}"),
+            _ => format!("{head}{first}"),
         };
-        if stream.write_all(answer.as_bytes()).is_ok() && !discovery.down {
-            discovery.watches.push(stream);
+        let sent = stream.write_all(answer.as_bytes()).is_ok();
+        match discovery.how.as_str() {
+            "down" | "halves" => {}
+            "hangs" | "stalls" => discovery.hung.push(stream),
+            _ if sent => discovery.watches.push(stream),
+            _ => {}
         }
     }
 }
@@ -404,12 +470,13 @@
 
     /// A stand-in for discovery at an address of its own.
     fn stand_in(&mut self, unchanged: bool) -> SocketAddr {
-        let (listener, address) = listen();
+        let place = bound(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = place.local_addr().expect("its address");
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         let first = if unchanged { String::new() } else { self.list(true, &names) };
-        self.discovery.lock().expect("discovery").first = first;
-        let shared = self.discovery.clone();
-        thread::spawn(move || discover(listener, shared));
+        let mut discovery = self.discovery.lock().expect("discovery");
+        (discovery.first, discovery.place, discovery.listener) = (first, Some((address, place)), None);
+        discovery.open(&self.discovery);
         address
     }
 
@@ -535,8 +602,8 @@
 
     fn discovery(&mut self, words: &[&str]) {
         let line = match words {
-            ["whole", names @ ..] => self.list(true, names),
-            ["changes", names @ ..] => self.list(false, names),
+            ["whole", names @ ..] | ["next", "whole", names @ ..] => self.list(true, names),
+            ["changes", names @ ..] | ["next", "changes", names @ ..] => self.list(false, names),
             ["raw" | "drip", line] => line.to_string(),
             _ => "{\"index\":8,".to_string(),
         };
@@ -546,13 +613,20 @@
         };
         let mut discovery = self.discovery.lock().expect("discovery");
         match words[0] {
-            "down" | "up" => discovery.down = words[0] == "down",
+            "next" => discovery.first = line,
+            "refuses" => discovery.refuse(),
+            "shut" => discovery.shut(),
+            "up" | "down" | "hangs" | "halves" | "stalls" | "interim" => {
+                discovery.how = words[0].to_string();
+                discovery.open(&self.discovery);
+            }
             "ends" => discovery.watches.clear(),
+            "lets-go" => discovery.hung.clear(),
             _ => discovery.watches.iter_mut().for_each(|watch| {
                 let _ = watch.write_all(bytes.as_bytes());
             }),
         }
-        if words[0] == "down" {
+        if matches!(words[0], "down" | "refuses" | "shut") {
             discovery.watches.clear();
         }
     }
@@ -651,6 +725,13 @@
             ["asked", count, "only"] => {
                 assert_eq!(self.discovery.lock().expect("discovery").asked.to_string(), count);
             }
+            ["connects"] => until("it connects", || {
+                let port = self.discovery.lock().expect("discovery").address().port();
+                let table = std::fs::read_to_string("/proc/net/tcp").expect("its table");
+                let to = format!("0100007F:{port:04X}");
+                // The third column is the other side, the fourth how it stands: 02 is on its way.
+                table.lines().any(|line| line.split_whitespace().skip(2).take(2).eq([to.as_str(), "02"]))
+            }),
             ["ready", status] => until("ready or not", || {
                 let mut stream = self.connect();
                 stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
@@ -712,8 +793,9 @@
                 let passed = self.marked.expect("a mark").elapsed();
                 assert!(passed < Duration::from_micros(runner::length_us(time)), "{passed:?}");
             }
-            ["moves"] => {
-                self.discovery = Arc::default();
+            ["moves", ref how @ ..] => {
+                let how = how.first().copied().unwrap_or_default().to_string();
+                self.discovery = Arc::new(Mutex::new(Discovery { how, ..Discovery::default() }));
                 let to = format!(r#""discovery":"{}","seed""#, self.stand_in(false));
                 let from = self.told.split_once(r#""discovery":"#).expect("an address").1;
                 let from = format!(r#""discovery":{},"seed""#, from.split(',').next().expect("an address"));
--- a/terms/src/start.rs
+++ b/terms/src/start.rs
@@ -66,8 +66,12 @@
 impl Start {
     /// The fewest descriptors that a sidecar can work with.
     const FEWEST_SOCKETS: usize = 64;
-    /// How long the list may go without being asked for, where the settings don't say.
-    const ASK_WITHIN: Micros = Micros::millis(10_000);
+    /// The longest that the module waits between asks, half of the time within which it has to ask. A change counts as told
+    /// 6 s after discovery had it and could be reached, whatever the settings allow: two such waits, one of them a call that
+    /// told nothing, and a second for a call that does and for a slow machine.
+    pub const MOST_BETWEEN_ASKS: Micros = Micros::millis(2_500);
+    /// How long the list may go without being asked for, where the settings don't say, or say longer.
+    const ASK_WITHIN: Micros = Micros(2 * Self::MOST_BETWEEN_ASKS.0);
     /// However short the grace of a drain, so that asks which fail at once don't follow each other without a pause.
     const LEAST_BETWEEN_ASKS: Micros = Micros::millis(50);
     const LEAST_MEMORY_MB: f64 = 16.0;
@@ -105,7 +109,7 @@
     pub(crate) fn on_sockets(mut place: Place) -> Result<Place, String> {
         // On sockets nothing comes unasked: the list must be watched, wherever the simulator would push it.
         let terms = &mut place.terms;
-        if terms.ask_within.0 == 0 {
+        if terms.ask_within.0 == 0 || terms.ask_within > Self::ASK_WITHIN {
             terms.ask_within = Self::ASK_WITHIN;
         }
         // What a pushed list says counts as told whether or not a watch is open: guards against being without one for
@@ -152,5 +156,7 @@
             Micros::millis(3_000)
         );
         assert_eq!(ask_within("on_request", r#","stop_sending_within_s":0.15"#), Start::ASK_WITHIN);
+        // Whatever the settings allow, two waits leave a second of the 6 s after which a change counts as told.
+        assert_eq!(ask_within("on_request", r#","ask_within_s":60"#), Micros::millis(5_000));
     }
 }
