Descriptors are kept back also where the machine allows fewer, and for a keeper's links

Callers whose calls wait, idle ones and calls to the console that say no more may hold all there is while discovery is down.

Where the file says what the machine allows and there is no keeper it was kept before (crowd-unheard).

Cause: phases.rs reckoned by limits.sockets alone and kept back 24, and 4 for each further worker; a keeper takes in a link for each instance, up to four each and 8, of which it knew nothing. Now the lower of file and machine counts, and the links of instances that agree have descriptors of their own: one to each keeper, and at a keeper its listener, two for each instance and 8, beyond which none is taken in. Where none is left for calls the start says so in one line and ends.

Checked: descriptors in use with a console, callers aside, are 18 with one worker and 27 with four (15 and 3 more for each worker without the console's), of 24 and 4 that are kept back.

--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -40,6 +40,18 @@
 /// How long a foreign connection may take to say who it is.
 const GREETS: Duration = Duration::from_secs(1);
 
+/// Links that a keeper takes in: one for each instance, or two while a process replaces another, and some that have not said
+/// yet whose they are.
+fn most_links(instances: usize) -> usize {
+    2 * instances + 8
+}
+
+/// Descriptors that one instance needs for this: a link to each keeper, and as a keeper its listener and those it takes in.
+pub fn sockets(operated: &Operated, name: &str) -> usize {
+    let keeps = operated.keepers.iter().any(|keeper| keeper == name);
+    operated.keepers.len() + if keeps { 1 + most_links(operated.instances.len()) } else { 0 }
+}
+
 enum Input {
     /// This instance's file was read; whoever read it waits to hear why it is not taken, if it isn't.
     Written(Box<Start>, Sender<String>),
@@ -528,8 +540,8 @@
     let open = Arc::new(());
     let (strangers, tell) = bounded::<String>(MOST_WORDS);
     loop {
-        // Each instance has one link, or two while a process replaces another.
-        if Arc::strong_count(&open) > 4 * names.len() + 8 {
+        // Guards against links that take what callers and servers need.
+        if Arc::strong_count(&open) > most_links(names.len()) {
             Timer::after(PAUSE).await;
             continue;
         }
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -47,7 +47,8 @@
 const SETTLES: Duration = Duration::from_millis(2_000);
 /// How often it is looked whether all have left.
 const LOOK: Duration = Duration::from_millis(10);
-/// Descriptors that are neither a caller's connection nor a server's, and those of each further worker.
+/// Descriptors that are neither a caller's connection nor a server's, the watch of the list among them, and those of each
+/// further worker. The console and the links of instances that agree have their own besides.
 const OWN_SOCKETS: usize = 24;
 const WORKER_SOCKETS: usize = 4;
 /// What one connection may take of the memory at worst: a head, a body and buffers. Copies of these are short-lived.
@@ -243,6 +244,13 @@
     Ok(listeners)
 }
 
+/// What the machine allows this process. Guards against callers that take what discovery and servers need, where that is less
+/// than the file says.
+fn descriptors() -> usize {
+    let most = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    most.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX)
+}
+
 /// The longest that any API call may take.
 fn longest(place: &Place) -> Micros {
     place.workloads.iter().map(|workload| workload.abandon).max().unwrap_or_default()
@@ -278,12 +286,22 @@
         let agrees = operator.accord.clone().map(|operated| (operated, start.clone()));
         let Start { place, limits, known, .. } = start;
         let workers = operator.workers;
-        info!(log, "listening on {}", listeners[0].local_addr().map_err(failed)?; "tier" => &place.tier, "workers" => workers);
         // Half of the connections are for callers: each call of theirs has mostly one hop out.
         let by_memory = (limits.memory_mb * 0.75 * 1024.0 / CONNECTION_KB) as usize;
         let consoles = start.console.map_or(0, |_| console::SOCKETS);
-        let own = OWN_SOCKETS + WORKER_SOCKETS * (workers - 1) + consoles;
-        let most = limits.sockets.saturating_sub(own).min(by_memory) / 2;
+        let links = operator.accord.as_ref().map_or(0, |operated| accord::sockets(operated, &start.name));
+        let own = OWN_SOCKETS + WORKER_SOCKETS * (workers - 1) + consoles + links;
+        let descriptors = limits.sockets.min(descriptors());
+        let most = descriptors.saturating_sub(own).min(by_memory) / 2;
+        if most == 0 {
+            return Err(format!(
+                "limits.sockets: of {descriptors}, {own} are kept back and none is left for calls"
+            ));
+        }
+        info!(log, "listening on {}", listeners[0].local_addr().map_err(failed)?; "tier" => &place.tier, "workers" => workers);
+        if descriptors < limits.sockets {
+            info!(log, "the machine allows {} descriptors, under limits.sockets", descriptors);
+        }
         let (ask, asks) = bounded(1);
         let (moves, moved) = bounded(1);
         let longest = longest(&place);
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -4,11 +4,13 @@
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
 //!   (after its answer, unsaid), echoes (the request's id), echoes-twice, until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
-//!   once more), silent, absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
+//!   once more), silent, holds (silent until it is changed, and then so), absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
 //!   NAME`, which the machine tries after 1 s; from then on it answers); said again, it changes a server; `servers COUNT HOW`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, cancel, quoted and abandon (of all workloads), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
+//! - `limits COUNT`: the machine allows it so many descriptors from now on, at its start ulimit; `holds LEAST MOST` so many
+//!   descriptors; `sidecar ... instances=COUNT`: it is the keeper of so many that agree on settings, and `members COUNT` are linked to it, two of each
 //! - `freezes` and `thaws`: it is stopped by the machine between the two, so that what comes meanwhile comes at once to it;
 //!   `never WORDS`: its log does not say so
 //! - `puts ID WORKLOAD LEFT BYTES whole|chunked|slow|cut`: a long body, at once, in chunks, at 200 kB a second or ended in
@@ -16,7 +18,8 @@
 //!   has no end
 //! - `call ID WORKLOAD LEFT`, WORKLOAD one of view (repeatable), save (tagged, by cell), pay (once-only);
 //!   `calls COUNT WORKLOAD LEFT [BODY]`, one after the other, each answered 200; `flood COUNT WORKLOAD LEFT LEAST`,
-//!   so many of them dismissed; `again ID OTHER WORKLOAD LEFT` on the
+//!   so many of them dismissed;
+//!   `keeps COUNT WORKLOAD LEFT`, side by side, named `kept-0` and so on; `again ID OTHER WORKLOAD LEFT` on the
 //!   connection of OTHER; `leaves ID`
 //! - `raw ID BYTES` and `more ID BYTES`, with `\r`, `\n`, `_` for a blank and `*N` for N times an `x`
 //! - `own COUNT WORKLOAD LEFT`: calls one after the other, each answered 200 with its own id; `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
@@ -164,6 +167,17 @@
     }
 }
 
+/// How a request is met that was to wait until its server is changed.
+fn said_anew(shared: &Mutex<Seen>) -> String {
+    loop {
+        let how = shared.lock().expect("seen").how.clone();
+        if how != "holds" {
+            return how;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn serve(mut stream: TcpStream, shared: &Mutex<Seen>) {
     while let Some((head, body)) = read_message(&mut stream) {
         let (how, say) = {
@@ -172,6 +186,7 @@
             seen.last = head + &body;
             (seen.how.clone(), seen.body.clone())
         };
+        let how = if how == "holds" { said_anew(shared) } else { how };
         let whole = format!("HTTP/1.1 200 OK\r\nX-Made-By: us\r\nContent-Length: {}\r\n\r\n{say}", say.len());
         let empty = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         let answer = match how.as_str() {
@@ -345,6 +360,8 @@
     program: Option<(Child, Arc<Mutex<String>>)>,
     port: Option<SocketAddr>,
     console: Option<SocketAddr>,
+    /// Where its keeper takes links in.
+    keeper: Option<SocketAddr>,
     /// The listening socket that processes inherit.
     passed: Option<TcpListener>,
     /// The process beside the one spoken of.
@@ -409,7 +426,7 @@
         };
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         format!(
-            r#"{{"name":"n0","listen":"{}",{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","version":{{"number":1}},"listen":"{}",{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":{},"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
@@ -496,6 +513,16 @@
         if words.contains(&"passed") {
             self.passed.get_or_insert_with(|| listen().0);
         }
+        if let Some(count) = words.iter().find_map(|word| word.strip_prefix("instances=")) {
+            let keeper = listen().1; // free again at once
+            let others =
+                (1..count.parse().expect("a count")).map(|number| format!(", n{number} = \"127.0.0.1:1\""));
+            self.operator += &format!(
+                "accord = {{ keepers = [\"n0\"], within = 4, instances = {{ n0 = \"{keeper}\"{} }} }}\n",
+                others.collect::<String>()
+            );
+            self.keeper = Some(keeper);
+        }
         let address = self.stand_in(words.contains(&"unchanged"));
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
         let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
@@ -648,6 +675,11 @@
                     self.expect("calls", "200", words.get(4).copied().unwrap_or_default());
                 }
             }
+            ["keeps", count, workload, left] => {
+                for number in 0..count.parse().expect("a count") {
+                    self.call(&format!("kept-{number}"), self.connect(), workload, left);
+                }
+            }
             ["flood", count, workload, left, least] => {
                 let count: usize = count.parse().expect("a count");
                 let dismissed = (0..count).filter(|_| {
@@ -725,6 +757,28 @@
             ["asked", count, "only"] => {
                 assert_eq!(self.discovery.lock().expect("discovery").asked.to_string(), count);
             }
+            ["limits", count] => {
+                use rustix::process::{prlimit, Pid, Resource, Rlimit};
+                let id = self.program.as_ref().expect("a sidecar").0.id();
+                let most = Some(count.parse().expect("a count"));
+                let limit = Rlimit { current: most, maximum: most };
+                prlimit(Pid::from_raw(id as i32), Resource::Nofile, limit).expect("a limit");
+            }
+            ["holds", least, most] => {
+                let id = self.program.as_ref().expect("a sidecar").0.id();
+                let held = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors").count();
+                let [least, most] = [least, most].map(|count| count.parse().expect("a count"));
+                assert!((least..=most).contains(&held), "{held}");
+            }
+            ["members", count] => {
+                for number in 0..count.parse().expect("a count") {
+                    let mut stream = TcpStream::connect(self.keeper.expect("a keeper")).expect("a link");
+                    let (name, life) = (format!("n{}", number / 2), number % 2 + 1);
+                    let greeting = oakhollow_terms::Greeting::new(&name, life).to_json();
+                    writeln!(stream, "{greeting}").expect("said");
+                    self.idle.push(stream);
+                }
+            }
             ["connects"] => until("it connects", || {
                 let port = self.discovery.lock().expect("discovery").address().port();
                 let table = std::fs::read_to_string("/proc/net/tcp").expect("its table");
