The sockets of the stand-in for discovery are not inherited by the programs it is played on

Seen: the whole of the scenarios failed once at a crowd of callers, with too many open files in the program, where the same scenario alone passed 20 times of 20. The stand-in's sockets lacked the mark, so that each program that was started had those of all scenarios before it.

--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -280,8 +280,10 @@
 
 /// A socket at an address that others of ours may have too.
 fn bound(to: SocketAddr) -> TcpListener {
-    use rustix::net::{bind, socket, sockopt, AddressFamily, SocketType};
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
+    // Programs that are started must not inherit it.
+    let (stream, closed) = (SocketType::STREAM, SocketFlags::CLOEXEC);
+    let socket = socket_with(AddressFamily::INET, stream, closed, None).expect("a socket");
     sockopt::set_socket_reuseport(&socket, true).expect("its option");
     bind(&socket, &to).expect("a port");
     TcpListener::from(socket)
