--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -255,16 +255,50 @@
     use async_channel::bounded;
     use oakhollow_terms::Marks;
     use slog::{o, Discard};
+    use std::pin::pin;
+
+    fn watch(
+        at: SocketAddr, workers: Vec<async_channel::Sender<Order>>,
+        words: (Receiver<()>, Receiver<SocketAddr>),
+    ) -> Watch {
+        let board: Shared = Arc::new(std::sync::Mutex::new(Board::new(&List::default(), Marks::default())));
+        let told_to = (Orders::of(workers), board, None);
+        Watch::new(at, Version(41), told_to, words, Logger::root(Discard, o!()), 1 << 20)
+    }
+
+    #[test]
+    fn what_the_module_asks_while_the_end_of_a_watch_is_told_is_not_lost() {
+        let nobody = std::net::TcpListener::bind("127.0.0.1:0").and_then(|one| one.local_addr());
+        let ((ask, asks), (_moves, moves)) = (bounded(1), bounded(1));
+        let ((sender, first), (last, others)) = (bounded(1), bounded(1));
+        let mut watch = pin!(watch(nobody.expect("a port"), vec![sender, last.clone()], (asks, moves)).run());
+        // Another worker's queue is full, so that the end is told to the first, who asks, and not yet to all.
+        last.try_send(Order::Look).expect("room");
+        let mut fails = |queue: &Receiver<Order>| {
+            let told = async { matches!(queue.recv().await, Ok(Order::Listed(ListKind::Failed, _))) };
+            let over = async {
+                (&mut watch).await;
+                false
+            };
+            let late = async {
+                Timer::after(Duration::from_secs(10)).await;
+                false
+            };
+            async_io::block_on(future::or(told, future::or(over, late)))
+        };
+        ask.try_send(()).expect("room");
+        assert!(fails(&first));
+        ask.try_send(()).expect("room");
+        assert!(matches!(others.try_recv(), Ok(Order::Look)));
+        assert!(fails(&others) && fails(&first));
+    }
 
     #[test]
     fn a_change_that_was_given_up_while_it_was_told_is_asked_for_again() {
         let (sender, orders) = bounded(1);
         let (asks, moves) = (bounded(1).1, bounded(1).1);
-        let board: Shared = Arc::new(std::sync::Mutex::new(Board::new(&List::default(), Marks::default())));
-        let told_to = (Orders::of(vec![sender.clone()]), board, None);
         let at = "127.0.0.1:1".parse().expect("an address");
-        let log = Logger::root(Discard, o!());
-        let mut watch = Watch::new(at, Version(41), told_to, (asks, moves), log, 1 << 20);
+        let mut watch = watch(at, vec![sender.clone()], (asks, moves));
         let line = br#"{"index":42,"snapshot":false,"endpoints":[]}"#;
         // The worker's queue is full, so that telling it waits, and meanwhile the watch is moved.
         sender.try_send(Order::Look).expect("room");
