Twenty and thirty processes before one cold server: the sum keeps to the ramp, measured

The rule counts what all processes send a cold server together: more than N + 2 x root of N + 2 requests in fall_s and it falls. `lab/tests/ramp.rs` starts 20 and 30 processes of the program on loopback, all before one server that starts cold under their load; the stand-in adds up every sliding window since its start, `budget.rs` judges it, with N by the capacity at the window's beginning, the warm servers at their full capacity and multiple 2 and cold_from 0.12, the least of our deployments.

Kept already, no change of the program.

--- /dev/null
+++ b/lab/src/shared.rs
@@ -0,0 +1,399 @@
+//! What plays with dozens of processes need: one discovery for all of them that may be down or have too many callers, plain
+//! HTTP, and a pulse that tells how late the rig itself runs.
+use crate::processes::{free, Sidecar};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A message's head, with its body read off where its length is said. None at the end of the connection.
+pub fn head(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let from = head.len();
+        if stream.read_line(&mut head).ok()? == 0 || head.len() > 16 * 1024 {
+            return None;
+        }
+        let line = head[from..].trim_end();
+        if line.is_empty() {
+            break;
+        }
+        let said = line.split_once(':').filter(|(key, _)| key.eq_ignore_ascii_case("Content-Length"));
+        length = said.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(length);
+    }
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    Some(head)
+}
+
+/// A connection as a caller has it.
+pub fn dial(to: SocketAddr) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect(to).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    Some(BufReader::new(stream))
+}
+
+/// Asks on a connection: the status, and whether the connection lasts.
+pub fn ask(stream: &mut BufReader<TcpStream>, asked: &str) -> Option<(u16, bool)> {
+    stream.get_mut().write_all(asked.as_bytes()).ok()?;
+    let head = head(stream)?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, !head.lines().any(|line| line.eq_ignore_ascii_case("Connection: close"))))
+}
+
+/// Unix time in milliseconds, as a list words when a server started.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// A server as the list words it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Listed {
+    pub name: String,
+    pub address: SocketAddr,
+    /// 0 for long ago.
+    pub since_ms: u64,
+}
+
+fn line(index: u64, snapshot: bool, listed: &[Listed]) -> String {
+    let entries = listed.iter().map(|Listed { name, address, since_ms }| {
+        format!(
+            r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"active","weight":1.0,"since_ms":{since_ms}}}"#
+        )
+    });
+    let entries: Vec<String> = entries.collect();
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+/// What a call to a discovery that is down meets.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Down {
+    Refused,
+    /// Taken, noted and closed with no answer.
+    Closed,
+}
+
+/// It works through calls in turn, so many a second; whoever would wait for longer is turned away.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Capacity {
+    pub a_second: f64,
+    pub patience_s: f64,
+}
+
+/// What became of a call to discovery.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Met {
+    Told,
+    TurnedAway,
+    Closed,
+}
+
+#[derive(Default)]
+struct State {
+    listed: Vec<Listed>,
+    index: u64,
+    /// Changes since the beginning, a line each.
+    changes: Vec<String>,
+    down: Option<Down>,
+    /// How often it went down: watches of before have ended.
+    life: u64,
+    capacity: Option<Capacity>,
+    /// When the calls that wait have been worked through.
+    busy_until: Option<Instant>,
+    calls: Vec<(Instant, Met)>,
+}
+
+#[derive(Default)]
+struct Inner {
+    state: Mutex<State>,
+    news: Condvar,
+}
+
+/// One discovery for all processes that are told its address.
+pub struct Shared {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+    takes_in: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// An empty line comes that often where nothing changes.
+const BEAT: Duration = Duration::from_secs(1);
+
+impl Shared {
+    pub fn start(listed: Vec<Listed>) -> std::io::Result<Shared> {
+        let state = Mutex::new(State { listed, index: 1, ..State::default() });
+        let inner = Arc::new(Inner { state, news: Condvar::new() });
+        let shared = Shared { address: free()?, inner, takes_in: Mutex::new(None) };
+        shared.listen()?;
+        Ok(shared)
+    }
+
+    fn listen(&self) -> std::io::Result<()> {
+        let (listener, inner) = (TcpListener::bind(self.address)?, self.inner.clone());
+        *lock(&self.takes_in) = Some(thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if lock(&inner.state).down == Some(Down::Refused) {
+                    return;
+                }
+                let inner = inner.clone();
+                thread::spawn(move || inner.serve(stream));
+            }
+        }));
+        Ok(())
+    }
+
+    /// Tells a server that is new, or has started again.
+    pub fn tell(&self, server: Listed) {
+        let mut state = lock(&self.inner.state);
+        state.index += 1;
+        let change = line(state.index, false, std::slice::from_ref(&server));
+        state.changes.push(change);
+        state.listed.retain(|listed| listed.name != server.name);
+        state.listed.push(server);
+        self.inner.news.notify_all();
+    }
+
+    /// Goes down; all watches end. Nobody is taken in any more once this is done.
+    pub fn go_down(&self, how: Down) {
+        {
+            let mut state = lock(&self.inner.state);
+            (state.down, state.life) = (Some(how), state.life + 1);
+        }
+        self.inner.news.notify_all();
+        if how == Down::Refused {
+            // Wakes whoever takes in.
+            drop(TcpStream::connect(self.address));
+            lock(&self.takes_in).take().map(JoinHandle::join);
+        }
+    }
+
+    /// Is back, and has so much capacity from now on.
+    pub fn come_back(&self, capacity: Option<Capacity>) -> std::io::Result<()> {
+        {
+            let mut state = lock(&self.inner.state);
+            (state.down, state.capacity) = (None, capacity);
+        }
+        let listens = lock(&self.takes_in).is_some();
+        if listens {
+            Ok(())
+        } else {
+            self.listen()
+        }
+    }
+
+    /// All calls so far, each with when it came.
+    pub fn calls(&self) -> Vec<(Instant, Met)> {
+        lock(&self.inner.state).calls.clone()
+    }
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.go_down(Down::Refused);
+    }
+}
+
+impl Inner {
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let came = Instant::now();
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        let mut stream = BufReader::new(stream);
+        let (life, wait, met) = {
+            let mut state = lock(&self.state);
+            let (met, wait) = match (state.down, state.capacity) {
+                (Some(_), _) => (Met::Closed, Duration::ZERO),
+                (None, None) => (Met::Told, Duration::ZERO),
+                (None, Some(Capacity { a_second, patience_s })) => {
+                    let turn = state.busy_until.map_or(came, |until| until.max(came));
+                    let wait = turn - came;
+                    if wait.as_secs_f64() > patience_s {
+                        (Met::TurnedAway, Duration::ZERO)
+                    } else {
+                        state.busy_until = Some(turn + Duration::from_secs_f64(1.0 / a_second));
+                        (Met::Told, wait)
+                    }
+                }
+            };
+            state.calls.push((came, met));
+            (state.life, wait, met)
+        };
+        if met == Met::Closed {
+            return None;
+        }
+        head(&mut stream)?;
+        if met == Met::TurnedAway {
+            let answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            return stream.get_mut().write_all(answer.as_bytes()).ok();
+        }
+        thread::sleep(wait);
+        self.watch(stream.get_mut(), life)
+    }
+
+    fn watch(&self, stream: &mut TcpStream, life: u64) -> Option<()> {
+        let chunk = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let (first, mut told) = {
+            let state = lock(&self.state);
+            (line(state.index, true, &state.listed), state.changes.len())
+        };
+        let mut said = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&first));
+        loop {
+            stream.write_all(said.as_bytes()).ok()?;
+            let nothing = |state: &mut State| state.life == life && state.changes.len() == told;
+            let state = lock(&self.state);
+            let waited = self.news.wait_timeout_while(state, BEAT, nothing);
+            let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+            if state.life != life {
+                return None;
+            }
+            let news = &state.changes[told..];
+            told = state.changes.len();
+            said = if news.is_empty() { chunk("") } else { news.iter().map(|line| chunk(line)).collect() };
+        }
+    }
+}
+
+/// What a process's file says beyond the rest, which is the same for all.
+pub struct Told<'a> {
+    /// Which of the processes it is, for its chance; `me` is what it takes itself for.
+    pub at: usize,
+    pub me: usize,
+    pub balancers: usize,
+    pub discovery: SocketAddr,
+    /// The list as the platform leaves it, if it does.
+    pub known: Option<&'a [Listed]>,
+    pub cold_from: f64,
+    pub fall_s: f64,
+    pub warm_within_s: f64,
+}
+
+/// A process's file: one workload, `view`, that may be repeated.
+pub fn file(sidecar: &Sidecar, told: &Told) -> String {
+    let Told { at, me, balancers, discovery, known, cold_from, fall_s, warm_within_s } = told;
+    let known = known.map_or(String::new(), |listed| format!(r#""known":{},"#, line(1, true, listed)));
+    let seed = 0x9E37_79B9_7F4A_7C15_u64.wrapping_mul(1 + *at as u64);
+    format!(
+        r#"{{"name":"{}","listen":"{}","discovery":"{discovery}","seed":"{seed:x}",{known}
+        "settings":{{"me":{me},"balancers":{balancers},"zones":["a"],"discovery":"on_request",
+        "bounds":{{"most_hops":3,"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0}},
+        "rules":{{"ask_within_s":10,"cold_from":{cold_from},"fall_s":{fall_s},"warm_within_s":{warm_within_s}}},
+        "workloads":[{{"name":"view","semantics":"read_like","quoted_time_s":1,"abandon_time_s":2,"payoff":1}}]}}}}"#,
+        sidecar.name, sidecar.listen,
+    )
+}
+
+/// A call as a caller words it.
+pub fn view(id: &str) -> String {
+    format!("GET /view HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Timeout-Ms: 900\r\n\r\n")
+}
+
+pub const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// How long all may take until they serve.
+const STARTS: Duration = Duration::from_secs(20);
+
+/// All answer that they serve, by `GET /ready`.
+pub fn all_serve(sidecars: &mut [Sidecar]) -> Result<(), String> {
+    let begun = Instant::now();
+    for sidecar in sidecars {
+        let ready = |to| dial(to).and_then(|mut stream| ask(&mut stream, READY));
+        while ready(sidecar.listen).is_none_or(|(status, _)| status != 200) {
+            if sidecar.ended() || begun.elapsed() > STARTS {
+                return Err(format!("{} does not serve:\n{}", sidecar.name, sidecar.log()));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    Ok(())
+}
+
+/// A folder of a play's own, which goes with it.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new(of: &str) -> Folder {
+        static PLAYS: AtomicU64 = AtomicU64::new(0);
+        let play = PLAYS.fetch_add(1, Ordering::Relaxed);
+        Folder(std::env::temp_dir().join(format!("oakhollow-{of}-{}-{play}", std::process::id())))
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// How late the rig's own threads get to run: one that sleeps for a moment, again and again, notes by how much it overslept.
+pub struct Pulse {
+    worst_us: Arc<AtomicU64>,
+    ends: Arc<AtomicBool>,
+}
+
+impl Pulse {
+    pub fn start() -> Pulse {
+        let pulse = Pulse { worst_us: Arc::default(), ends: Arc::default() };
+        let (worst, ends) = (pulse.worst_us.clone(), pulse.ends.clone());
+        let length = Duration::from_millis(10);
+        thread::spawn(move || {
+            while !ends.load(Ordering::Relaxed) {
+                let begun = Instant::now();
+                thread::sleep(length);
+                worst.fetch_max((begun.elapsed() - length).as_micros() as u64, Ordering::Relaxed);
+            }
+        });
+        pulse
+    }
+
+    /// The longest that it overslept, in seconds.
+    pub fn worst(&self) -> f64 {
+        self.worst_us.load(Ordering::Relaxed) as f64 / 1e6
+    }
+}
+
+impl Drop for Pulse {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Relaxed);
+    }
+}
+
+/// How the rig itself ran meanwhile.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Ran {
+    InTime,
+    /// So late that it may be the cause of what was found, but not of what was not.
+    Late(String),
+    /// Not what was to be played: there is no figure.
+    Otherwise(String),
+}
+
+/// Plays until there is a figure, three times at the most, and says each play that gave none: what is found of a rig that ran
+/// late counts only where it can't be the rig's doing. A fault is the judge's, or that there was no figure.
+pub fn figure<R>(
+    name: &str, play: impl Fn() -> Result<(R, Ran), String>, judge: impl Fn(&R) -> Result<(), String>,
+) -> Result<R, String> {
+    for attempt in 1..=PLAYS {
+        let (report, ran) = play()?;
+        let why = match (ran, judge(&report)) {
+            (Ran::InTime | Ran::Late(_), Ok(())) => return Ok(report),
+            (Ran::InTime, Err(fault)) => return Err(format!("{name}: {fault}")),
+            (Ran::Late(why), Err(fault)) => format!("{why}, {fault}"),
+            (Ran::Otherwise(why), _) => why,
+        };
+        println!("{name}: play {attempt} gives no figure: {why}");
+    }
+    Err(format!("{name}: no figure in {PLAYS} plays"))
+}
+
+const PLAYS: usize = 3;
--- /dev/null
+++ b/lab/tests/ramp.rs
@@ -0,0 +1,132 @@
+//! Cold servers fall under the sum of all processes: 20 and 30 processes of the program before one cold server.
+mod beside;
+
+use beside::{program, turn};
+use oakhollow_lab::budget::{fullest, Arrival, Ramp, Window};
+use oakhollow_lab::ramp::{play, Case, Report};
+use oakhollow_lab::shared::figure;
+
+fn told(case: &Case, report: &Report) {
+    let Report { lives, calls, late, served, pulse } = report;
+    let Case { name, processes, .. } = case;
+    println!("{name}, {processes} processes: {served} of {calls} calls served, {late} late, pulse {pulse:.3} s late");
+    for life in lives {
+        println!("  {} arrivals, {} falls, fullest {:?}", life.arrivals, life.falls, life.fullest);
+    }
+}
+
+fn played(case: Case, judge: impl Fn(&Report) -> Result<(), String>) {
+    let _turn = turn();
+    let program = program();
+    let judge = |report: &Report| {
+        told(&case, report);
+        judge(report)
+    };
+    if let Err(fault) = figure(case.name, || play(&program, &case), judge) {
+        panic!("{fault}");
+    }
+}
+
+/// The sum keeps to the budget, and the server is used meanwhile.
+fn holds(case: Case) {
+    played(case, |Report { lives, calls, served, .. }| {
+        let broken = lives.iter().find_map(|life| life.broken);
+        match () {
+            _ if lives.len() != 1 + usize::from(case.again_s.is_some()) => Err("a life is missing".into()),
+            _ if broken.is_some() => Err(format!("over the budget: {broken:?}")),
+            _ if lives.iter().any(|life| life.arrivals < 5) => Err("the cold server is hardly used".into()),
+            _ if served * 10 <= calls * 9 => Err(format!("{served} of {calls} served")),
+            _ => Ok(()),
+        }
+    });
+}
+
+#[test]
+fn the_sum_keeps_to_the_ramp_with_even_traffic() {
+    holds(Case::EVEN);
+}
+
+#[test]
+fn the_sum_keeps_to_the_ramp_where_one_process_has_half_of_the_traffic() {
+    holds(Case { name: "uneven", processes: 20, uneven: true, ..Case::EVEN });
+}
+
+#[test]
+fn the_sum_keeps_to_the_ramp_where_a_third_hears_late() {
+    holds(Case { name: "late", returns: true, late_s: 1.5, ..Case::EVEN });
+}
+
+#[test]
+fn the_sum_keeps_to_the_ramp_while_processes_start_again() {
+    holds(Case { name: "restarts", returns: true, restarts: &[0.5, 1.5, 3.0], ..Case::EVEN });
+}
+
+#[test]
+fn the_sum_keeps_to_the_ramp_where_the_server_is_cold_again() {
+    holds(Case { name: "again", processes: 20, again_s: Some(3.0), ..Case::EVEN });
+}
+
+/// Crooked processes, each told to be alone, keep to their shares, and the sum does not.
+#[test]
+fn a_sum_over_the_ramp_is_caught() {
+    played(Case { name: "each alone", alone: true, ..Case::EVEN }, |report| {
+        report.lives[0].broken.map(|_| ()).ok_or_else(|| "the sum is not caught".into())
+    });
+}
+
+/// N is 20 at the start: 30.9 requests are borne; at half of the ramp, 40: 54.6.
+const RAMP: Ramp =
+    Ramp { capacity: 20.0, cold_from: 0.5, warm_within_s: 10.0, fall_multiple: 2.0, fall_s: 1.0 };
+
+fn burst(at: f64, count: usize, process: usize) -> Vec<Arrival> {
+    (0..count).map(|one| Arrival { at: at + 0.001 * one as f64, process }).collect()
+}
+
+fn broken(arrivals: &[Arrival], told: &[f64]) -> Option<Window> {
+    RAMP.windows(arrivals, told).into_iter().find(Window::breaks)
+}
+
+#[test]
+fn the_budget_is_what_the_settings_allow_with_its_scatter() {
+    assert_eq!(RAMP.most(0.0), 20.0 + 2.0 * 20.0_f64.sqrt() + 2.0);
+    let later = RAMP.most(5.0) - (30.0 + 2.0 * 30.0_f64.sqrt() + 2.0);
+    assert!(later.abs() < 1e-9);
+}
+
+#[test]
+fn a_planted_overshoot_is_caught_in_whichever_window() {
+    assert_eq!(broken(&burst(0.0, 30, 0), &[0.0]), None);
+    let found = broken(&burst(0.0, 31, 0), &[0.0]).expect("over the budget");
+    assert_eq!((found.sent, found.told), (31, 31));
+    // Across the border of whole seconds, by many processes of which each sent one, and told in no order.
+    let mut spread: Vec<Arrival> =
+        (0..33).map(|process| Arrival { at: 0.7 + 0.02 * process as f64, process }).collect();
+    spread.reverse();
+    assert!(broken(&spread, &[0.0; 33]).is_some());
+    // As many in a little more than the window, and later in the ramp, are borne.
+    let thin: Vec<Arrival> = (0..31).map(|one| Arrival { at: 0.034 * one as f64, process: 0 }).collect();
+    assert_eq!(broken(&thin, &[0.0]), None);
+    assert_eq!(broken(&burst(6.0, 42, 0), &[0.0]), None);
+    assert!(broken(&burst(6.0, 45, 0), &[0.0]).is_some());
+    // A warm server bears what it does.
+    assert_eq!(broken(&burst(11.5, 500, 0), &[0.0]), None);
+}
+
+#[test]
+fn who_was_not_told_is_not_to_blame() {
+    let both: Vec<Arrival> = [burst(0.0, 20, 0), burst(0.0, 12, 1)].concat();
+    // 20 of 32 knew: under two thirds. Once the other has been told, all of them.
+    assert_eq!(broken(&both, &[0.0, 5.0]), None);
+    assert!(RAMP.windows(&both, &[0.0, 5.0]).iter().any(Window::falls));
+    assert!(broken(&both, &[0.0, 0.0]).is_some());
+    // A process that nobody knows was told of nothing.
+    assert_eq!(broken(&burst(0.0, 40, 7), &[0.0]), None);
+}
+
+#[test]
+fn the_fullest_window_is_told_by_what_it_may_hold() {
+    let arrivals: Vec<Arrival> = [burst(0.0, 20, 0), burst(6.0, 21, 0)].concat();
+    let found = fullest(&RAMP.windows(&arrivals, &[0.0])).expect("some");
+    assert_eq!(found.sent, 20);
+    assert_eq!(fullest(&[]), None);
+}
