Thirty processes killed at once are ready within 10 s, also where discovery turns callers away

`lab/tests/restart.rs`: 30 processes of the program serve, all get SIGKILL, discovery goes down, they are started again at once, and discovery is back after 4 s. Nine in ten have to answer /ready with 200 within 10 s of their start, the last within 14 s, each has to serve a call, and no 100 ms may see half of them call discovery. Three cases: the list in their files (as the platform leaves it); no list; no list, and a discovery that works through six calls a second then and turns away whoever would wait longer than 0.3 s.

Cause: after five failures the module waits 2.5 to 5 s between asks, so that a process turned away at 6 to 7 s is back at 9 to 12 s.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod processes;
 pub mod ramp;
 pub mod relay;
+pub mod restart;
 pub mod scene;
 pub mod shared;
 pub mod stand;
--- /dev/null
+++ b/lab/tests/restart.rs
@@ -0,0 +1,74 @@
+//! Nine in ten restarted processes are ready within 10 s: 30 killed at once, discovery down for the first 4 s.
+mod beside;
+
+use beside::{program, turn};
+use oakhollow_lab::restart::{play, Case, Report};
+use oakhollow_lab::shared::{figure, Capacity, Down, Met};
+
+const CASE: Case =
+    Case { name: "known list", processes: 30, known: true, down: Down::Refused, down_s: 4.0, capacity: None };
+
+fn told(case: &Case, report: &Report) {
+    let at = |part: f64| report.ready[((report.ready.len() as f64 * part).ceil() as usize).max(1) - 1];
+    println!(
+        "{}: ready after {:.2} s (first), {:.2} (half), {:.2} (nine in ten), {:.2} (last); calls to discovery: {} while down, \
+         {} told, {} turned away, at most {} in 100 ms after its return; pulse {:.3} s late",
+        case.name,
+        at(0.0),
+        at(0.5),
+        at(0.9),
+        at(1.0),
+        report.count(Met::Closed),
+        report.count(Met::Told),
+        report.count(Met::TurnedAway),
+        report.most_at_once(0.0, f64::INFINITY),
+        report.pulse,
+    );
+    for second in 0..8 {
+        let bin = |tenth: usize| {
+            let from = f64::from(second) + 0.1 * tenth as f64;
+            report.calls.iter().filter(|(at, _)| (from..from + 0.1).contains(at)).count().to_string()
+        };
+        let bins: Vec<String> = (0..10).map(bin).collect();
+        println!("  calls in each 100 ms from {second} s after its return: {}", bins.join(" "));
+    }
+}
+
+/// Nine in ten within 10 s, the last soon after, and no moment at which half of them call discovery.
+fn holds(case: Case) {
+    let _turn = turn();
+    let program = program();
+    let judge = |report: &Report| {
+        told(&case, report);
+        let (nine_in_ten, last) =
+            (report.ready[case.processes * 9 / 10 - 1], report.ready[case.processes - 1]);
+        let most = report.most_at_once(0.0, f64::INFINITY);
+        match () {
+            _ if nine_in_ten > 10.0 => Err(format!("nine in ten are ready after {nine_in_ten:.2} s")),
+            _ if last > 14.0 => Err(format!("the last is ready after {last:.2} s")),
+            _ if report.serve < case.processes => Err(format!("{} serve in the end", report.serve)),
+            _ if most > case.processes / 2 => Err(format!("{most} call discovery in 100 ms")),
+            _ => Ok(()),
+        }
+    };
+    if let Err(fault) = figure(case.name, || play(&program, &case), judge) {
+        panic!("{fault}");
+    }
+}
+
+#[test]
+fn with_a_known_list_they_are_ready_while_discovery_is_down() {
+    holds(CASE);
+}
+
+#[test]
+fn without_a_list_they_are_ready_soon_after_its_return() {
+    holds(Case { name: "no list", known: false, ..CASE });
+}
+
+/// It works through one call of each process in five seconds, and whoever would wait for longer than 0.3 s is turned away.
+#[test]
+fn without_a_list_and_with_too_many_callers_at_its_return() {
+    let capacity = Some(Capacity { a_second: 6.0, patience_s: 0.3 });
+    holds(Case { name: "no list, too many callers", known: false, down: Down::Closed, capacity, ..CASE });
+}
