--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,13 +2,17 @@
 //! relay on every link between instances, faults by script, and a judge who reads what servers and callers saw.
 //! A scene is a small text file, see [`scene`].
 pub mod admission;
+pub mod budget;
 pub mod judge;
 pub mod play;
 pub mod processes;
+pub mod ramp;
 pub mod relay;
 pub mod replays;
 pub mod scale;
+pub mod restart;
 pub mod scene;
+pub mod shared;
 pub mod stand;
 pub mod stand_in;
 pub mod traffic;
