A chain of sidecars in the rig: what it adds in pairs, its wake-ups, and how far calls multiply

`oakhollow-lab chain` plays D sidecars, each before an app that passes the call on, and the same apps without sidecars, in turn in short rounds: an open loop counted from when each call was due. Each pair gives one difference at p50 and p99; told are mean and 95 % interval (t), and where the interval is wider than the figure that it can't be told. A pair whose caller ran late (by default over 1 call in 100 more than 5 ms) gives no figure. Beside it what other load changes little: from the write before a link to the first byte behind it, there and back, on one clock; voluntary context switches, processor time, time without a processor and read/write calls of each sidecar for a hop. Calls of recv and send are not in the latter. Then the last tier slow: hops at each tier for a call, with the bound that a tier's share gives.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! A rig for experiments with many processes of the program `oakhollow` on loopback: stand-in servers and discoveries, a
 //! relay on every link between instances, faults by script, and a judge who reads what servers and callers saw.
 //! A scene is a small text file, see [`scene`].
+pub mod chain;
 pub mod judge;
 pub mod play;
 pub mod processes;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,13 @@
 //! `oakhollow-lab`: plays scenes with many processes of the program.
 use clap::{Parser, Subcommand};
+use oakhollow_lab::chain::{report, Plan};
 use oakhollow_lab::play::{self, play, Arm};
 use oakhollow_lab::scene::Scene;
 use oakhollow_lab::stand_in::{run, How};
 use oakhollow_lab::traffic::{measure, Report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// A rig for many processes of oakhollow, with faults between them.
 #[derive(Parser)]
@@ -47,6 +49,43 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// What a chain of sidecars adds to a call, and how many calls reach its last tier when that is slow.
+    Chain {
+        /// Tiers, each with a sidecar before it; each number is played by itself.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 9], value_parser = clap::value_parser!(u16).range(1..=50))]
+        depth: Vec<u16>,
+        /// Calls a second, sent when they are due whatever has become of those before.
+        #[arg(long, default_value_t = 105.0, value_parser = positive)]
+        rate: f64,
+        /// Each a round with and one without the sidecars.
+        #[arg(long, default_value_t = 8)]
+        pairs: usize,
+        /// Of each round.
+        #[arg(long, default_value_t = 2.0, value_parser = positive)]
+        seconds: f64,
+        /// In each tier.
+        #[arg(long, default_value_t = 3)]
+        servers: usize,
+        /// A pair with a larger share of calls that go out over 5 ms late gives no figure.
+        #[arg(long, default_value_t = 0.01)]
+        late_share: f64,
+        /// What an answer takes in the slow round, and one in 20 ten times that; 0 plays none.
+        #[arg(long, default_value_t = 20)]
+        slow_ms: u64,
+        #[arg(long, default_value_t = 6.0, value_parser = positive)]
+        slow_seconds: f64,
+        /// What each tier may add, for the bound that is reckoned.
+        #[arg(long, default_value_t = 0.05)]
+        budget: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The figures as JSON, an object a line.
+        #[arg(long)]
+        json: bool,
+        /// The program; beside this one if it is not named.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Stands in for a sidecar, in a scene.
     #[command(hide = true)]
     StandIn {
@@ -76,6 +115,29 @@
     println!("{file}: longest contradiction {length:.3} s of {:.3} s", scene.within);
 }
 
+fn positive(text: &str) -> Result<f64, String> {
+    let number = text.parse().ok().filter(|number| (1e-3..=1e5).contains(number));
+    number.ok_or_else(|| "must be a number from 0.001 to 100000".into())
+}
+
+/// The program that was built with this one.
+fn beside() -> PathBuf {
+    std::env::current_exe().unwrap_or_default().with_file_name("oakhollow")
+}
+
+/// False if it could not be played.
+fn play_chain(plan: &Plan, to_play: &report::Play, json: bool) -> bool {
+    match report::play(plan, to_play) {
+        Ok(report) if json => report.json(to_play).iter().for_each(|line| println!("{line}")),
+        Ok(report) => print!("{}", report.text(to_play)),
+        Err(why) => {
+            eprintln!("oakhollow-lab: depth {}: {why}", plan.depth);
+            return false;
+        }
+    }
+    true
+}
+
 fn main() -> ExitCode {
     match Args::parse().command {
         Command::StandIn { how, file, operator } => {
@@ -97,9 +159,42 @@
             }
             ExitCode::SUCCESS
         }
+        Command::Chain {
+            depth,
+            rate,
+            pairs,
+            seconds,
+            servers,
+            late_share,
+            slow_ms,
+            slow_seconds,
+            budget,
+            seed,
+            json,
+            program,
+        } => {
+            let program = program.unwrap_or_else(beside);
+            let to_play = report::Play {
+                rate,
+                pairs,
+                length: Duration::from_secs_f64(seconds),
+                lead: Duration::from_millis(500),
+                late_share,
+                slow: Duration::from_millis(slow_ms),
+                slow_length: Duration::from_secs_f64(slow_seconds),
+                budget,
+            };
+            let plan = |depth| Plan { program: &program, depth, servers, seed };
+            let whole = depth.into_iter().all(|depth| play_chain(&plan(depth.into()), &to_play, json));
+            if whole {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
         Command::Play { files, seed, json, alone, program, logs } => {
             let own = std::env::current_exe().unwrap_or_default();
-            let program = program.unwrap_or_else(|| own.with_file_name("oakhollow"));
+            let program = program.unwrap_or_else(beside);
             let arm = Arm { program: &program, stand_in: &own, agreed: !alone, seed };
             match files.iter().filter(|file| !play_one(file, &arm, json, logs)).count() {
                 0 => ExitCode::SUCCESS,
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -129,6 +129,11 @@
         Ok(())
     }
 
+    /// None where none runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn signal(&self, signal: Signal) {
         if let Some(id) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
             let _ = kill_process(id, signal);
