--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -64,8 +64,8 @@
         #[arg(long, default_value_t = 2.0, value_parser = positive)]
         seconds: f64,
         /// In each tier.
-        #[arg(long, default_value_t = 3)]
-        servers: usize,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=100))]
+        servers: u16,
         /// A pair with a larger share of calls that go out over 5 ms late gives no figure.
         #[arg(long, default_value_t = 0.01)]
         late_share: f64,
@@ -184,7 +184,7 @@
                 slow_length: Duration::from_secs_f64(slow_seconds),
                 budget,
             };
-            let plan = |depth| Plan { program: &program, depth, servers, seed };
+            let plan = |depth| Plan { program: &program, depth, servers: servers.into(), seed };
             let whole = depth.into_iter().all(|depth| play_chain(&plan(depth.into()), &to_play, json));
             if whole {
                 ExitCode::SUCCESS
