--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,14 +3,15 @@
 //! A scene is a small text file, see [`scene`].
 pub mod admission;
 pub mod budget;
+pub mod chain;
 pub mod judge;
 pub mod play;
 pub mod processes;
 pub mod ramp;
 pub mod relay;
 pub mod replays;
-pub mod scale;
 pub mod restart;
+pub mod scale;
 pub mod scene;
 pub mod shared;
 pub mod stand;
