No first byte for a caller that left while the process stood; tests on leavers

Seen: a new test (sidecar/tests/leavers) measures from a client's close to the first byte that a server sees, at eight moments, on a whole core and on a fifth (SIGSTOP and SIGCONT: 5 ms of 25). All were kept, but in one run on a busy machine (load 43) ten of twelve leavers had first bytes up to 572 ms after their close, when connections came up. Forced by a process that stands for 0.25 to 0.9 s: connecting, red 3 of 3 (903 ms after the close), at its copy, red 2 of 3 (303 and 316 ms).

Cause, by a trace of turns, notes and first bytes: (1) the end of a caller and its hop's connection are heard in one turn; the hop's task is woken before the module has heard of the withdrawal, and writes. (2) the machine had told one of six ends as the thread was stopped; let run again 0.3 s later it took all timers that were due by then and sent six copies, before it asked for the other ends. Ruled out: the queue and the verdict (withdrawals are heard before hops run), lateness of the stand-in (it notes its own, and runs on one thread).

Change: before a hop's first byte `exchange` looks at its caller's end, by what the machine tells now: where it was asked 10 ms ago or longer, it is asked again. The withdrawal, which is on its way, ends the hop. Nothing changes for the module.

Not mended: an end that the client's machine holds back behind a longer body than ours takes (150 kB told, 200 kB not, by a probe without our code; resets are told).

Seen to fail on purpose: with `gone` in callers.rs waiting for ever, seven of eight cases are red on both shares; the eighth (a burst just come), which `has_ended` guards as well, with both out.

--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/callers.rs
@@ -184,7 +184,7 @@
         if self.stream.has_ended() {
             return Ok(None);
         }
-        let (call, verdict) = door.desk.take(ask, Outgoing::new(request)?).await;
+        let (call, verdict) = door.desk.take(ask, Outgoing::new(request, self.stream.end())?).await;
         let answered = async { (&verdict).await };
         let (stream, inbox) = (&self.stream, &mut self.inbox);
         // Read on for a while, so that what the machine holds of the next request does not grow stale.
@@ -210,7 +210,7 @@
         ask.abandon = (ask.abandon + Micros(longest.as_micros() as u64)).min(door.latest());
         let id = head.only("Request-Id")?.unwrap_or_default();
         let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
-        let (content, feed) = Outgoing::begun(&head, kept, &rest, left)?;
+        let (content, feed) = Outgoing::begun(&head, kept, &rest, left, self.stream.end())?;
         if self.stream.has_ended() {
             return Ok(None);
         }
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -5,7 +5,7 @@
 use super::pool::{Link, Pool};
 use super::Fence;
 use crate::decider::{End, Told, Written};
-use crate::reactor::{Async, Timer};
+use crate::reactor::{Async, EndOf, Timer};
 use crate::timers::duration;
 use async_channel::{bounded, Receiver, Sender};
 use futures_lite::{future, AsyncWrite};
@@ -31,6 +31,8 @@
 pub struct Outgoing {
     front: Vec<u8>,
     body: Vec<u8>,
+    /// Whether its caller has gone.
+    gone: EndOf,
     upload: Option<Upload>,
 }
 
@@ -65,17 +67,19 @@
 }
 
 impl Outgoing {
-    pub fn new(request: Message) -> Result<Outgoing, Fault> {
+    pub fn new(request: Message, gone: EndOf) -> Result<Outgoing, Fault> {
         let Message { head, body, .. } = request;
         let (mut front, method) = Outgoing::front(&head)?;
         if !body.is_empty() || method != "GET" {
             front.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
         }
-        Ok(Outgoing { front, body, upload: None })
+        Ok(Outgoing { front, body, gone, upload: None })
     }
 
     /// A request of which only the first part has come.
-    pub fn begun(head: &Head, kept: Vec<u8>, rest: &Rest, left: Micros) -> Result<(Outgoing, Feed), Fault> {
+    pub fn begun(
+        head: &Head, kept: Vec<u8>, rest: &Rest, left: Micros, gone: EndOf,
+    ) -> Result<(Outgoing, Feed), Fault> {
         let (mut front, _) = Outgoing::front(head)?;
         match rest.length() {
             Some(length) => front.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
@@ -86,7 +90,7 @@
         let (sender, parts) = bounded(1);
         let parts = RefCell::new(Some(parts));
         let upload = Some(Upload { parts, whole: whole.clone(), chunked, left });
-        Ok((Outgoing { front, body, upload }, Feed { parts: Some(sender), whole }))
+        Ok((Outgoing { front, body, gone, upload }, Feed { parts: Some(sender), whole }))
     }
 
     fn front(head: &Head) -> Result<(Vec<u8>, &str), Fault> {
@@ -234,6 +238,11 @@
     if target.shut() {
         return Err(Outcome::NotSent);
     }
+    // Guards against a first byte for a caller whose end came in one turn with the connection, or with what its call waited for:
+    // the withdrawal, which is on its way, ends this hop.
+    if content.gone.has_come() {
+        return future::pending().await;
+    }
     let mut inbox = Assembler::new(Side::Answers);
     let sent = write(&link.stream, &content.bytes(give_up)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -23,6 +23,8 @@
 
 /// Events taken from the machine at a time.
 const BATCH: usize = 256;
+/// What the machine was asked for no longer ago than that counts as now.
+const FRESH: Duration = Duration::from_millis(10);
 /// Marks the bell among the registered.
 const BELL: u64 = u64::MAX;
 
@@ -37,6 +39,8 @@
     timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
     /// Numbers given to sources and timers, so that none is taken for another.
     given: Cell<u64>,
+    /// When the machine was last asked: what it told may be as old as that.
+    asked: Cell<Instant>,
     bell: Arc<Bell>,
 }
 
@@ -136,6 +140,7 @@
             sources: RefCell::default(),
             timers: RefCell::default(),
             given: Cell::new(0),
+            asked: Cell::new(Instant::now()),
             bell: Arc::new(bell),
         })
     }
@@ -173,14 +178,31 @@
         } else {
             Some(Duration::ZERO)
         };
+        self.ask(timeout)?;
+        self.ring_due();
+        Ok(())
+    }
+
+    /// Asks the machine again if it was not asked a moment ago. Guards against acting on what was so before the thread stood
+    /// still: it may have been told of one thing that happened, and be let run again long after others did.
+    fn catch_up(&self) {
+        if self.asked.get().elapsed() >= FRESH {
+            while self.ask(Some(Duration::ZERO)).is_ok_and(|told| told == BATCH) {}
+        }
+    }
+
+    /// Takes what the machine has to tell within that time, and wakes those concerned. Returns how much that was.
+    fn ask(&self, timeout: Option<Duration>) -> Result<usize> {
         let timeout = timeout
             .map(|length| Timespec { tv_sec: length.as_secs() as _, tv_nsec: length.subsec_nanos() as _ });
         let mut events = [const { std::mem::MaybeUninit::uninit() }; BATCH];
+        self.asked.set(Instant::now());
         let told = match epoll::wait(&self.epoll, &mut events, timeout.as_ref()) {
             Ok((told, _)) => told,
-            Err(Errno::INTR) => return Ok(()),
+            Err(Errno::INTR) => return Ok(0),
             Err(fault) => return Err(fault.into()),
         };
+        let count = told.len();
         for event in told {
             let (flags, data) = (event.flags, event.data.u64());
             if data == BELL {
@@ -193,8 +215,7 @@
                 source.told(flags);
             }
         }
-        self.ring_due();
-        Ok(())
+        Ok(count)
     }
 
     fn ring_due(&self) {
@@ -246,6 +267,21 @@
     shared: bool,
 }
 
+/// Tells of the end of a socket, also to one that doesn't hold it.
+#[derive(Clone)]
+pub struct EndOf {
+    source: Rc<Source>,
+    reactor: Rc<Reactor>,
+}
+
+impl EndOf {
+    /// As [`Async::has_ended`], but by what the machine tells now.
+    pub fn has_come(&self) -> bool {
+        self.reactor.catch_up();
+        self.source.ended.get()
+    }
+}
+
 impl<T: AsFd> Drop for Async<T> {
     fn drop(&mut self) {
         // The close, which follows, ends the registration of a socket that no other process holds.
@@ -326,6 +362,10 @@
         self.source.ended.get()
     }
 
+    pub fn end(&self) -> EndOf {
+        EndOf { source: self.source.clone(), reactor: self.reactor.clone() }
+    }
+
     /// Waits for that, without reading.
     pub async fn ended(&self) {
         poll_fn(|context| match self.has_ended() {
@@ -508,6 +548,17 @@
         assert_eq!(read.expect("a reactor").expect("read"), (3, true));
     }
 
+    #[test]
+    fn an_end_is_seen_that_came_since_the_machine_was_asked() {
+        let (here, there) = pair();
+        block_on(async { _ = Timer::after(Duration::from_millis(20)).await }).expect("a reactor");
+        let end = here.end();
+        assert!(!end.has_come());
+        drop(there);
+        std::thread::sleep(FRESH);
+        assert!(!here.has_ended() && end.has_come() && here.has_ended());
+    }
+
     #[test]
     fn more_than_the_buffer_and_more_than_the_machine_holds_goes_through() {
         let (here, mut there) = pair();
--- /dev/null
+++ b/sidecar/tests/leavers/program.rs
@@ -0,0 +1,137 @@
+//! The program itself, started for one play, whole or at a fifth of a core.
+use crate::machine::Stalls;
+use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// A fifth of a core: running for so long, then stopped for so long, over and over.
+const RUNS: Duration = Duration::from_millis(5);
+const STOPS: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Share {
+    Whole,
+    Fifth,
+}
+
+pub struct Program {
+    pub address: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+    over: Arc<AtomicBool>,
+    /// Microseconds in which it was let run, and in which it stood.
+    times: Arc<[AtomicU64; 2]>,
+    pacer: Option<JoinHandle<()>>,
+}
+
+impl Program {
+    pub fn start(servers: &[SocketAddr]) -> Program {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("oakhollow-leavers-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let file = folder.join("sidecar.json");
+        std::fs::write(&file, config(servers)).expect("the file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oakhollow"));
+        command.arg(&file).env("TMPDIR", &folder).stderr(Stdio::piped());
+        // SAFETY: one system call, which allocates nothing. Guards against one left behind, stopped, by a test that is killed.
+        unsafe {
+            command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?));
+        }
+        let mut child = command.spawn().expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let (mut line, mut address) = (String::new(), None);
+        while address.is_none() && log.read_line(&mut line).is_ok_and(|count| count > 0) {
+            let rest = line.split_once("listening on ").map(|(_, rest)| rest);
+            address = rest.and_then(|rest| rest.split([',', ' ', '\n']).next()?.parse().ok());
+        }
+        // Read on: a log that nobody takes is dropped, not waited for, but its pipe would stay full.
+        thread::spawn(move || log.read_to_end(&mut Vec::new()));
+        let address = address.unwrap_or_else(|| panic!("it doesn't listen: {line}"));
+        Program { address, child, folder, over: Arc::default(), times: Arc::default(), pacer: None }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("signalled");
+    }
+
+    /// From now on it has a fifth of a core. A stop that lasts longer than meant is the machine's.
+    pub fn pace(&mut self, stalls: &Arc<Stalls>) {
+        let (over, times, stalls) = (self.over.clone(), self.times.clone(), stalls.clone());
+        let add = |time: &AtomicU64, length: Duration| {
+            time.fetch_add(length.as_micros() as u64, Ordering::Relaxed);
+        };
+        let id = Pid::from_child(&self.child);
+        self.pacer = Some(thread::spawn(move || {
+            let mut runs = Instant::now();
+            while !over.load(Ordering::Relaxed) {
+                thread::sleep(RUNS);
+                let stopped = Instant::now();
+                kill_process(id, Signal::STOP).expect("stopped");
+                add(&times[0], stopped - runs);
+                thread::sleep(STOPS);
+                kill_process(id, Signal::CONT).expect("continued");
+                runs = Instant::now();
+                add(&times[1], runs - stopped);
+                stalls.note(stopped + STOPS, runs);
+            }
+        }));
+    }
+
+    /// The part of the time in which it was let run.
+    pub fn part(&self) -> f64 {
+        let [ran, stood] = [0, 1].map(|at| self.times[at].load(Ordering::Relaxed) as f64);
+        if stood > 0.0 {
+            ran / (ran + stood)
+        } else {
+            1.0
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // The pacer first: its signals are for a process that is still ours.
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(pacer) = self.pacer.take() {
+            let _ = pacer.join();
+        }
+        let _ = (self.child.kill(), self.child.wait());
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn config(servers: &[SocketAddr]) -> String {
+    let entry = |(at, address): (usize, &SocketAddr)| {
+        format!(
+            r#"{{"name":"s{at}","address":"{address}","zone":"a","group":0,"status":"active","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let entries: Vec<String> = servers.iter().enumerate().map(entry).collect();
+    let workload = |(name, semantics)| {
+        format!(
+            r#"{{"name":"{name}","semantics":"{semantics}","group":"cell","memory_span_s":9,"quoted_time_s":8,"abandon_time_s":10,"payoff":1}}"#
+        )
+    };
+    let kinds = [("view", "read_like"), ("save", "idempotency_key"), ("pay", "non_idempotent")];
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+        "limits":{{"memory_mb":192,"sockets":1024}},"known":{{"index":7,"snapshot":true,"endpoints":[{}]}},
+        "settings":{{"me":0,"balancers":1,"zones":["a"],
+        "bounds":{{"most_hops":4,"cancel":true,"parallel_tries":true,"retry_after":true,"connect_timeout_s":5}},
+        "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},"workloads":[{}]}}}}"#,
+        entries.join(","),
+        kinds.map(workload).join(",")
+    )
+}
