A thread that is awake rings no bell for itself

Cause: `turn` wakes those concerned while the mark of a sleeping thread still stands; it falls only once `turn` is back. Now it falls as soon as the wait is over: whoever is woken after it is polled next anyway.

The new test found 50 writes for 50 timers before.

--- a/sidecar/src/reactor.rs
+++ b/sidecar/src/reactor.rs
@@ -197,7 +197,10 @@
             .map(|length| Timespec { tv_sec: length.as_secs() as _, tv_nsec: length.subsec_nanos() as _ });
         let mut events = [const { std::mem::MaybeUninit::uninit() }; BATCH];
         self.asked.set(Instant::now());
-        let told = match epoll::wait(&self.epoll, &mut events, timeout.as_ref()) {
+        let waited = epoll::wait(&self.epoll, &mut events, timeout.as_ref());
+        // Whoever is woken from here on is polled next: guards against a bell that this thread rings for itself.
+        self.bell.asleep.store(false, Ordering::SeqCst);
+        let told = match waited {
             Ok((told, _)) => told,
             Err(Errno::INTR) => return Ok(0),
             Err(fault) => return Err(fault.into()),
@@ -612,6 +615,25 @@
         other.join().expect("ended");
     }
 
+    /// What the machine counts of this thread's calls of `write`; those of `send` are not among them.
+    fn writes() -> u64 {
+        let io = std::fs::read_to_string("/proc/thread-self/io").expect("the machine tells");
+        io.lines().find_map(|line| line.strip_prefix("syscw: ")?.parse().ok()).expect("a count")
+    }
+
+    #[test]
+    fn a_thread_that_is_awake_rings_no_bell_for_itself() {
+        let before = writes();
+        let timers = async {
+            for _ in 0..50 {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        };
+        block_on(timers).expect("a reactor");
+        let rung = writes() - before;
+        assert!(rung < 5, "{rung} writes for 50 timers");
+    }
+
     #[test]
     fn nobody_there_is_told() {
         let free =
