Instances may hear of the servers on their own lists alone: scope in [accord], and the rigs play it

accord.scope = "listed": the sidecar subscribes; what its list names and nobody tells of yet is held back at its workers before they hear of that list.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 use oakhollow_lab::scene::Scene;
 use oakhollow_lab::stand_in::{run, How};
 use oakhollow_lab::traffic::{measure, Report};
+use oakhollow_terms::Scope;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -114,6 +115,9 @@
     /// How long two instances may differ, in seconds.
     #[arg(long, default_value_t = 13.0)]
     within: f64,
+    /// Each hears of the servers on its own list alone.
+    #[arg(long)]
+    listed: bool,
     #[arg(long, default_value_t = 1)]
     seed: u64,
     #[arg(long, default_value_t = 400)]
@@ -154,6 +158,7 @@
         program: &program,
         day: args.day,
         within: args.within,
+        scope: if args.listed { Scope::Listed } else { Scope::All },
         seed: args.seed,
         shape: Shape {
             services: args.services.max(1),
--- a/lab/src/scale/fleet.rs
+++ b/lab/src/scale/fleet.rs
@@ -6,6 +6,7 @@
 use crate::stand::{self, Discovery, Notes};
 use crate::stand_in::document;
 use oakhollow_accord::Document;
+use oakhollow_terms::Scope;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -48,6 +49,7 @@
     /// Sidecars beside the keepers.
     pub sidecars: usize,
     pub within: f64,
+    pub scope: Scope,
     pub hollow: &'a [String],
     /// Servers on every real one's list: those of the first service.
     pub servers: usize,
@@ -158,8 +160,12 @@
 /// The operator's file, the same for all: it names every instance, hollow ones too.
 fn operator(wanted: &Wanted, names: &[String], keepers: &[SocketAddr]) -> String {
     let mut text = format!(
-        "[accord]\nwithin = {:?}\nkeepers = [{}]\n\n[accord.instances]\n",
+        "[accord]\nwithin = {:?}\nscope = \"{}\"\nkeepers = [{}]\n\n[accord.instances]\n",
         wanted.within,
+        match wanted.scope {
+            Scope::All => "all",
+            Scope::Listed => "listed",
+        },
         names[..KEEPERS].iter().map(|name| format!("{name:?}")).collect::<Vec<_>>().join(", ")
     );
     // Those who keep nothing are dialled by nobody; their addresses are as long as a machine's all the same.
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -4,7 +4,7 @@
 use super::link::Link;
 use oakhollow::types::Micros;
 use oakhollow_accord::{Action, Document, InstanceId, Judge, Listed, Member, Version};
-use oakhollow_terms::Greeting;
+use oakhollow_terms::{Greeting, Scope};
 use std::sync::Arc;
 
 /// What an instance is from its start on.
@@ -25,6 +25,7 @@
     /// The length of a lease, as a member counts it.
     pub lease: Micros,
     pub document: Document,
+    pub scope: Scope,
 }
 
 impl Common {
@@ -32,7 +33,11 @@
         let keepers = (0..self.keepers).map(|at| InstanceId(at as u32)).collect();
         // It can take whatever it is told: it carries no calls by it.
         let judge: Judge = Arc::new(|_: &[Arc<str>]| Ok(()));
-        Member::new(keepers, self.lease, judge)
+        let member = Member::new(keepers, self.lease, judge);
+        match self.scope {
+            Scope::All => member,
+            Scope::Listed => member.subscribing(),
+        }
     }
 }
 
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -10,6 +10,7 @@
 use crate::stand::{self, Notes};
 use nanorand::WyRand;
 use oakhollow::types::Micros;
+use oakhollow_terms::Scope;
 use rustix::process::{getrlimit, Resource};
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -22,6 +23,8 @@
     pub program: &'a Path,
     pub day: Day,
     pub within: f64,
+    /// Of which servers instances hear.
+    pub scope: Scope,
     pub seed: u64,
     pub shape: catalogue::Shape,
     /// Real ones beside the keepers, and the calls a second at each.
@@ -189,6 +192,7 @@
         program: plan.program,
         sidecars: plan.sidecars,
         within: plan.within,
+        scope: plan.scope,
         hollow: &hollow,
         servers: plan.shape.servers,
         seed: plan.seed,
@@ -196,7 +200,7 @@
     let mut fleet = Fleet::start(&wanted, clock.0, &notes)?;
     fleet.answers()?;
     let lease = oakhollow_accord::lease(oakhollow_terms::micros(plan.within));
-    let common = Common { keepers: KEEPERS, lease, document: fleet.document.clone() };
+    let common = Common { keepers: KEEPERS, lease, document: fleet.document.clone(), scope: plan.scope };
     let begun = clock.now();
     let mut parts: Vec<Vec<Born>> = vec![Vec::new(); plan.threads.max(1)];
     for (at, one) in born.iter().enumerate() {
--- a/lab/src/traffic.rs
+++ b/lab/src/traffic.rs
@@ -6,7 +6,7 @@
 use oakhollow_accord::{
     lease, Action, Document, Fact, Holder, InstanceId, Judge, Keeper, Listed, Member, Version, Word,
 };
-use oakhollow_terms::to_json;
+use oakhollow_terms::{to_json, Scope};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
@@ -62,10 +62,16 @@
 const SERVERS: usize = 100;
 
 impl Fleet {
-    fn new(instances: usize, within: Micros, seed: u64, listed: impl Fn(usize) -> Listed) -> Fleet {
+    fn new(
+        instances: usize, within: Micros, seed: u64, scope: Scope, listed: impl Fn(usize) -> Listed,
+    ) -> Fleet {
         let judge: Judge = Arc::new(|_: &[Arc<str>]| Ok(()));
         let names: Vec<InstanceId> = (0..KEEPERS as u32).map(InstanceId).collect();
-        let member = || Member::new(names.clone(), lease(within), judge.clone());
+        let all = || Member::new(names.clone(), lease(within), judge.clone());
+        let member = || match scope {
+            Scope::All => all(),
+            Scope::Listed => all().subscribing(),
+        };
         let mut fleet = Fleet {
             now: Micros(1),
             members: (0..instances).map(|_| member()).collect(),
@@ -215,7 +221,7 @@
 /// Plays a calm, a change, a server that drains, and a change while one is cut off.
 pub fn measure(instances: usize, within_s: f64, seed: u64) -> Report {
     let within = Micros((within_s * 1e6) as u64);
-    let mut fleet = Fleet::new(instances, within, seed, |_| {
+    let mut fleet = Fleet::new(instances, within, seed, Scope::All, |_| {
         let fact = |server| (Arc::from(format!("s-{server:08x}")), Some(fact(false)));
         Listed { index: 1, whole: true, entries: (0..SERVERS).map(fact).collect() }
     });
@@ -284,7 +290,7 @@
 const EACH: usize = 4;
 
 /// Counts, and times nothing: the same for one seed on any machine. There is an instance for each server.
-pub fn costs(instances: usize, within_s: f64, seed: u64) -> Costs {
+pub fn costs(instances: usize, within_s: f64, seed: u64, scope: Scope) -> Costs {
     let within = Micros((within_s * 1e6) as u64);
     let shape = Shape { services: instances.div_ceil(EACH), servers: EACH, zones: ZONES, calls: CALLS };
     let (catalogue, mut random) = (Catalogue::new(shape), WyRand::new_seed(seed));
@@ -293,7 +299,7 @@
         let servers = lists[at].iter().map(|server| *server as usize).filter(|server| tells(*server));
         catalogue.told(index, index == 1, servers.map(|server| (server, Told { since: 7, out })))
     };
-    let mut fleet = Fleet::new(instances, within, seed, |at| told(at, 1, false, &|_| true));
+    let mut fleet = Fleet::new(instances, within, seed, scope, |at| told(at, 1, false, &|_| true));
     let never = |_: &Member| false;
     fleet.run(within.times(3.0), never);
     let mut cost_of = |length: Micros, begin: &mut dyn FnMut(&mut Fleet)| {
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -5,6 +5,7 @@
 use oakhollow_lab::scale::fit::Fit;
 use oakhollow_lab::scale::report;
 use oakhollow_lab::scale::run::{step, PhaseReport, Plan, Role, StepReport};
+use oakhollow_terms::Scope;
 use std::path::Path;
 
 /// A small fleet, in which each service is called by several.
@@ -12,7 +13,7 @@
 const INSTANCES: usize = 14;
 
 /// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
-fn play(day: Day, instances: usize) -> Result<StepReport, String> {
+fn play(day: Day, instances: usize, scope: Scope) -> Result<StepReport, String> {
     let own = std::env::current_exe().expect("this test's path");
     let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
     assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
@@ -20,6 +21,7 @@
         program: &program as &Path,
         day,
         within: 2.0,
+        scope,
         seed: 3,
         shape: SMALL,
         sidecars: 1,
@@ -32,13 +34,22 @@
 
 #[test]
 fn more_instances_than_there_are_descriptors_for_are_refused_at_once() {
-    let why = play(Day::Rest, 1_000_000_000).expect_err("a line");
+    let why = play(Day::Rest, 1_000_000_000, Scope::All).expect_err("a line");
     assert!(why.starts_with("3000000300 descriptors are needed"), "{why}");
 }
 
 #[test]
 fn a_drain_that_one_list_tells_comes_to_all_who_call_there() {
-    let report = play(Day::Rest, INSTANCES).expect("all come to act");
+    one_drains(Scope::All);
+}
+
+#[test]
+fn so_it_does_where_each_hears_of_its_own_list_alone() {
+    one_drains(Scope::Listed);
+}
+
+fn one_drains(scope: Scope) {
+    let report = play(Day::Rest, INSTANCES, scope).expect("all come to act");
     let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
     assert_eq!(names, ["rest", "drain"]);
     let [rest, drain] = &report.phases[..] else { panic!("two phases") };
@@ -57,7 +68,16 @@
 
 #[test]
 fn a_zone_is_lost_and_comes_back() {
-    let report = play(Day::Zone, INSTANCES).expect("all come to act");
+    zone_is_lost(Scope::All);
+}
+
+#[test]
+fn so_it_is_where_each_hears_of_its_own_list_alone() {
+    zone_is_lost(Scope::Listed);
+}
+
+fn zone_is_lost(scope: Scope) {
+    let report = play(Day::Zone, INSTANCES, scope).expect("all come to act");
     let names: Vec<&str> = report.phases.iter().map(|phase| phase.name).collect();
     assert_eq!(names, ["rest", "lost", "back"]);
     let [_, lost, back] = &report.phases[..] else { panic!("three phases") };
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -17,7 +17,7 @@
 use oakhollow_accord::{
     Action, Document, Fact, Holder, InstanceId, Judge, Keeper, Listed, Member, Version, Word, MOST_WAITING,
 };
-use oakhollow_terms::{read, Accord as Operated, Entry, Greeting, List, Lists, Own, Start, Unsure};
+use oakhollow_terms::{read, Accord as Operated, Entry, Greeting, List, Lists, Own, Scope, Start, Unsure};
 use slog::{info, warn, Logger};
 use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
@@ -55,8 +55,8 @@
 enum Input {
     /// This instance's file was read; whoever read it waits to hear why it is not taken, if it isn't.
     Written(Box<Start>, Sender<String>),
-    /// The own list has told something, or can't be had.
-    Listed(Arc<List>),
+    /// The own list has told something, or can't be had. Whoever waits hears that it is carried out.
+    Listed(Arc<List>, Option<Sender<()>>),
     ListFails,
     /// A mark was set by hand here.
     Marked(Mark),
@@ -73,6 +73,7 @@
 #[derive(Clone)]
 pub struct Accord {
     inputs: Sender<Input>,
+    scope: Scope,
 }
 
 impl Accord {
@@ -85,7 +86,19 @@
     }
 
     pub async fn listed(&self, list: Arc<List>) {
-        let _ = self.inputs.send(Input::Listed(list)).await;
+        let _ = self.inputs.send(Input::Listed(list, None)).await;
+    }
+
+    /// To be waited for before workers hear of that list: what it names and nobody tells of yet is held back by then. True if
+    /// that was needed; otherwise they come first.
+    pub async fn listed_before(&self, list: &Arc<List>) -> bool {
+        if self.scope == Scope::All {
+            return false;
+        }
+        let (to, done) = bounded(1);
+        let _ = self.inputs.send(Input::Listed(list.clone(), Some(to))).await;
+        let _ = done.recv().await;
+        true
     }
 
     pub async fn list_fails(&self) {
@@ -166,9 +179,10 @@
     let (inputs, incoming) = bounded(MOST_INPUTS);
     let running = Running {
         keeper: keepers.contains(&me).then(|| Keeper::new(parts.clock.now(), within)),
-        member: match parts.operated.lists {
-            Lists::Drains => Member::new(keepers.clone(), within, judge),
-            Lists::Whole => Member::new(keepers.clone(), within, judge).with_whole_lists(),
+        member: match (parts.operated.lists, parts.operated.scope) {
+            (Lists::Whole, _) => Member::new(keepers.clone(), within, judge).with_whole_lists(),
+            (Lists::Drains, Scope::All) => Member::new(keepers.clone(), within, judge),
+            (Lists::Drains, Scope::Listed) => Member::new(keepers.clone(), within, judge).subscribing(),
         },
         names,
         me,
@@ -181,7 +195,7 @@
         out: Elsewhere::new(),
         parts,
     };
-    let accord = Accord { inputs: inputs.clone() };
+    let accord = Accord { inputs: inputs.clone(), scope: running.parts.operated.scope };
     Ok((accord, running.run((document, known), keepers, (inputs, incoming))))
 }
 
@@ -261,6 +275,7 @@
     /// Takes what has come, or that it is time for something.
     async fn take(&mut self, input: Option<Input>) {
         let (now, mut actions, mut out) = (self.parts.clock.now(), Vec::new(), Vec::new());
+        let mut waits = None;
         match input {
             None => {
                 self.member.woke(now, &mut actions);
@@ -268,8 +283,8 @@
                     keeper.woke(now, &mut out);
                 }
             }
-            Some(Input::Listed(list)) => {
-                self.cut_off = false;
+            Some(Input::Listed(list, done)) => {
+                (self.cut_off, waits) = (false, done);
                 self.member.listed(now, told(&list, self.parts.operated.lists), &mut actions);
             }
             Some(Input::ListFails) => {
@@ -318,6 +333,7 @@
         }
         self.pass_on(out);
         self.carry_out(actions).await;
+        waits.map(|done| done.try_send(()));
     }
 
     fn pass_on(&self, out: Vec<(Holder, Word)>) {
@@ -378,10 +394,17 @@
 
     /// Whom others' lists let drain; and whom they name that this one does not, while it can't be had.
     async fn hear_lists(&mut self) {
-        let out = self.member.out().into_iter().map(|(name, since)| (name.to_string(), since));
-        let elsewhere: Elsewhere = out.collect();
+        let mut elsewhere = Elsewhere::new();
+        for (name, since) in self.member.untold().chain(self.member.out()) {
+            let known = elsewhere.entry(name.to_string()).or_insert(since);
+            *known = since.max(*known);
+        }
         if self.out != elsewhere {
-            info!(self.parts.log, "by others' lists {} servers drain or have left", elsewhere.len());
+            let (out, untold) = (self.member.out().len(), self.member.untold().count());
+            info!(
+                self.parts.log,
+                "by others' lists {} servers drain or have left, of {} none tells yet", out, untold
+            );
             self.out = elsewhere.clone();
             let elsewhere = Arc::new(elsewhere);
             self.parts.orders.have_done(|done| Order::Drained(elsewhere, done)).await;
@@ -431,9 +454,12 @@
             self.kept(),
             left(self.member.until())
         );
-        for server in self.out.keys() {
+        for (server, _) in self.member.out() {
             text += &format!("out by others' lists: {server}\n");
         }
+        for (server, _) in self.member.untold() {
+            text += &format!("held back until a majority of keepers tells of it: {server}\n");
+        }
         if let Some(keeper) = &self.keeper {
             let cleared = keeper.cleared().map_or("nothing yet".to_string(), |cleared| cleared.to_string());
             text += &format!("keeper: {cleared} holds here\n");
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -238,8 +238,12 @@
         }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
         let (index, list) = (list.index, Arc::new(list));
+        let before = match &self.accord {
+            Some(accord) => accord.listed_before(&list).await,
+            None => false,
+        };
         self.told_to.tell(Order::Listed(kind, list.clone())).await;
-        if let Some(accord) = &self.accord {
+        if let Some(accord) = self.accord.as_ref().filter(|_| !before) {
             accord.listed(list).await;
         }
         // Not before all have been told: guards against a change that nobody asks for any more if this is given up between.
--- a/terms/src/operator.rs
+++ b/terms/src/operator.rs
@@ -44,6 +44,8 @@
 /// assert_eq!(fault(r#""a", "b""#, "2.0"), "line 3: accord.keepers: must be 1, 3 or 5 of the instances, not 2");
 /// assert_eq!(fault(r#""a", "b", "a""#, "2.0"), "line 3: accord.keepers: \"a\" stands twice");
 /// assert_eq!(fault(r#""a", "b", "d""#, "2.0"), "line 3: accord.keepers: \"d\" is none of the instances");
+/// let listed = fault(r#""a", "b", "c""#, "2.0\nscope = \"listed\"\nunsure = \"hold\"");
+/// assert_eq!(listed, "line 3: accord.scope: \"listed\" goes with lists = \"drains\" and unsure = \"refuse\" alone");
 /// assert_eq!(fault(r#""a", "b", "c""#, "0.01"), "line 2: accord.within: must be from 0.2 to 60 seconds, not 0.01");
 /// ```
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -59,6 +61,8 @@
     pub unsure: Unsure,
     #[serde(default)]
     pub lists: Lists,
+    #[serde(default)]
+    pub scope: Scope,
     /// Whether a mark that is set by hand at one instance holds for all.
     #[serde(default)]
     pub marks: bool,
@@ -75,6 +79,17 @@
     Whole,
 }
 
+/// Whom instances hear of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scope {
+    /// All servers.
+    #[default]
+    All,
+    /// Those that the own list names. One that it begins to name is sent to once a majority of keepers tells of it.
+    Listed,
+}
+
 /// What an instance does without a majority's leases.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,6 +111,7 @@
     /// The key that is at fault, and why.
     fn fault(&self) -> Option<(&'static str, String)> {
         let Accord { instances, keepers, within, .. } = self;
+        let listed = self.scope == Scope::Listed;
         let twice = keepers.iter().enumerate().find(|(at, keeper)| keepers[..*at].contains(keeper));
         let foreign = keepers.iter().find(|keeper| !instances.contains_key(*keeper));
         match () {
@@ -108,6 +124,11 @@
             _ if ![1, 3, 5].contains(&keepers.len()) => {
                 Some(("keepers", format!("must be 1, 3 or 5 of the instances, not {}", keepers.len())))
             }
+            // Nobody tells of other servers then, and what is held back waits for a lease.
+            _ if listed && (self.lists, self.unsure) != (Lists::Drains, Unsure::Refuse) => {
+                let why = "\"listed\" goes with lists = \"drains\" and unsure = \"refuse\" alone";
+                Some(("scope", why.into()))
+            }
             _ => None,
         }
     }
