A keeper keeps one copy of the instances' names, not one for each link

Seen by `oakhollow-lab scale` at rest: a keeper's memory grows by the square, 14.4, 29.5, 80, 267 and 975 MB at 250 to 4,000 instances (trials on a shared machine), where all else there grows as the instances do. `listen` gave each link's task its own copy of all names.

--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -3,19 +3,31 @@
 use oakhollow_lab::scale::count::{Counts, Running, Said};
 use oakhollow_lab::scale::day::Day;
 use oakhollow_lab::scale::fit::Fit;
+use oakhollow_lab::scale::fleet::{Fleet, Wanted};
 use oakhollow_lab::scale::report;
 use oakhollow_lab::scale::run::{step, PhaseReport, Plan, Role, StepReport};
-use std::path::Path;
+use oakhollow_terms::Greeting;
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// A small fleet, in which each service is called by several.
 const SMALL: Shape = Shape { services: 4, servers: 7, zones: 7, calls: 3 };
 const INSTANCES: usize = 14;
 
-/// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
-fn play(day: Day, instances: usize) -> Result<StepReport, String> {
+/// The program, which the workspace's tests build beside ours.
+fn program() -> PathBuf {
     let own = std::env::current_exe().expect("this test's path");
     let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
     assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
+    program
+}
+
+/// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
+fn play(day: Day, instances: usize) -> Result<StepReport, String> {
+    let program = program();
     let plan = Plan {
         program: &program as &Path,
         day,
@@ -186,3 +198,32 @@
     // Two sound steps are left, which make no line.
     assert!(report::slopes(&steps, 6_500).is_empty());
 }
+
+/// What a keeper holds for one link must not grow with the number of instances: all links together would by its square.
+#[test]
+fn a_link_costs_a_keeper_no_copy_of_all_names() {
+    const NAMES: usize = 4_000;
+    const LINKS: usize = 300;
+    let program = program();
+    let hollow: Vec<String> = (0..NAMES).map(|at| format!("h{at}")).collect();
+    let wanted = Wanted { program: &program, sidecars: 0, within: 2.0, hollow: &hollow, servers: 1, seed: 3 };
+    let mut fleet = Fleet::start(&wanted, Instant::now(), &Arc::default()).expect("processes");
+    fleet.answers().expect("all answer");
+    let before = fleet.usage()[0];
+    let links: Vec<TcpStream> = hollow[..LINKS]
+        .iter()
+        .map(|name| {
+            let mut link = TcpStream::connect(fleet.keepers[0]).expect("a keeper");
+            writeln!(link, "{}", Greeting::new(name, 1).to_json()).expect("a greeting");
+            link
+        })
+        .collect();
+    let begun = Instant::now();
+    while fleet.usage()[0].descriptors < before.descriptors + links.len() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "links are not taken in");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let grown = fleet.usage()[0].resident.saturating_sub(before.resident);
+    // A copy of the names for each would be over 50 MB.
+    assert!(grown < 25_000_000, "{grown} bytes for {LINKS} links");
+}
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -118,7 +118,7 @@
 
 struct Running {
     parts: Parts,
-    names: Vec<String>,
+    names: Arc<[String]>,
     me: InstanceId,
     member: Member,
     own: Arc<Mutex<Own>>,
@@ -141,7 +141,8 @@
     start: &Start, known: Arc<List>, parts: Parts,
 ) -> Result<(Accord, impl Future<Output = ()>), String> {
     let (own, document) = numbered(start)?;
-    let names: Vec<String> = parts.operated.instances.keys().cloned().collect();
+    // Shared by all links to our keeper: one copy for each would grow by the square.
+    let names: Arc<[String]> = parts.operated.instances.keys().cloned().collect();
     let id = |name: &String| names.iter().position(|other| other == name).map(|at| InstanceId(at as u32));
     let me = id(&start.name).ok_or_else(|| format!("name: {:?} is not in accord.instances", start.name))?;
     let keepers: Vec<InstanceId> = parts.operated.keepers.iter().filter_map(id).collect();
@@ -509,7 +510,7 @@
 
 /// Takes in the links of members to our keeper.
 async fn listen(
-    at: SocketAddr, names: Vec<String>, inputs: Sender<Input>, log: Logger, silence: Duration,
+    at: SocketAddr, names: Arc<[String]>, inputs: Sender<Input>, log: Logger, silence: Duration,
     executor: &async_executor::LocalExecutor<'_>,
 ) {
     let mut said = false;
