Calls to discovery that failed in one moment are not made again in one

Seen: 30 processes killed at once and started again, discovery takes their calls, answers none for 4 s and closes all at its return, as a reset of held connections does: all 30 called again within the same 100 ms (`no list, held`, red), and where it turned callers away (six a second) 84 and 85 were turned away. A discovery that never answers at all: 28 of 30 within 100 ms, 5.0 s after the start, where the machine was calm.

Cause: `watch.rs` opens a call anew at once when it has told nothing for 2.5 s, and gives every call up after the same 5.0 s; the module's wait, which is spread, comes only after earlier failures. Ruled out: the module's back-off, with which the other three cases see at most nine calls in 100 ms.

Now a call that tells nothing is given up after 4 to 5 s by lot, and one that fails late is made again by lot within 5.5 s of its beginning (5 s of its last line), so that what discovery has is still heard in its 6 s.

--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -78,6 +78,8 @@
     Refused,
     /// Taken, noted and closed with no answer.
     Closed,
+    /// Taken and noted, and closed with no answer at the return, all at once.
+    Held,
 }
 
 /// It works through calls in turn, so many a second; whoever would wait for longer is turned away.
@@ -92,7 +94,8 @@
 pub enum Met {
     Told,
     TurnedAway,
-    Closed,
+    /// It was down.
+    Unanswered,
 }
 
 #[derive(Default)]
@@ -180,6 +183,7 @@
             let mut state = lock(&self.inner.state);
             (state.down, state.capacity) = (None, capacity);
         }
+        self.inner.news.notify_all();
         let listens = lock(&self.takes_in).is_some();
         if listens {
             Ok(())
@@ -206,10 +210,10 @@
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
         let mut stream = BufReader::new(stream);
-        let (life, wait, met) = {
+        let (life, wait, met, down) = {
             let mut state = lock(&self.state);
             let (met, wait) = match (state.down, state.capacity) {
-                (Some(_), _) => (Met::Closed, Duration::ZERO),
+                (Some(_), _) => (Met::Unanswered, Duration::ZERO),
                 (None, None) => (Met::Told, Duration::ZERO),
                 (None, Some(Capacity { a_second, patience_s })) => {
                     let turn = state.busy_until.map_or(came, |until| until.max(came));
@@ -223,10 +227,16 @@
                 }
             };
             state.calls.push((came, met));
-            (state.life, wait, met)
+            (state.life, wait, met, state.down)
         };
-        if met == Met::Closed {
-            return None;
+        match down {
+            None => {}
+            Some(Down::Held) => {
+                let held = |state: &mut State| state.down == Some(Down::Held);
+                drop(self.news.wait_while(lock(&self.state), held));
+                return None;
+            }
+            Some(Down::Refused | Down::Closed) => return None,
         }
         head(&mut stream)?;
         if met == Met::TurnedAway {
--- a/lab/tests/restart.rs
+++ b/lab/tests/restart.rs
@@ -18,7 +18,7 @@
         at(0.5),
         at(0.9),
         at(1.0),
-        report.count(Met::Closed),
+        report.count(Met::Unanswered),
         report.count(Met::Told),
         report.count(Met::TurnedAway),
         report.most_at_once(0.0, f64::INFINITY),
@@ -72,3 +72,9 @@
     let capacity = Some(Capacity { a_second: 6.0, patience_s: 0.3 });
     holds(Case { name: "no list, too many callers", known: false, down: Down::Closed, capacity, ..CASE });
 }
+
+/// All are held unanswered, and closed in the moment of its return.
+#[test]
+fn without_a_list_and_with_calls_that_are_closed_at_its_return() {
+    holds(Case { name: "no list, held", known: false, down: Down::Held, ..CASE });
+}
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -8,6 +8,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use oakhollow::types::ListKind;
+use oakhollow::Chance;
 use oakhollow_terms::{read, List, Start, Version};
 use slog::{info, Logger};
 use std::convert::Infallible;
@@ -21,6 +22,9 @@
 /// misses counts as told 6 s after it fell silent, so the second that is left is for opening it anew. It is also the longest
 /// that a call may take to its first line, connection and all: what it keeps us from hearing counts as told by then too.
 const SILENCE: Duration = Duration::from_millis(5_000);
+/// A call that tells nothing is given up between this and that, by lot: guards against a whole fleet, started or cut off in
+/// one moment, that calls again in one. Discovery answers, or turns away, long before.
+const LEAST_SILENCE: Duration = Duration::from_millis(4_000);
 /// How long a pause within a line may be that takes longer than that.
 const FLOWS: Duration = Duration::from_millis(500);
 /// A call that told nothing for the longest back-off has been a pause itself. Guards against the sum of both, which may
@@ -50,6 +54,7 @@
     since: Instant,
     /// The call has told something.
     heard: bool,
+    chance: Chance,
 }
 
 /// Why a watch is begun, or no more.
@@ -65,7 +70,8 @@
 /// Why a watch is followed no longer.
 enum Break {
     Failed(String),
-    Silent,
+    /// For so long.
+    Silent(Duration),
 }
 
 impl From<&str> for Break {
@@ -99,7 +105,13 @@
     ) -> Watch {
         let ((asks, moves), (told_to, board, accord)) = (words, told_to);
         let (since, heard) = (Instant::now(), false);
-        Watch { discovery, told, told_to, board, accord, asks, moves, log, most_line, since, heard }
+        let chance = Chance::default();
+        Watch { discovery, told, told_to, board, accord, asks, moves, log, most_line, since, heard, chance }
+    }
+
+    /// With a seed of its own, by which its calls are not given up when others' are.
+    pub fn seeded(self, seed: u64) -> Watch {
+        Watch { chance: Chance::new(seed), ..self }
     }
 
     pub async fn run(mut self) {
@@ -136,9 +148,18 @@
             }
             let ended = async {
                 match self.follow().await {
-                    Err(Break::Failed(why)) if self.since.elapsed() >= PAUSE => Turn::Stale(why),
+                    Err(Break::Failed(why)) if self.since.elapsed() >= PAUSE => {
+                        // By lot, within the time that is left: guards against all that a discovery holds unanswered, and
+                        // resets when it is back.
+                        let most = if self.heard { SILENCE } else { SILENCE + FLOWS };
+                        let left = most.saturating_sub(self.since.elapsed());
+                        Timer::after(left.mul_f64(self.chance.draw())).await;
+                        Turn::Stale(why)
+                    }
                     Err(Break::Failed(why)) => Turn::Ended(why),
-                    Err(Break::Silent) => Turn::Stale(format!("silent for {} ms", SILENCE.as_millis())),
+                    Err(Break::Silent(length)) => {
+                        Turn::Stale(format!("silent for {} ms", length.as_millis()))
+                    }
                     Ok(never) => match never {},
                 }
             };
@@ -158,13 +179,16 @@
 
     async fn follow(&mut self) -> std::result::Result<Infallible, Break> {
         (self.since, self.heard) = (Instant::now(), false);
-        let due = self.since + SILENCE;
-        let stream = by(due, Async::<TcpStream>::connect(self.discovery)).await?.ok_or(Break::Silent)?;
+        let lot = (SILENCE - LEAST_SILENCE).mul_f64(self.chance.draw());
+        let mut silence = LEAST_SILENCE + lot;
+        let due = self.since + silence;
+        let silent = || Break::Silent(silence);
+        let stream = by(due, Async::<TcpStream>::connect(self.discovery)).await?.ok_or_else(silent)?;
         let ask = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.told.0, self.discovery
         );
-        by(due, (&stream).write_all(ask.as_bytes())).await?.ok_or(Break::Silent)?;
+        by(due, (&stream).write_all(ask.as_bytes())).await?.ok_or_else(silent)?;
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
@@ -172,10 +196,10 @@
         loop {
             // Counted from the last whole line: guards against bytes that drip, by which nothing is ever told. A long line has
             // longer, but only while it flows: guards against waiting on for one that was cut off.
-            let due = self.since + SILENCE;
+            let due = self.since + silence;
             let most = due + Duration::from_secs_f64(came as f64 / SLOWEST);
             let read = by(most.min(due.max(last + FLOWS)), (&stream).read(&mut buffer)).await?;
-            let count = read.ok_or(Break::Silent)?;
+            let count = read.ok_or(Break::Silent(silence))?;
             (last, came) = (Instant::now(), came + count);
             if count == 0 {
                 return Err("discovery closed the connection".into());
@@ -203,6 +227,7 @@
                 let line: Vec<u8> = lines.drain(..=end).collect();
                 self.tell(line.trim_ascii(), !self.heard).await?;
                 (self.since, self.heard, came) = (Instant::now(), true, 0);
+                silence = SILENCE;
             }
             if chunks.done() {
                 return Err("discovery ended the watch".into());
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -348,7 +348,7 @@
         }
         let told_to = (orders.clone(), board.clone(), agreed.clone());
         let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
-        tasks.run(watch.run());
+        tasks.run(watch.seeded(!start.seed).run());
         Ok(Program {
             phase: Phase::Starting,
             since: Instant::now(),
