A server is told the time that is left at the write, also after a late connection

Cause: `exchange` in hop.rs wrote the time that the hop had when it was decided, and `pool.connect` lies between the two.

Change: a hop carries the moment by which it is over instead of a length, from the clock that the decision was made by; what is left is reckoned right before the write, on a new connection and on an idle one. Of a long request time runs from its last byte, which may come while the hop connects: its moment is kept, and what has passed since is taken off. With nothing left nothing is written any more (no connection: proven not run). Less than 1 ms is still told as 1.

Test: `told-late` on real sockets. The stand-in's door is shut until half a second after the program's connection is seen on its way (SYN_SENT in /proc/net/tcp), and what the server was told must be at most what was left before, less that half second: on a first hop, on a further one, and for a long body. New words of the runner: `waits`, `knocks`, `told`.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -33,9 +33,9 @@
     /// A server's answer, whole.
     type Answer: 'static;
 
-    /// Sends one hop and waits for its end, for `give_up` at most. Dropping the future cancels the hop.
+    /// Sends one hop and waits for its end, until `by` at most. Dropping the future cancels the hop.
     fn hop(
-        &self, content: Rc<Self::Content>, to: SocketAddr, give_up: Micros, written: Written,
+        &self, content: Rc<Self::Content>, to: SocketAddr, by: Instant, written: Written,
     ) -> impl Future<Output = End<Self::Answer>> + 'static;
 
     /// Nothing new is wanted at this address.
@@ -517,7 +517,8 @@
         let written = Written::default();
         let running = address.and_then(|address| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
-            let hop = self.protocol.hop(content, address, give_up.min(left), written.clone());
+            let by = desk.clock.instant(now + give_up.min(left));
+            let hop = self.protocol.hop(content, address, by, written.clone());
             self.tasks.spawn(async move {
                 let end = hop.await;
                 desk.tell(Note::Ended { call: id, hop: no, end }).await;
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -34,10 +34,13 @@
     upload: Option<Upload>,
 }
 
+/// When the last byte of a long request came, once it has.
+type Whole = Rc<Cell<Option<Instant>>>;
+
 /// The rest of a long request, which its caller's task reads while a hop passes it on.
 struct Upload {
     parts: RefCell<Option<Receiver<Vec<u8>>>>,
-    whole: Rc<Cell<bool>>,
+    whole: Whole,
     chunked: bool,
     /// How long the answer may take once the last byte has come.
     left: Micros,
@@ -46,7 +49,7 @@
 /// The caller's end of an upload.
 pub struct Feed {
     parts: Option<Sender<Vec<u8>>>,
-    whole: Rc<Cell<bool>>,
+    whole: Whole,
 }
 
 impl Feed {
@@ -59,7 +62,7 @@
     }
 
     pub fn finish(&mut self) {
-        self.whole.set(true);
+        self.whole.set(Some(Instant::now()));
         self.parts = None;
     }
 }
@@ -81,7 +84,7 @@
             Some(length) => front.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
             None => front.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
         }
-        let (chunked, whole) = (rest.length().is_none(), Rc::new(Cell::new(false)));
+        let (chunked, whole) = (rest.length().is_none(), Whole::default());
         let body = if chunked { chunk(&kept) } else { kept };
         let (sender, parts) = bounded(1);
         let parts = RefCell::new(Some(parts));
@@ -96,8 +99,19 @@
         Ok((front, method))
     }
 
-    fn bytes(&self, give_up: Micros) -> Vec<u8> {
-        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", (give_up.0 / 1000).max(1));
+    /// What is left at that moment of a hop's time, which is over by `by`; a long request's runs from its last byte.
+    fn left(&self, by: Instant, now: Instant) -> Duration {
+        match &self.upload {
+            None => by.saturating_duration_since(now),
+            Some(upload) => {
+                let since = upload.whole.get().map(|whole| now.saturating_duration_since(whole));
+                duration(upload.left).saturating_sub(since.unwrap_or_default())
+            }
+        }
+    }
+
+    fn bytes(&self, left: Duration) -> Vec<u8> {
+        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", left.as_millis().max(1));
         [&self.front, timeout.as_bytes(), &self.body].concat()
     }
 }
@@ -197,12 +211,10 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (give_up, written): (Micros, Written),
-    tells_load: bool,
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (by, written): (Instant, Written), tells_load: bool,
 ) -> End<Reply> {
     let exchange = async {
-        let give_up = content.upload.as_ref().map_or(give_up, |upload| upload.left);
-        let exchanged = exchange(&pool, &content, &to, give_up, &written).await;
+        let exchanged = exchange(&pool, &content, &to, by, &written).await;
         exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
@@ -210,7 +222,7 @@
         if content.upload.is_some() {
             return future::pending().await;
         }
-        Timer::after(duration(give_up)).await;
+        Timer::at(by).await;
         // What was never written whole has not been begun.
         ended(if written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
     };
@@ -220,7 +232,7 @@
 }
 
 async fn exchange(
-    pool: &Rc<Pool>, content: &Outgoing, target: &Target, give_up: Micros, written: &Written,
+    pool: &Rc<Pool>, content: &Outgoing, target: &Target, by: Instant, written: &Written,
 ) -> Result<Reply, Outcome> {
     let to = target.at;
     // What a hop before this one has passed on is gone.
@@ -234,8 +246,13 @@
     if target.shut() {
         return Err(Outcome::NotSent);
     }
+    // The connection took its time too.
+    let left = content.left(by, Instant::now());
+    if left.is_zero() {
+        return Err(Outcome::NoConnection);
+    }
     let mut inbox = Assembler::new(Side::Answers);
-    let sent = write(&link.stream, &content.bytes(give_up)).await;
+    let sent = write(&link.stream, &content.bytes(left)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
     let mut late = None;
     if let Some(upload) = &content.upload {
@@ -273,7 +290,7 @@
         let part = if upload.chunked { chunk(&part) } else { part };
         write(&link.stream, &part).await.map_err(gone)?;
     }
-    if !upload.whole.get() {
+    if upload.whole.get().is_none() {
         return Err(Outcome::NoConnection);
     }
     if upload.chunked {
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -14,11 +14,11 @@
 use crate::generations::{ClassId, Numbers};
 use crate::lease::Lease;
 use crate::timers::Clock;
-use oakhollow::types::Micros;
 use oakhollow_terms::Named;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Hops over connections to servers that are kept and used again.
 pub struct Http1 {
@@ -58,11 +58,11 @@
     type Answer = hop::Reply;
 
     fn hop(
-        &self, content: Rc<hop::Outgoing>, to: SocketAddr, give_up: Micros, written: Written,
+        &self, content: Rc<hop::Outgoing>, to: SocketAddr, by: Instant, written: Written,
     ) -> impl Future<Output = End<hop::Reply>> + 'static {
         // Taken here, not when the hop first runs: what retires the address between the two is meant for it.
         let to = hop::Target { at: to, wanted: self.pool.wanted(to), fence: self.fence.clone() };
-        hop::hop(self.pool.clone(), content, to, (give_up, written), self.tells_load)
+        hop::hop(self.pool.clone(), content, to, (by, written), self.tells_load)
     }
 
     fn retire(&self, at: SocketAddr) {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -5,7 +5,10 @@
 //!   (after its answer, unsaid), echoes (the request's id), echoes-twice, until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
 //!   once more), silent, absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
-//!   NAME`, which the machine tries after 1 s; from then on it answers); said again, it changes a server; `servers COUNT HOW`
+//!   NAME`, which the machine tries after 1 s; from then on it answers), waits (until it is said again); said again, it changes a
+//!   server; `servers COUNT HOW`
+//! - `knocks NAME`: a connection to it is on its way, from which moment on `mark` is; `told NAME LEFT`: the last request there
+//!   was told at most LEFT, less what passed between the last `mark` and the last `admits`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, cancel, quoted and abandon (of all workloads), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
@@ -161,12 +164,16 @@
 
 fn serve(mut stream: TcpStream, shared: &Mutex<Seen>) {
     while let Some((head, body)) = read_message(&mut stream) {
-        let (how, say) = {
+        {
             let mut seen = shared.lock().expect("seen");
             seen.requests += 1;
             seen.last = head + &body;
-            (seen.how.clone(), seen.body.clone())
-        };
+        }
+        let how = || shared.lock().expect("seen").how.clone();
+        while how() == "waits" {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let (how, say) = (how(), shared.lock().expect("seen").body.clone());
         let whole = format!("HTTP/1.1 200 OK\r\nX-Made-By: us\r\nContent-Length: {}\r\n\r\n{say}", say.len());
         let empty = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         let answer = match how.as_str() {
@@ -289,6 +296,7 @@
     idle: Vec<TcpStream>,
     started: Option<Instant>,
     marked: Option<Instant>,
+    admitted: Option<Instant>,
     calls: u32,
     file: PathBuf,
     /// The operator's file, if there is one.
@@ -633,9 +641,28 @@
             }
             ["admits", name] => {
                 let server = self.servers.iter_mut().find(|server| server.name == name).expect("a server");
+                self.admitted = Some(Instant::now());
                 server.seen.lock().expect("seen").how = "answers".into();
                 server.door = None;
             }
+            ["knocks", name] => {
+                let SocketAddr::V4(to) = self.find(name).address else { panic!("an address") };
+                // As the machine writes it: the address as one number of this machine's own order, the port, and SYN_SENT.
+                let (ip, port) = (u32::from_ne_bytes(to.ip().octets()), to.port());
+                let knock = format!(" {ip:08X}:{port:04X} 02 ");
+                until("somebody knocks", || {
+                    std::fs::read_to_string("/proc/net/tcp").expect("connections").contains(&knock)
+                });
+                self.marked = Some(Instant::now());
+            }
+            ["told", name, left] => {
+                let last = self.find(name).seen.lock().expect("seen").last.clone();
+                let told = last.lines().find_map(|line| line.strip_prefix("Request-Timeout-Ms: "));
+                let told = Duration::from_millis(told.expect("a time").parse().expect("a number"));
+                let passed = self.admitted.expect("admitted") - self.marked.expect("a mark");
+                let left = Duration::from_micros(runner::length_us(left));
+                assert!(told + passed <= left, "told {told:?}, {passed:?} after which {left:?} were left");
+            }
             ["freezes"] => self.signal("STOP"),
             ["thaws"] => self.signal("CONT"),
             ["never", ..] => {
