No hop that a version forbids begins once its instance says that it keeps to that

Looked for in the program first: a hop was judged when it was decided alone. While its connection came up the workers took the new version and the instance said that it knew it; then the hop was written. The lease and a drain are looked at before the first byte, an agreed version was not.

Change: on an order of new settings each worker ends the hops that have not begun and are forbidden by then, before it says that the order is done. `Progress` (was `Written`) also tells whether the first byte may be out. A first hop that waits while a copy has begun counts as a repeat too.

Tests, on real sockets with the program as its own keeper, red without the change: `late-forbidden` and `late-repeat` ("expect 1 503" got 200), `late-first` (judged by a hop's place alone: "seen b 0" failed). The runner's `operator` knows FREE, `sidecar` knows version, `rereads` takes more than one pair.

--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -35,15 +35,21 @@
 
     /// Sends one hop and waits for its end, until `by` at most. Dropping the future cancels the hop.
     fn hop(
-        &self, content: Rc<Self::Content>, to: SocketAddr, by: Instant, written: Written,
+        &self, content: Rc<Self::Content>, to: SocketAddr, by: Instant, progress: Rc<Progress>,
     ) -> impl Future<Output = End<Self::Answer>> + 'static;
 
     /// Nothing new is wanted at this address.
     fn retire(&self, at: SocketAddr);
 }
 
-/// When the last byte of a hop's request was written; until then no server has begun it.
-pub type Written = Rc<Cell<Option<Instant>>>;
+/// How far a hop's request has come.
+#[derive(Default)]
+pub struct Progress {
+    /// Its first byte may be out: what forbids it from now on comes too late.
+    pub begun: Cell<bool>,
+    /// When its last byte was written; until then no server has begun it.
+    pub written: Cell<Option<Instant>>,
+}
 
 /// What a server tells of its load at the end of a hop.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -168,7 +174,8 @@
 struct Hop {
     sent: Micros,
     went_out: bool,
-    written: Written,
+    server: ServerId,
+    progress: Rc<Progress>,
     running: Option<Task<()>>,
 }
 
@@ -353,6 +360,7 @@
                 self.on(Event::Retuned(&terms));
                 let told = self.roster.all();
                 self.listed(ListKind::Cached, told);
+                self.forbid();
                 drop(done);
             }
             Note::Drained(elsewhere, done) => {
@@ -448,7 +456,7 @@
     fn end_hops(&mut self, id: CallId, outcome: impl Fn(bool) -> Option<Outcome>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         for (hop, no) in call.hops.iter_mut().zip(0..) {
-            let Some(outcome) = outcome(hop.written.get().is_some()) else { continue };
+            let Some(outcome) = outcome(hop.progress.written.get().is_some()) else { continue };
             if hop.running.take().is_some() {
                 self.ends.push_back((id, HopNo(no), outcome));
             }
@@ -489,10 +497,38 @@
         self.actions = actions;
     }
 
-    /// Whether what all have agreed on allows this hop, whatever held when its call began.
-    fn allowed(&self, call: CallId, server: ServerId, now: Micros) -> bool {
-        let Some(call) = self.calls.get(&call) else { return false };
-        let first = call.hops.iter().all(|hop| !hop.went_out);
+    /// Ends the hops that have not begun and are not allowed any more. Guards against one whose connection comes up after
+    /// others were told that what forbids it is kept to.
+    fn forbid(&mut self) {
+        if !self.lease.on() {
+            return;
+        }
+        let now = self.desk.clock.now();
+        let waits = |hop: &Hop| hop.running.is_some() && !hop.progress.begun.get();
+        let forbidden: Vec<(CallId, usize)> = self
+            .calls
+            .iter()
+            .flat_map(|(id, call)| (0..call.hops.len()).map(move |no| (*id, call, no)))
+            .filter(|(_, call, no)| {
+                waits(&call.hops[*no]) && !self.allowed(call, *no, call.hops[*no].server, now)
+            })
+            .map(|(id, _, no)| (id, no))
+            .collect();
+        for (id, no) in forbidden {
+            let hop = self.calls.get_mut(&id).and_then(|call| call.hops.get_mut(no));
+            if hop.and_then(|hop| hop.running.take()).is_some() {
+                self.ends.push_back((id, HopNo(no as u32), Outcome::NotSent));
+            }
+        }
+        self.settle();
+    }
+
+    /// Whether what all have agreed on allows this hop of a call, whatever held when the call began.
+    fn allowed(&self, call: &Call<P>, no: usize, server: ServerId, now: Micros) -> bool {
+        // No other has begun; of those that wait for their connections it is the first.
+        let before =
+            |(at, hop): (usize, &Hop)| at != no && (hop.progress.begun.get() || at < no && hop.went_out);
+        let first = !call.hops.iter().enumerate().any(before);
         let left = match self.left.get(&call.class) {
             None => true,
             Some(Left::FirstHops) => first,
@@ -503,7 +539,7 @@
             Some(Unsure::Refuse) => false,
             Some(Unsure::Strictest) => first && !self.roster.cold(server, now, self.warm_within),
         };
-        left && sure && call.hops.len() < self.most_hops
+        left && sure && no < self.most_hops
     }
 
     /// Sends a hop, as the simulator did: never one for a call that is over, out of time or out of hops.
@@ -512,13 +548,13 @@
         let Some(call) = self.calls.get(&id) else { return };
         let (no, left) = (HopNo(call.hops.len() as u32), call.abandon - now);
         let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < call.most_hops;
-        let sound = sound && (!self.lease.on() || self.allowed(id, server, now));
+        let sound = sound && (!self.lease.on() || self.allowed(call, call.hops.len(), server, now));
         let address = self.roster.address(server).filter(|_| sound);
-        let written = Written::default();
+        let progress = Rc::<Progress>::default();
         let running = address.and_then(|address| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
             let by = desk.clock.instant(now + give_up.min(left));
-            let hop = self.protocol.hop(content, address, by, written.clone());
+            let hop = self.protocol.hop(content, address, by, progress.clone());
             self.tasks.spawn(async move {
                 let end = hop.await;
                 desk.tell(Note::Ended { call: id, hop: no, end }).await;
@@ -529,7 +565,7 @@
         }
         let went_out = running.is_some();
         if let Some(call) = self.calls.get_mut(&id) {
-            call.hops.push(Hop { sent: now, went_out, written, running });
+            call.hops.push(Hop { sent: now, went_out, server, progress, running });
         }
     }
 }
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -4,7 +4,7 @@
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use super::Fence;
-use crate::decider::{End, Told, Written};
+use crate::decider::{End, Progress, Told};
 use crate::reactor::{Async, Timer};
 use crate::timers::duration;
 use async_channel::{bounded, Receiver, Sender};
@@ -211,10 +211,11 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (by, written): (Instant, Written), tells_load: bool,
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (by, progress): (Instant, Rc<Progress>),
+    tells_load: bool,
 ) -> End<Reply> {
     let exchange = async {
-        let exchanged = exchange(&pool, &content, &to, by, &written).await;
+        let exchanged = exchange(&pool, &content, &to, by, &progress).await;
         exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
@@ -224,15 +225,15 @@
         }
         Timer::at(by).await;
         // What was never written whole has not been begun.
-        ended(if written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
+        ended(if progress.written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
     };
     let end = future::or(exchange, late).await;
-    let since = written.get().filter(|_| content.upload.is_some());
+    let since = progress.written.get().filter(|_| content.upload.is_some());
     End { waited: since.map(|since| Micros(since.elapsed().as_micros() as u64)), ..end }
 }
 
 async fn exchange(
-    pool: &Rc<Pool>, content: &Outgoing, target: &Target, by: Instant, written: &Written,
+    pool: &Rc<Pool>, content: &Outgoing, target: &Target, by: Instant, progress: &Progress,
 ) -> Result<Reply, Outcome> {
     let to = target.at;
     // What a hop before this one has passed on is gone.
@@ -251,6 +252,7 @@
     if left.is_zero() {
         return Err(Outcome::NoConnection);
     }
+    progress.begun.set(true);
     let mut inbox = Assembler::new(Side::Answers);
     let sent = write(&link.stream, &content.bytes(left)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
@@ -265,7 +267,7 @@
             Err(_) => return Err(Outcome::NoConnection),
         }
     }
-    written.set(Some(Instant::now()));
+    progress.written.set(Some(Instant::now()));
     // From here on it may have run, whatever breaks.
     let late = async {
         match late {
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -10,7 +10,7 @@
 pub mod pool;
 pub mod watch;
 
-use crate::decider::{End, Protocol, Written};
+use crate::decider::{End, Progress, Protocol};
 use crate::generations::{ClassId, Numbers};
 use crate::lease::Lease;
 use crate::timers::Clock;
@@ -58,11 +58,11 @@
     type Answer = hop::Reply;
 
     fn hop(
-        &self, content: Rc<hop::Outgoing>, to: SocketAddr, by: Instant, written: Written,
+        &self, content: Rc<hop::Outgoing>, to: SocketAddr, by: Instant, progress: Rc<Progress>,
     ) -> impl Future<Output = End<hop::Reply>> + 'static {
         // Taken here, not when the hop first runs: what retires the address between the two is meant for it.
         let to = hop::Target { at: to, wanted: self.pool.wanted(to), fence: self.fence.clone() };
-        hop::hop(self.pool.clone(), content, to, (by, written), self.tells_load)
+        hop::hop(self.pool.clone(), content, to, (by, progress), self.tells_load)
     }
 
     fn retire(&self, at: SocketAddr) {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -10,8 +10,9 @@
 //! - `knocks NAME`: a connection to it is on its way, from which moment on `mark` is; `told NAME LEFT`: the last request there
 //!   was told at most LEFT, less what passed between the last `mark` and the last `admits`
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
-//!   ask, cancel, quoted and abandon (of all workloads), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
-//!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
+//!   ask, cancel, quoted and abandon (of all workloads), version (its number), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
+//!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file,
+//!   FREE in it an address where nobody listens
 //! - `freezes` and `thaws`: it is stopped by the machine between the two, so that what comes meanwhile comes at once to it;
 //!   `never WORDS`: its log does not say so
 //! - `puts ID WORKLOAD LEFT BYTES whole|chunked|slow|cut`: a long body, at once, in chunks, at 200 kB a second or ended in
@@ -27,7 +28,7 @@
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list down|up|garbage|ends`, `list raw LINE`, `list drip BYTES` without a
 //!   line's end; `asked COUNT` watches at least, `asked COUNT only`
-//! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
+//! - `moves`: discovery at another address, its file names that, SIGHUP; `rereads FROM TO ...`: the same file with FROM
 //!   replaced, SIGHUP; `spoils`: the same with nothing in it
 //! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
 //!   healthcheck says yes soon; `hangs COUNT [BYTES]`:
@@ -351,7 +352,7 @@
         };
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         format!(
-            r#"{{"name":"n0","listen":"{}",{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{}",{}{}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{"me":0,"balancers":1,
             "bounds":{{"most_hops":{},"cancel":{},"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0,
             "connect_timeout_s":{},"idle_close_s":{}}},"discovery":"{}",{}"zones":["a"],
@@ -359,6 +360,10 @@
             "workloads":[{},{},{}]}}}}"#,
             get("listen", "127.0.0.1:0"),
             if words.contains(&"console") { r#""console":"127.0.0.1:0","# } else { "" },
+            match get("version", "").as_str() {
+                "" => String::new(),
+                number => format!(r#""version":{{"number":{number}}},"#),
+            },
             get("sockets", "1024"),
             self.list(true, &names),
             get("hops", "4"),
@@ -421,9 +426,12 @@
         address
     }
 
-    fn reread(&mut self, from: &str, to: &str) {
-        assert!(self.told.contains(from), "{}", self.told);
-        std::fs::write(&self.file, self.told.replacen(from, to, 1)).expect("the file");
+    fn reread(&mut self, changes: &[(&str, &str)]) {
+        let text = changes.iter().fold(self.told.clone(), |text, (from, to)| {
+            assert!(text.contains(from), "{text}");
+            text.replacen(from, to, 1)
+        });
+        std::fs::write(&self.file, text).expect("the file");
         self.signal("HUP");
     }
 
@@ -744,10 +752,13 @@
                 let to = format!(r#""discovery":"{}","seed""#, self.stand_in(false));
                 let from = self.told.split_once(r#""discovery":"#).expect("an address").1;
                 let from = format!(r#""discovery":{},"seed""#, from.split(',').next().expect("an address"));
-                self.reread(&from, &to);
+                self.reread(&[(&from, &to)]);
+            }
+            ["rereads", ..] => {
+                let changes = words[1..].chunks(2);
+                let changes = changes.map(|pair| (pair[0], pair.get(1).copied().unwrap_or_default()));
+                self.reread(&changes.collect::<Vec<_>>());
             }
-            ["rereads", from] => self.reread(from, ""),
-            ["rereads", from, to] => self.reread(from, to),
             ["spoils"] => {
                 std::fs::write(&self.file, "").expect("the file");
                 self.signal("HUP");
@@ -785,7 +796,10 @@
                     "others started"
                 );
             }
-            ["operator", ..] => self.operator = format!("{}\n", words[1..].join(" ")),
+            ["operator", ..] => {
+                self.operator =
+                    format!("{}\n", words[1..].join(" ")).replace("FREE", &listen().1.to_string());
+            }
             ["refused", from, to, ..] => {
                 let config = self.config(&[], "127.0.0.1:1");
                 assert!(config.contains(from), "{config}");
