The scale rig's processes are allowed the descriptors that a keeper keeps back

Seen: a keeper of 1,000 instances ends at its start with limits.sockets at 1,024, since it keeps back two links for each instance. That is right; the rig's file now allows as many.

--- a/lab/src/scale/fleet.rs
+++ b/lab/src/scale/fleet.rs
@@ -182,7 +182,7 @@
     let workloads: Vec<String> = (0..WORKLOADS).map(workload).collect();
     format!(
         r#"{{"name":"{}","listen":"{}","console":"{}","discovery":"{}","seed":"{:x}","version":{{"number":1}},
-        "known":{},"settings":{{"me":{at},"balancers":{},"zones":["a"],"discovery":"on_request",
+        "limits":{{"sockets":{}}},"known":{},"settings":{{"me":{at},"balancers":{},"zones":["a"],"discovery":"on_request",
         "bounds":{{"most_hops":3,"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0}},
         "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},"workloads":[{}]}}}}"#,
         process.name,
@@ -190,6 +190,8 @@
         process.console,
         discovery.address,
         wanted.seed.wrapping_mul(31).wrapping_add(at as u64),
+        // A keeper keeps two links back for each instance; beside them what a file has that says nothing.
+        1_024 + 2 * (wanted.hollow.len() + KEEPERS + wanted.sidecars),
         stand::first_list(servers),
         KEEPERS + wanted.sidecars,
         workloads.join(",")
