--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/hop.rs
@@ -4,7 +4,7 @@
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use super::Fence;
-use crate::decider::{End, Told, Written};
+use crate::decider::{End, Progress, Told};
 use crate::reactor::{Async, EndOf, Timer};
 use crate::timers::duration;
 use async_channel::{bounded, Receiver, Sender};
@@ -36,10 +36,13 @@
     upload: Option<Upload>,
 }
 
+/// When the last byte of a long request came, once it has.
+type Whole = Rc<Cell<Option<Instant>>>;
+
 /// The rest of a long request, which its caller's task reads while a hop passes it on.
 struct Upload {
     parts: RefCell<Option<Receiver<Vec<u8>>>>,
-    whole: Rc<Cell<bool>>,
+    whole: Whole,
     chunked: bool,
     /// How long the answer may take once the last byte has come.
     left: Micros,
@@ -48,7 +51,7 @@
 /// The caller's end of an upload.
 pub struct Feed {
     parts: Option<Sender<Vec<u8>>>,
-    whole: Rc<Cell<bool>>,
+    whole: Whole,
 }
 
 impl Feed {
@@ -61,7 +64,7 @@
     }
 
     pub fn finish(&mut self) {
-        self.whole.set(true);
+        self.whole.set(Some(Instant::now()));
         self.parts = None;
     }
 }
@@ -85,7 +88,7 @@
             Some(length) => front.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
             None => front.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
         }
-        let (chunked, whole) = (rest.length().is_none(), Rc::new(Cell::new(false)));
+        let (chunked, whole) = (rest.length().is_none(), Whole::default());
         let body = if chunked { chunk(&kept) } else { kept };
         let (sender, parts) = bounded(1);
         let parts = RefCell::new(Some(parts));
@@ -100,8 +103,19 @@
         Ok((front, method))
     }
 
-    fn bytes(&self, give_up: Micros) -> Vec<u8> {
-        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", (give_up.0 / 1000).max(1));
+    /// What is left at that moment of a hop's time, which is over by `by`; a long request's runs from its last byte.
+    fn left(&self, by: Instant, now: Instant) -> Duration {
+        match &self.upload {
+            None => by.saturating_duration_since(now),
+            Some(upload) => {
+                let since = upload.whole.get().map(|whole| now.saturating_duration_since(whole));
+                duration(upload.left).saturating_sub(since.unwrap_or_default())
+            }
+        }
+    }
+
+    fn bytes(&self, left: Duration) -> Vec<u8> {
+        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", left.as_millis().max(1));
         [&self.front, timeout.as_bytes(), &self.body].concat()
     }
 }
@@ -201,12 +215,11 @@
 }
 
 pub async fn hop(
-    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (give_up, written): (Micros, Written),
+    pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (by, progress): (Instant, Rc<Progress>),
     tells_load: bool,
 ) -> End<Reply> {
     let exchange = async {
-        let give_up = content.upload.as_ref().map_or(give_up, |upload| upload.left);
-        let exchanged = exchange(&pool, &content, &to, give_up, &written).await;
+        let exchanged = exchange(&pool, &content, &to, by, &progress).await;
         exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
@@ -214,17 +227,17 @@
         if content.upload.is_some() {
             return future::pending().await;
         }
-        Timer::after(duration(give_up)).await;
+        Timer::at(by).await;
         // What was never written whole has not been begun.
-        ended(if written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
+        ended(if progress.written.get().is_some() { Outcome::TimedOut } else { Outcome::NoConnection })
     };
     let end = future::or(exchange, late).await;
-    let since = written.get().filter(|_| content.upload.is_some());
+    let since = progress.written.get().filter(|_| content.upload.is_some());
     End { waited: since.map(|since| Micros(since.elapsed().as_micros() as u64)), ..end }
 }
 
 async fn exchange(
-    pool: &Rc<Pool>, content: &Outgoing, target: &Target, give_up: Micros, written: &Written,
+    pool: &Rc<Pool>, content: &Outgoing, target: &Target, by: Instant, progress: &Progress,
 ) -> Result<Reply, Outcome> {
     let to = target.at;
     // What a hop before this one has passed on is gone.
@@ -243,8 +256,14 @@
     if content.gone.has_come() {
         return future::pending().await;
     }
+    // The connection took its time too.
+    let left = content.left(by, Instant::now());
+    if left.is_zero() {
+        return Err(Outcome::NoConnection);
+    }
+    progress.begun.set(true);
     let mut inbox = Assembler::new(Side::Answers);
-    let sent = write(&link.stream, &content.bytes(give_up)).await;
+    let sent = write(&link.stream, &content.bytes(left)).await;
     sent.map_err(|_| Outcome::NoConnection)?;
     let mut late = None;
     if let Some(upload) = &content.upload {
@@ -257,7 +276,7 @@
             Err(_) => return Err(Outcome::NoConnection),
         }
     }
-    written.set(Some(Instant::now()));
+    progress.written.set(Some(Instant::now()));
     // From here on it may have run, whatever breaks.
     let late = async {
         match late {
@@ -282,7 +301,7 @@
         let part = if upload.chunked { chunk(&part) } else { part };
         write(&link.stream, &part).await.map_err(gone)?;
     }
-    if !upload.whole.get() {
+    if upload.whole.get().is_none() {
         return Err(Outcome::NoConnection);
     }
     if upload.chunked {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -9,6 +9,7 @@
 //! - `sidecar [KEY=VALUE ...]` with all servers in `known`: sockets, ulimit, hops, connect, idle, discovery,
 //!   ask, cancel, quoted and abandon (of all workloads), unchanged (a watch has nothing to tell at first), taken (how long somebody else holds its address), deaf
 //!   (its log is closed once it serves); `operator LINE` before it: a line of the operator's file
+//! - `told NAME LEFT`: the last request there was told at most LEFT, less what passed between the last `mark` and the last `admits`
 //! - `limits COUNT`: the machine allows it so many descriptors from now on, at its start ulimit; `holds LEAST MOST` so many
 //!   descriptors; `sidecar ... instances=COUNT`: it is the keeper of so many that agree on settings, and `members COUNT` are linked to it, two of each
 //! - `freezes` and `thaws`: it is stopped by the machine between the two, so that what comes meanwhile comes at once to it;
@@ -31,8 +32,8 @@
 //! - how calls to discovery are met from then on: `list up`; `list down`: by a 503, and the watches end; `list refuses`: nobody
 //!   listens, and the watches end; `list shut`: connections don't come up; `list hangs`: never; `list halves`: by half a
 //!   line and the end; `list stalls`: by the beginning of a long line, and no more; `list interim`: by a 1xx and all else in one
-//!   piece. `list lets-go` ends the calls that hang; `connects`: a connection to discovery is on its way
-//! - `moves [HOW]`: discovery at another address, where calls are met as after `list HOW`, its file names that, SIGHUP; `rereads FROM TO`: the same file with FROM
+//!   piece. `list lets-go` ends the calls that hang; `connects [NAME]`: a connection to discovery, or to that server, is on its way
+//! - `moves [HOW]`: discovery at another address, where calls are met as after `list HOW`, its file names that, SIGHUP; `rereads FROM TO ...`: the same file with FROM
 //!   replaced, SIGHUP; `spoils`: the same with nothing in it
 //! - `sidecar ... console` has a console; `asks METHOD PATH STATUS` there, within a second; `healthy`: its
 //!   healthcheck says yes soon; `hangs COUNT [BYTES]`:
@@ -76,6 +77,14 @@
     (listener, address)
 }
 
+/// Whether a connection to that address of this machine is on its way.
+fn on_its_way(to: SocketAddr) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("its table");
+    let to = format!("0100007F:{:04X}", to.port());
+    // The third column is the other side, the fourth how it stands: 02 is on its way.
+    table.lines().any(|line| line.split_whitespace().skip(2).take(2).eq([to.as_str(), "02"]))
+}
+
 /// Reads one message off a stream: its head, and the body that Content-Length or the chunks tell of.
 fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut head = Vec::new();
@@ -374,6 +383,7 @@
     idle: Vec<TcpStream>,
     started: Option<Instant>,
     marked: Option<Instant>,
+    admitted: Option<Instant>,
     calls: u32,
     file: PathBuf,
     /// The operator's file, if there is one.
@@ -499,9 +509,12 @@
         address
     }
 
-    fn reread(&mut self, from: &str, to: &str) {
-        assert!(self.told.contains(from), "{}", self.told);
-        std::fs::write(&self.file, self.told.replacen(from, to, 1)).expect("the file");
+    fn reread(&mut self, changes: &[(&str, &str)]) {
+        let text = changes.iter().fold(self.told.clone(), |text, (from, to)| {
+            assert!(text.contains(from), "{text}");
+            text.replacen(from, to, 1)
+        });
+        std::fs::write(&self.file, text).expect("the file");
         self.signal("HUP");
     }
 
@@ -741,9 +754,18 @@
             }
             ["admits", name] => {
                 let server = self.servers.iter_mut().find(|server| server.name == name).expect("a server");
+                self.admitted = Some(Instant::now());
                 server.seen.lock().expect("seen").how = "answers".into();
                 server.door = None;
             }
+            ["told", name, left] => {
+                let last = self.find(name).seen.lock().expect("seen").last.clone();
+                let told = last.lines().find_map(|line| line.strip_prefix("Request-Timeout-Ms: "));
+                let told = Duration::from_millis(told.expect("a time").parse().expect("a number"));
+                let passed = self.admitted.expect("admitted") - self.marked.expect("a mark");
+                let left = Duration::from_micros(runner::length_us(left));
+                assert!(told + passed <= left, "told {told:?}, {passed:?} after which {left:?} were left");
+            }
             ["freezes"] => self.signal("STOP"),
             ["thaws"] => self.signal("CONT"),
             ["never", ..] => {
@@ -781,13 +803,14 @@
                     self.idle.push(stream);
                 }
             }
-            ["connects"] => until("it connects", || {
-                let port = self.discovery.lock().expect("discovery").address().port();
-                let table = std::fs::read_to_string("/proc/net/tcp").expect("its table");
-                let to = format!("0100007F:{port:04X}");
-                // The third column is the other side, the fourth how it stands: 02 is on its way.
-                table.lines().any(|line| line.split_whitespace().skip(2).take(2).eq([to.as_str(), "02"]))
-            }),
+            ["connects"] => {
+                let to = self.discovery.lock().expect("discovery").address();
+                until("it connects", || on_its_way(to));
+            }
+            ["connects", name] => {
+                let to = self.find(name).address;
+                until("it connects", || on_its_way(to));
+            }
             ["ready", status] => until("ready or not", || {
                 let mut stream = self.connect();
                 stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
@@ -855,10 +878,13 @@
                 let to = format!(r#""discovery":"{}","seed""#, self.stand_in(false));
                 let from = self.told.split_once(r#""discovery":"#).expect("an address").1;
                 let from = format!(r#""discovery":{},"seed""#, from.split(',').next().expect("an address"));
-                self.reread(&from, &to);
+                self.reread(&[(&from, &to)]);
+            }
+            ["rereads", ..] => {
+                let changes = words[1..].chunks(2);
+                let changes = changes.map(|pair| (pair[0], pair.get(1).copied().unwrap_or_default()));
+                self.reread(&changes.collect::<Vec<_>>());
             }
-            ["rereads", from] => self.reread(from, ""),
-            ["rereads", from, to] => self.reread(from, to),
             ["spoils"] => {
                 std::fs::write(&self.file, "").expect("the file");
                 self.signal("HUP");
