The last lines of the log are written before the program ends

Seen: beside-dies.txt failed at 'says Over' once in 60 and once in 90 plays, four at once on a busy machine; the program had ended with 0, and the lines that it logged right before its end were missing. Cause: they are written by a thread of the log, which the program waits for only when the last logger is dropped; the console's and the workers' threads may still have one. The new test fails where the thread isn't waited for (tried).

--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -52,7 +52,7 @@
         args.operator.map(|path| Operator::from_file(&path, cores())).transpose()?.unwrap_or_default();
     let start = Start::from_file(&path)?;
     let read = |before: &Shape| Start::after(before, &path);
-    let log = logging::to_stderr(&start.name);
+    let (log, _flush) = logging::to_stderr(&start.name);
     if let Some(plan) = operator.plan() {
         planned::doubts(&plan).iter().for_each(|doubt| warn!(log, "the plan does not hold {}", doubt));
     }
--- /dev/null
+++ b/sidecar/tests/logging.rs
@@ -0,0 +1,57 @@
+//! What was logged before the end is written by then, and a reader that reads nothing holds up no end.
+use oakhollow_sidecar::logging;
+use slog::info;
+use std::io::{Result, Write};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Default)]
+struct Slow(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
+        thread::sleep(Duration::from_millis(1));
+        self.0.lock().expect("bytes").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_written_though_another_thread_has_a_logger() {
+    let written = Slow::default();
+    let (log, flush) = logging::to(written.clone(), "n0");
+    let _others = log.clone();
+    (0..5).for_each(|number| info!(log, "line {}", number));
+    drop((log, flush));
+    let text = String::from_utf8(written.0.lock().expect("bytes").clone()).expect("text");
+    assert_eq!(text.lines().count(), 5, "{text}");
+    assert!(text.contains("line 4"), "{text}");
+}
+
+struct Stuck(Mutex<Receiver<()>>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
+        let _ = self.0.lock().expect("a word").recv();
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_reads_nothing_holds_up_no_end() {
+    let (word, waits) = channel();
+    let (log, flush) = logging::to(Stuck(Mutex::new(waits)), "n0");
+    (0..1_000).for_each(|number| info!(log, "line {}", number));
+    let begun = Instant::now();
+    drop(flush);
+    assert!(begun.elapsed() < Duration::from_secs(5), "{:?}", begun.elapsed());
+    drop(word);
+}
