The search goes on from where an exchange was cut, and its parts are dealt out

Each exchange was played anew from its start for each place where it is cut; now once, with a copy at each place. The frontier is dealt out in pieces to whoever is free, in a fixed order of results; contradictions are looked for there too. States as before: 588,522 and 426,141; the crooked rules are found at the same depth and state (712,736 and 322).

--- a/accord/tests/explored/mod.rs
+++ b/accord/tests/explored/mod.rs
@@ -4,10 +4,12 @@
 //! late until some later moment. States that go on alike are visited once.
 use crate::words::WITHIN;
 use crate::world::{Crooked, Message, World};
+use fnv::FnvHasher;
 use oakhollow_accord::{Holder, InstanceId, Word};
 use std::collections::hash_map::DefaultHasher;
-use std::collections::HashSet;
-use std::hash::{Hash, Hasher};
+use std::collections::{HashSet, VecDeque};
+use std::hash::{BuildHasherDefault, Hash, Hasher};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 const KEEPERS: usize = 3;
 const OTHERS: usize = 2;
@@ -61,58 +63,55 @@
             for (other, keeper) in
                 (0..OTHERS).flat_map(|other| (0..KEEPERS).map(move |keeper| (other, keeper)))
             {
-                state.exchange(other, keeper, MOST_WORDS);
+                let mut said = state.begin_exchange(other, keeper);
+                for _ in 0..MOST_WORDS {
+                    let Some(word) = said.pop_front() else { break };
+                    state.go_on(other, keeper, word, &mut said);
+                }
             }
         }
         state
     }
 
-    /// Lets one ask one keeper, and both say what follows from that, up to so many words. Gives what would come next.
-    fn exchange(&mut self, other: usize, keeper: usize, most: usize) -> Option<Message> {
+    /// Lets one ask one keeper. Gives what is said on that link then.
+    fn begin_exchange(&mut self, other: usize, keeper: usize) -> VecDeque<Message> {
         let life = self.world.instances[other].life;
+        let mut said = VecDeque::new();
+        self.go_on(other, keeper, Message::ToMember(other, keeper, life, Word::News), &mut said);
+        said
+    }
+
+    /// Delivers a word of an exchange, and adds what follows from it to what is to be said yet.
+    fn go_on(&mut self, other: usize, keeper: usize, word: Message, said: &mut VecDeque<Message>) {
         self.world.said.clear();
-        self.world.deliver(Message::ToMember(other, keeper, life, Word::News));
-        let mut said = Vec::new();
-        for done in 0..=most {
-            let theirs = |message: &Message| match message {
-                Message::ToKeeper(to, (from, _), _) => (*to, *from as usize) == (keeper, other),
-                Message::ToMember(to, from, ..) => (*from, *to) == (keeper, other),
-            };
-            // What goes to others is lost: they are asked in their own exchanges.
-            said.extend(std::mem::take(&mut self.world.said).into_iter().filter(theirs));
-            said.retain(|message| !matches!(message, Message::ToMember(.., Word::News)));
-            if said.is_empty() {
-                return None;
-            }
-            let next = said.remove(0);
-            if done == most {
-                return Some(next);
-            }
-            self.world.deliver(next);
-        }
-        None
+        self.world.deliver(word);
+        let theirs = |message: &Message| match message {
+            Message::ToMember(.., Word::News) => false,
+            Message::ToKeeper(to, (from, _), _) => (*to, *from as usize) == (keeper, other),
+            Message::ToMember(to, from, ..) => (*from, *to) == (keeper, other),
+        };
+        // What goes to others is lost: they are asked in their own exchanges.
+        said.extend(self.world.said.drain(..).filter(theirs));
     }
 
     fn hash_of(&self, order: [usize; OTHERS]) -> u64 {
         let world = &self.world;
-        let mut keepers: Vec<u64> = (0..KEEPERS)
-            .map(|keeper| {
-                let mut hasher = DefaultHasher::new();
-                let now = world.keeper_time(keeper);
-                let name = |holder: Holder| {
-                    let at = holder.instance.0 as usize;
-                    let place = order.iter().position(|other| *other == at).unwrap_or(OTHERS) as u32;
-                    place * 2 + u32::from(holder.life != world.instances[at].life)
-                };
-                world.keepers[keeper].shape(now, name, &mut hasher);
-                for other in order {
-                    let (member, now) = (&world.instances[other].member, world.member_time(other));
-                    member.lease_shape(InstanceId(keeper as u32), now, &mut hasher);
-                    (self.late_on(other, keeper), self.done[other][keeper]).hash(&mut hasher);
-                }
-                hasher.finish()
-            })
-            .collect();
+        let mut keepers: [u64; KEEPERS] = std::array::from_fn(|keeper| {
+            let mut hasher = DefaultHasher::new();
+            let now = world.keeper_time(keeper);
+            let name = |holder: Holder| {
+                let at = holder.instance.0 as usize;
+                let place = order.iter().position(|other| *other == at).unwrap_or(OTHERS) as u32;
+                place * 2 + u32::from(holder.life != world.instances[at].life)
+            };
+            world.keepers[keeper].shape(now, name, &mut hasher);
+            for other in order {
+                let (member, now) = (&world.instances[other].member, world.member_time(other));
+                member.lease_shape(InstanceId(keeper as u32), now, &mut hasher);
+                (self.late_on(other, keeper), self.done[other][keeper]).hash(&mut hasher);
+            }
+            hasher.finish()
+        });
         keepers.sort_unstable();
         let mut hasher = DefaultHasher::new();
         (keepers, self.written, self.crashed, self.trouble, self.troubled).hash(&mut hasher);
@@ -172,19 +171,19 @@
     }
 
     fn nexts(&self, bounds: &Bounds, out: &mut Vec<State>) {
-        let mut with = |change: &dyn Fn(&mut State)| {
-            let mut next = self.clone();
-            change(&mut next);
-            next.world.said.clear();
-            out.push(next);
-        };
         for other in (0..OTHERS).filter(|other| self.turn.is_none_or(|turn| turn == *other)) {
             for keeper in (0..KEEPERS).filter(|keeper| !self.done[other][*keeper]) {
-                for most in 0..=MOST_WORDS {
-                    let mut next = self.clone();
-                    (next.turn, next.done[other][keeper]) = (Some(other), true);
-                    let rest = next.exchange(other, keeper, most);
+                let mut whole = self.clone();
+                (whole.turn, whole.done[other][keeper]) = (Some(other), true);
+                let mut said = whole.begin_exchange(other, keeper);
+                // Cut after each of its words.
+                for _ in 0..=MOST_WORDS {
+                    let mut next = whole.clone();
+                    let rest = said.pop_front();
                     let over = rest.is_none();
+                    if let Some(word) = rest.clone() {
+                        whole.go_on(other, keeper, word, &mut said);
+                    }
                     if !over && !next.troubled {
                         (next.troubled, next.trouble) = (true, next.trouble + 1);
                     }
@@ -197,9 +196,9 @@
                     if let Some(rest) = rest.filter(|_| next.late.len() < bounds.late) {
                         let mut later = next.clone();
                         later.late.push(rest);
-                        with(&|state| *state = later.clone());
+                        out.push(later);
                     }
-                    with(&|state| *state = next.clone());
+                    out.push(next);
                     if over {
                         break;
                     }
@@ -210,6 +209,12 @@
         if self.turn.is_some() {
             return;
         }
+        let mut with = |change: &dyn Fn(&mut State)| {
+            let mut next = self.clone();
+            change(&mut next);
+            next.world.said.clear();
+            out.push(next);
+        };
         for other in 0..OTHERS {
             if self.written <= bounds.changes {
                 with(&|state| {
@@ -251,43 +256,71 @@
     }
 }
 
+/// States by their hashes, which need not be mixed once more.
+type Seen = HashSet<u64, BuildHasherDefault<FnvHasher>>;
+
+/// A state that was not seen before, by its hash, with two that contradict each other in it.
+type Fresh = (u64, State, Option<(usize, usize)>);
+
+/// How many states of the frontier are a piece of work.
+const PIECE: usize = 256;
+
+/// What can come next to some states that has not been seen.
+fn fresh(bounds: &Bounds, part: &[State], seen: &Seen) -> Vec<Fresh> {
+    let (mut fresh, mut own, mut next) = (Vec::new(), Seen::default(), Vec::new());
+    for state in part {
+        state.nexts(bounds, &mut next);
+        for next in next.drain(..) {
+            let hash = next.hash();
+            if !seen.contains(&hash) && own.insert(hash) {
+                let pair = (0..OTHERS).find_map(|one| Some((one, next.world.contradicts(one)?)));
+                fresh.push((hash, next, pair));
+            }
+        }
+    }
+    fresh
+}
+
+/// The states one deeper, or two that contradict each other in one of them. In the order of the frontier, whoever took
+/// which piece.
+fn step(bounds: &Bounds, frontier: &[State], seen: &mut Seen) -> Result<Vec<State>, (usize, usize)> {
+    let (known, pieces, taken) = (&*seen, frontier.chunks(PIECE).collect::<Vec<_>>(), AtomicUsize::new(0));
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let number = taken.fetch_add(1, Ordering::Relaxed);
+            let Some(piece) = pieces.get(number) else { return done };
+            done.push((number, fresh(bounds, piece, known)));
+        }
+    };
+    let parts = std::thread::available_parallelism().map_or(1, |cores| cores.get()).min(pieces.len());
+    let mut found: Vec<(usize, Vec<Fresh>)> = std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..parts).map(|_| scope.spawn(work)).collect();
+        parts.into_iter().flat_map(|part| part.join().expect("explored")).collect()
+    });
+    found.sort_unstable_by_key(|(number, _)| *number);
+    let mut next = Vec::new();
+    for (hash, state, pair) in found.into_iter().flat_map(|(_, found)| found) {
+        if seen.insert(hash) {
+            if let Some(pair) = pair {
+                return Err(pair);
+            }
+            next.push(state);
+        }
+    }
+    Ok(next)
+}
+
 /// How many states there are, or one in which two contradict each other. Ends when there is no more to be found, or with
 /// that many.
 fn explore(bounds: &Bounds, crooked: Crooked) -> Result<usize, String> {
     let first = State::begin(crooked);
-    let mut seen: HashSet<u64> = HashSet::from([first.hash()]);
+    let mut seen = Seen::from_iter([first.hash()]);
     let mut frontier = vec![first];
     let mut depth = 0;
     while !frontier.is_empty() && seen.len() < bounds.most {
-        let parts = std::thread::available_parallelism().map_or(1, |cores| cores.get());
-        let each = frontier.len().div_ceil(parts);
-        let known = &seen;
-        let work = |part: &[State]| {
-            let (mut fresh, mut own, mut next) = (Vec::new(), HashSet::new(), Vec::new());
-            for state in part {
-                state.nexts(bounds, &mut next);
-                for next in next.drain(..) {
-                    let hash = next.hash();
-                    if !known.contains(&hash) && own.insert(hash) {
-                        fresh.push((hash, next));
-                    }
-                }
-            }
-            fresh
-        };
-        let found: Vec<Vec<(u64, State)>> = std::thread::scope(|scope| {
-            let parts: Vec<_> = frontier.chunks(each).map(|part| scope.spawn(move || work(part))).collect();
-            parts.into_iter().map(|part| part.join().expect("explored")).collect()
-        });
-        frontier = Vec::new();
-        for (hash, state) in found.into_iter().flatten() {
-            if seen.insert(hash) {
-                if let Some(pair) = (0..OTHERS).find_map(|one| Some((one, state.world.contradicts(one)?))) {
-                    return Err(format!("{pair:?} at depth {depth}, {} states", seen.len()));
-                }
-                frontier.push(state);
-            }
-        }
+        frontier = step(bounds, &frontier, &mut seen)
+            .map_err(|pair| format!("{pair:?} at depth {depth}, {} states", seen.len()))?;
         depth += 1;
     }
     println!("{bounds:?}: {} states, {depth} deep, {} left", seen.len(), frontier.len());
