--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -25,6 +25,8 @@
 //! - `own COUNT WORKLOAD LEFT`: calls one after the other, each answered 200 with its own id; `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
+//! - `settles COUNT WORKLOAD LEFT STATUS [BODY]`: calls, one after the other, until so many in a row were answered so; none
+//!   that begins a second later is answered otherwise
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list garbage|ends`, `list raw LINE`, `list drip BYTES` without a
 //!   line's end; `list next whole|changes ...`: what a watch is told first from now on; `asked COUNT` watches at least,
 //!   `asked COUNT only`
@@ -383,6 +385,7 @@
     started: Option<Instant>,
     marked: Option<Instant>,
     calls: u32,
+    probes: u32,
     /// Addresses that others are not given meanwhile.
     places: Vec<TcpListener>,
     file: PathBuf,
@@ -615,6 +618,24 @@
         assert!(body.is_empty() || said == body, "{said}");
     }
 
+    fn settles(&mut self, count: &str, (workload, left): (&str, &str), (status, body): (&str, &str)) {
+        let (start, count) = (Instant::now(), count.parse::<usize>().expect("a count"));
+        let (mut in_a_row, status) = (0, format!("HTTP/1.1 {status} "));
+        // Ids of their own: how many it takes must not shift those that a file names.
+        self.probes = self.probes.max(1 << 20);
+        std::mem::swap(&mut self.calls, &mut self.probes);
+        while in_a_row < count {
+            let begun = start.elapsed();
+            self.call("settles", self.connect(), workload, left);
+            let stream = self.clients.get_mut("settles").expect("a call");
+            let (head, said) = read_message(stream).expect("an answer");
+            let so = head.starts_with(&status) && (body.is_empty() || said == body);
+            assert!(so || begun < Duration::from_secs(1), "late: {head}{said}");
+            in_a_row = if so { in_a_row + 1 } else { 0 };
+        }
+        std::mem::swap(&mut self.calls, &mut self.probes);
+    }
+
     fn server(&mut self, name: &str, how: &str, body: &str) {
         if !self.servers.iter().any(|server| server.name == name) {
             let mut server = Server::start(name);
@@ -698,6 +719,10 @@
                     self.expect("calls", "200", words.get(4).copied().unwrap_or_default());
                 }
             }
+            ["settles", count, workload, left, status, ..] => {
+                let body = words.get(5).copied().unwrap_or_default();
+                self.settles(count, (workload, left), (status, body));
+            }
             ["keeps", count, workload, left] => {
                 for number in 0..count.parse().expect("a count") {
                     self.call(&format!("kept-{number}"), self.connect(), workload, left);
