--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -26,6 +26,8 @@
 //! - `own COUNT WORKLOAD LEFT`: calls one after the other, each answered 200 with its own id; `expect ID STATUS [BODY]`; `closed ID`; `opens COUNT [BYTES]`: connections that say no more; `drops` them
 //! - `seen NAME COUNT` requests, `links NAME COUNT` connections, `got NAME BYTES` last; within a second `gone NAME
 //!   LEAST` calls given up, `shut NAME LEAST` connections ended between calls
+//! - `settles COUNT WORKLOAD LEFT STATUS [BODY]`: calls, one after the other, until so many in a row were answered so; none
+//!   that begins 0.1 s later is answered otherwise, beside what the program and we waited for a processor meanwhile
 //! - `list whole|changes NAME[:leaving|:left] ...`, `list garbage|ends`, `list raw LINE`, `list drip BYTES` without a
 //!   line's end; `list next whole|changes ...`: what a watch is told first from now on; `asked COUNT` watches at least,
 //!   `asked COUNT only`
@@ -85,6 +87,25 @@
     table.lines().any(|line| line.split_whitespace().skip(2).take(2).eq([to.as_str(), "02"]))
 }
 
+/// How long a list that was told may take to be heard.
+const HEARD: Duration = Duration::from_millis(100);
+
+/// How long each thread of a process has waited for a processor so far, as the machine counts it.
+fn waits(process: u32) -> BTreeMap<PathBuf, Duration> {
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).expect("a process");
+    let waited = tasks.filter_map(|task| {
+        let path = task.ok()?.path();
+        // Runs, waits, turns: the second, in nanoseconds.
+        let told = std::fs::read_to_string(path.join("schedstat")).ok()?;
+        Some((path, Duration::from_nanos(told.split(' ').nth(1)?.parse().ok()?)))
+    });
+    waited.collect()
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// Reads one message off a stream: its head, and the body that Content-Length or the chunks tell of.
 fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut head = Vec::new();
@@ -287,13 +308,17 @@
     door: Option<TcpStream>,
 }
 
-/// A socket at an address that others of ours may have too.
-fn bound(to: SocketAddr) -> TcpListener {
+/// A socket at an address that others of ours may have too, and, if it is to be left to the program, one of its own.
+fn bound(to: SocketAddr, left_to_program: bool) -> TcpListener {
     use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
     // Programs that are started must not inherit it.
     let (stream, closed) = (SocketType::STREAM, SocketFlags::CLOEXEC);
     let socket = socket_with(AddressFamily::INET, stream, closed, None).expect("a socket");
-    sockopt::set_socket_reuseport(&socket, true).expect("its option");
+    if left_to_program {
+        sockopt::set_socket_reuseaddr(&socket, true).expect("its option");
+    } else {
+        sockopt::set_socket_reuseport(&socket, true).expect("its option");
+    }
     bind(&socket, &to).expect("a port");
     TcpListener::from(socket)
 }
@@ -314,7 +339,7 @@
     /// Connections don't come up until somebody takes out the one that fills the queue.
     fn shut(&mut self) {
         self.refuse();
-        let listener = bound(self.address());
+        let listener = bound(self.address(), false);
         rustix::net::listen(&listener, 0).expect("a short queue");
         self.door = Some(TcpStream::connect(self.address()).expect("the one that fills it"));
         self.listener = Some(listener);
@@ -327,7 +352,7 @@
             return;
         }
         self.door = None;
-        let listener = self.listener.get_or_insert_with(|| bound(address));
+        let listener = self.listener.get_or_insert_with(|| bound(address, false));
         rustix::net::listen(&*listener, 4096).expect("a queue");
         let (listener, shared) = (listener.try_clone().expect("a descriptor"), shared.clone());
         thread::spawn(move || discover(listener, shared));
@@ -385,6 +410,9 @@
     marked: Option<Instant>,
     admitted: Option<Instant>,
     calls: u32,
+    probes: u32,
+    /// Addresses that others are not given meanwhile.
+    places: Vec<TcpListener>,
     file: PathBuf,
     /// The operator's file, if there is one.
     operator: String,
@@ -408,6 +436,14 @@
 }
 
 impl World {
+    /// An address that nobody listens at: nobody is given it by chance, while one who is told of it may listen.
+    fn reserve(&mut self, at: SocketAddr) -> SocketAddr {
+        let place = bound(at, true);
+        let address = place.local_addr().expect("its address");
+        self.places.push(place);
+        address
+    }
+
     fn entries(&self, words: &[&str]) -> String {
         let entry = |word: &&str| {
             let (name, status) = word.split_once(':').unwrap_or((word, "active"));
@@ -499,7 +535,7 @@
 
     /// A stand-in for discovery at an address of its own.
     fn stand_in(&mut self, unchanged: bool) -> SocketAddr {
-        let place = bound(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let place = bound(any_port(), false);
         let address = place.local_addr().expect("its address");
         let names: Vec<&str> = self.servers.iter().map(|server| server.name.as_str()).collect();
         let first = if unchanged { String::new() } else { self.list(true, &names) };
@@ -529,7 +565,7 @@
             self.passed.get_or_insert_with(|| listen().0);
         }
         if let Some(count) = words.iter().find_map(|word| word.strip_prefix("instances=")) {
-            let keeper = listen().1; // free again at once
+            let keeper = self.reserve(any_port());
             let others =
                 (1..count.parse().expect("a count")).map(|number| format!(", n{number} = \"127.0.0.1:1\""));
             self.operator += &format!(
@@ -542,11 +578,14 @@
         let limit = words.iter().find_map(|word| word.strip_prefix("ulimit="));
         let before = limit.map_or(String::new(), |limit| format!("ulimit -n {limit};"));
         // An address that somebody holds for a moment more.
-        let taken = words.iter().find_map(|word| word.strip_prefix("taken=")).map(|time| (listen(), time));
-        let listen = taken.as_ref().map(|((_, address), _)| format!("listen={address}"));
+        let taken = words.iter().find_map(|word| word.strip_prefix("taken=")).map(|time| {
+            let place = self.reserve(any_port());
+            (TcpListener::bind(place).expect("its place"), place, time)
+        });
+        let listen = taken.as_ref().map(|(_, place, _)| format!("listen={place}"));
         let words: Vec<&str> = words.iter().copied().chain(listen.as_deref()).collect();
         let mut program = self.launch(&self.config(&words, &address.to_string()), &before);
-        if let Some(((holder, _), time)) = taken {
+        if let Some((holder, _, time)) = taken {
             thread::sleep(Duration::from_micros(runner::length_us(time)));
             drop(holder);
         }
@@ -607,11 +646,43 @@
         assert!(body.is_empty() || said == body, "{said}");
     }
 
+    /// What the program's threads waited for a processor in all, and each of ours.
+    fn waited(&self) -> (Duration, BTreeMap<PathBuf, Duration>) {
+        let program = self.program.as_ref().expect("a sidecar").0.id();
+        (waits(program).values().sum(), waits(std::process::id()))
+    }
+
+    fn settles(&mut self, count: &str, (workload, left): (&str, &str), (status, body): (&str, &str)) {
+        let (start, count) = (Instant::now(), count.parse::<usize>().expect("a count"));
+        let (mut in_a_row, status) = (0, format!("HTTP/1.1 {status} "));
+        let (theirs, ours) = self.waited();
+        // Ids of their own: how many it takes must not shift those that a file names.
+        self.probes = self.probes.max(1 << 20);
+        std::mem::swap(&mut self.calls, &mut self.probes);
+        while in_a_row < count {
+            let begun = start.elapsed();
+            self.call("settles", self.connect(), workload, left);
+            let stream = self.clients.get_mut("settles").expect("a call");
+            let (head, said) = read_message(stream).expect("an answer");
+            let so = head.starts_with(&status) && (body.is_empty() || said == body);
+            if !so && begun >= HEARD {
+                let (theirs_now, ours_now) = self.waited();
+                // One of ours tells the list, and one asks here: twice the longest of them.
+                let longest =
+                    ours_now.iter().map(|(thread, now)| *now - ours.get(thread).copied().unwrap_or_default());
+                let machine = theirs_now.saturating_sub(theirs) + 2 * longest.max().unwrap_or_default();
+                assert!(begun < HEARD + machine, "late by {begun:?}, the machine {machine:?}: {head}{said}");
+            }
+            in_a_row = if so { in_a_row + 1 } else { 0 };
+        }
+        std::mem::swap(&mut self.calls, &mut self.probes);
+    }
+
     fn server(&mut self, name: &str, how: &str, body: &str) {
         if !self.servers.iter().any(|server| server.name == name) {
             let mut server = Server::start(name);
             if how == "absent" {
-                server.address = listen().1; // free again at once
+                server.address = self.reserve(any_port());
             }
             if how == "shut-door" {
                 server = Server::shut(name);
@@ -690,6 +761,10 @@
                     self.expect("calls", "200", words.get(4).copied().unwrap_or_default());
                 }
             }
+            ["settles", count, workload, left, status, ..] => {
+                let body = words.get(5).copied().unwrap_or_default();
+                self.settles(count, (workload, left), (status, body));
+            }
             ["keeps", count, workload, left] => {
                 for number in 0..count.parse().expect("a count") {
                     self.call(&format!("kept-{number}"), self.connect(), workload, left);
@@ -835,7 +910,7 @@
             ["restarts", ..] => {
                 self.signal("KILL");
                 let _ = self.program.as_mut().expect("a sidecar").0.wait();
-                let (port, words) = (self.port.expect("a sidecar"), &words[1..]);
+                let (port, words) = (self.reserve(self.port.expect("a sidecar")), &words[1..]);
                 let listen = format!("listen={port}");
                 let words: Vec<&str> = words.iter().copied().chain([listen.as_str()]).collect();
                 self.sidecar(&words);
@@ -1033,5 +1108,7 @@
 #[test]
 fn scenarios() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
-    runner::play_all(folder.as_ref(), World::default, World::play);
+    // All of them took 3.8 s of processor time in 50 s, four at once: a fiftieth of a core each.
+    let cores = thread::available_parallelism().map_or(1, |cores| cores.get());
+    runner::play_all(folder.as_ref(), (cores / 2).max(2), World::default, World::play);
 }
