The lab reads heads, dials, asks and words servers in one place

Read again: shared.rs wrote stand's head reader, caller's dial and ask, and a list's entry once more; chain had a discovery and a readiness check of its own beside stand's Discovery and play's ask; four tests had one and the same search for the program. Each is there once now; what the rig says and what is asserted stay. 'Connection: close' is read as stand read it.

--- a/lab/src/chain/mod.rs
+++ b/lab/src/chain/mod.rs
@@ -8,12 +8,12 @@
 pub mod usage;
 pub mod wire;
 
+use crate::play::ask;
 use crate::processes::Sidecar;
-use crate::stand;
+use crate::stand::Discovery;
 use caller::{call, Called, Calls};
 use hdrhistogram::Histogram;
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -97,36 +97,8 @@
     }
 }
 
-/// Tells its list to whoever watches, and an empty line now and then.
-fn discovery(servers: &[SocketAddr]) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let (address, list) = (listener.local_addr()?, stand::first_list(servers));
-    stand::each(listener, move |stream| {
-        let mut reads = BufReader::new(stream);
-        if stand::read_head(&mut reads).is_none() {
-            return;
-        }
-        let mut stream = reads.into_inner();
-        let chunk = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-        let mut said = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&list));
-        while stream.write_all(said.as_bytes()).is_ok() {
-            said = chunk("");
-            thread::sleep(Duration::from_secs(1));
-        }
-    });
-    Ok(address)
-}
-
 fn ready(listen: SocketAddr) -> bool {
-    let ask = || -> std::io::Result<bool> {
-        let mut stream = TcpStream::connect(listen)?;
-        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-        let mut answer = [0; 12];
-        stream.read_exact(&mut answer)?;
-        Ok(answer.ends_with(b"200"))
-    };
-    ask().unwrap_or(false)
+    ask(listen, "GET", "/ready").is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
 fn file(sidecar: &Sidecar, discovery: SocketAddr, seed: u64) -> String {
@@ -169,7 +141,7 @@
             next = tier.addresses.first().copied();
             if sidecars {
                 let mut sidecar = Sidecar::new(plan.program, &format!("n{number}"), &self.folder)?;
-                sidecar.write(&file(&sidecar, discovery(&tier.addresses)?, seed))?;
+                sidecar.write(&file(&sidecar, Discovery::start(&tier.addresses)?.address, seed))?;
                 sidecar.start()?;
                 next = Some(sidecar.listen);
                 self.sidecars.insert(0, sidecar);
--- a/lab/src/ramp.rs
+++ b/lab/src/ramp.rs
@@ -1,9 +1,8 @@
 //! Many processes before one cold server: what all of them send it, added up, goes to the judge of [`crate::budget`].
 use crate::budget::{fullest, Arrival, Ramp, Window};
 use crate::processes::Sidecar;
-use crate::shared::{
-    all_serve, ask, dial, file, head, lock, unix_ms, view, Folder, Listed, Pulse, Ran, Shared, Told,
-};
+use crate::shared::{all_serve, file, lock, unix_ms, view, Folder, Listed, Pulse, Ran, Shared, Told};
+use crate::stand::{ask, dial, read_head};
 use nanorand::{Rng, WyRand};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -130,7 +129,7 @@
     stream.set_nodelay(true).ok()?;
     let mut stream = BufReader::new(stream);
     loop {
-        let head = head(&mut stream)?;
+        let head = read_head(&mut stream)?;
         let id = head.lines().find_map(|line| line.strip_prefix("Request-Id: "));
         let process = id.and_then(|id| id.split('-').next()?.parse().ok()).unwrap_or(usize::MAX);
         {
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -2,9 +2,9 @@
 //! calls to discovery are spread once it is back.
 use crate::processes::Sidecar;
 use crate::shared::{
-    all_serve, ask, dial, file, head, view, Capacity, Down, Folder, Listed, Met, Pulse, Ran, Shared, Told,
-    READY,
+    all_serve, file, view, Capacity, Down, Folder, Listed, Met, Pulse, Ran, Shared, Told, READY,
 };
+use crate::stand::{ask, dial, read_head};
 use rustix::process::Signal;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -62,7 +62,7 @@
         for stream in listener.incoming().map_while(Result::ok) {
             thread::spawn(move || {
                 let mut stream = BufReader::new(stream);
-                while head(&mut stream).is_some() {
+                while read_head(&mut stream).is_some() {
                     let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
                     stream.get_mut().write_all(answer).ok()?;
                 }
--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -1,7 +1,8 @@
 //! What plays with dozens of processes need: one discovery for all of them that may be down or have too many callers, plain
 //! HTTP, and a pulse that tells how late the rig itself runs.
 use crate::processes::{free, Sidecar};
-use std::io::{BufRead, BufReader, Read, Write};
+use crate::stand::{ask, dial, entry, read_head};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,41 +14,6 @@
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A message's head, with its body read off where its length is said. None at the end of the connection.
-pub fn head(stream: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut head, mut length) = (String::new(), 0);
-    loop {
-        let from = head.len();
-        if stream.read_line(&mut head).ok()? == 0 || head.len() > 16 * 1024 {
-            return None;
-        }
-        let line = head[from..].trim_end();
-        if line.is_empty() {
-            break;
-        }
-        let said = line.split_once(':').filter(|(key, _)| key.eq_ignore_ascii_case("Content-Length"));
-        length = said.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(length);
-    }
-    stream.read_exact(&mut vec![0; length]).ok()?;
-    Some(head)
-}
-
-/// A connection as a caller has it.
-pub fn dial(to: SocketAddr) -> Option<BufReader<TcpStream>> {
-    let stream = TcpStream::connect(to).ok()?;
-    stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    Some(BufReader::new(stream))
-}
-
-/// Asks on a connection: the status, and whether the connection lasts.
-pub fn ask(stream: &mut BufReader<TcpStream>, asked: &str) -> Option<(u16, bool)> {
-    stream.get_mut().write_all(asked.as_bytes()).ok()?;
-    let head = head(stream)?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some((status, !head.lines().any(|line| line.eq_ignore_ascii_case("Connection: close"))))
-}
-
 /// Unix time in milliseconds, as a list words when a server started.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
@@ -63,11 +29,7 @@
 }
 
 fn line(index: u64, snapshot: bool, listed: &[Listed]) -> String {
-    let entries = listed.iter().map(|Listed { name, address, since_ms }| {
-        format!(
-            r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"active","weight":1.0,"since_ms":{since_ms}}}"#
-        )
-    });
+    let entries = listed.iter().map(|one| entry(&one.name, one.address, "active", one.since_ms));
     let entries: Vec<String> = entries.collect();
     format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
@@ -238,7 +200,7 @@
             }
             Some(Down::Refused | Down::Closed) => return None,
         }
-        head(&mut stream)?;
+        read_head(&mut stream)?;
         if met == Met::TurnedAway {
             let answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
             return stream.get_mut().write_all(answer.as_bytes()).ok();
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -43,6 +43,22 @@
     })
 }
 
+/// A connection as a caller has it.
+pub fn dial(to: SocketAddr) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect(to).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    Some(BufReader::new(stream))
+}
+
+/// Asks on a connection: the status, and whether the connection lasts.
+pub fn ask(stream: &mut BufReader<TcpStream>, asked: &str) -> Option<(u16, bool)> {
+    stream.get_mut().write_all(asked.as_bytes()).ok()?;
+    let head = read_head(stream)?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, header(&head, "Connection") != Some("close")))
+}
+
 pub fn each(listener: TcpListener, work: impl Fn(TcpStream) + Clone + Send + 'static) {
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
@@ -88,14 +104,17 @@
 
 impl Entry {
     fn json(&self) -> String {
-        let Entry { name, address, leaving, since_ms } = self;
-        let status = if *leaving { "leaving" } else { "active" };
-        format!(
-            r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#
-        )
+        entry(&self.name, self.address, if self.leaving { "leaving" } else { "active" }, self.since_ms)
     }
 }
 
+/// One server, as a list words it.
+pub fn entry(name: &str, address: SocketAddr, status: &str, since_ms: u64) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#
+    )
+}
+
 #[derive(Default)]
 struct Listing {
     entries: Vec<Entry>,
@@ -251,24 +270,14 @@
         }
         // A call sent once more by us is another call: whatever repeats an id is the sidecar's doing.
         let asked = |stream: &mut BufReader<TcpStream>, again: &str| {
-            let ask = format!("GET /{workload} HTTP/1.1\r\nHost: x\r\nRequest-Id: {sidecar}-{workload}-{call}{again}\r\nRequest-Timeout-Ms: 900\r\n\r\n");
-            stream.get_mut().write_all(ask.as_bytes()).ok()?;
-            let head = read_head(stream)?;
-            let status = head.split(' ').nth(1)?.parse().ok()?;
-            let lasts = header(&head, "Connection") != Some("close");
-            Some((status, lasts))
-        };
-        let fresh = || {
-            let stream = TcpStream::connect(to).ok()?;
-            stream.set_nodelay(true).ok()?;
-            stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-            Some(BufReader::new(stream))
+            let asked = format!("GET /{workload} HTTP/1.1\r\nHost: x\r\nRequest-Id: {sidecar}-{workload}-{call}{again}\r\nRequest-Timeout-Ms: 900\r\n\r\n");
+            ask(stream, &asked)
         };
         // Its connection may have been closed for being idle.
         let at = begun.elapsed().as_secs_f64();
         let mut answer = stream.as_mut().and_then(|stream| asked(stream, ""));
         if answer.is_none() && stream.take().is_none_or(|_| begun.elapsed().as_secs_f64() < at + 0.05) {
-            stream = fresh();
+            stream = dial(to);
             answer = stream.as_mut().and_then(|stream| asked(stream, "b"));
         }
         if !answer.is_some_and(|(_, lasts)| lasts) {
--- a/lab/tests/beside/mod.rs
+++ b/lab/tests/beside/mod.rs
@@ -1,6 +1,5 @@
-//! What tests of many processes share.
+//! What is built beside the tests.
 use std::path::PathBuf;
-use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// The program, which the workspace's tests build beside ours.
 pub fn program() -> PathBuf {
@@ -9,9 +8,3 @@
     assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
     program
 }
-
-/// One play at a time.
-pub fn turn() -> MutexGuard<'static, ()> {
-    static TURN: Mutex<()> = Mutex::new(());
-    TURN.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/lab/tests/chain.rs
+++ b/lab/tests/chain.rs
@@ -1,4 +1,7 @@
 //! The chain: its statistics, its caller, and a short one of two tiers played on processes of the program.
+mod beside;
+
+use beside::program;
 use oakhollow_lab::chain::caller::{call, Called, Calls};
 use oakhollow_lab::chain::report::{self, Play};
 use oakhollow_lab::chain::statistics::{reach_bound, t_quantile, Interval};
@@ -6,18 +9,9 @@
 use oakhollow_lab::chain::usage::{figure, usage};
 use oakhollow_lab::chain::wire::Clock;
 use oakhollow_lab::chain::{Chain, Plan};
-use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
-/// The program, which the workspace's tests build beside ours.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("this test's path");
-    let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
-    assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
-    program
-}
-
 #[test]
 fn t_is_that_of_the_tables() {
     let table = [(1, 12.706), (2, 4.303), (7, 2.365), (10, 2.228), (11, 2.201), (15, 2.131), (30, 2.042)];
--- a/lab/tests/ramp.rs
+++ b/lab/tests/ramp.rs
@@ -1,10 +1,12 @@
 //! Cold servers fall under the sum of all processes: 20 and 30 processes of the program before one cold server.
 mod beside;
+mod turn;
 
-use beside::{program, turn};
+use beside::program;
 use oakhollow_lab::budget::{fullest, Arrival, Ramp, Window};
 use oakhollow_lab::ramp::{play, Case, Report};
 use oakhollow_lab::shared::figure;
+use turn::turn;
 
 fn told(case: &Case, report: &Report) {
     let Report { lives, calls, late, served, pulse } = report;
--- a/lab/tests/restart.rs
+++ b/lab/tests/restart.rs
@@ -1,9 +1,11 @@
 //! Nine in ten restarted processes are ready within 10 s: 30 killed at once, discovery down for the first 4 s.
 mod beside;
+mod turn;
 
-use beside::{program, turn};
+use beside::program;
 use oakhollow_lab::restart::{play, Case, Report};
 use oakhollow_lab::shared::{figure, Capacity, Down, Met};
+use turn::turn;
 
 const CASE: Case =
     Case { name: "known list", processes: 30, known: true, down: Down::Refused, down_s: 4.0, capacity: None };
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -1,4 +1,7 @@
 //! The scale run: its arithmetic, and one run of a dozen instances.
+mod beside;
+
+use beside::program;
 use oakhollow_lab::scale::catalogue::{Catalogue, Shape};
 use oakhollow_lab::scale::count::{Counts, Running, Said};
 use oakhollow_lab::scale::day::Day;
@@ -9,7 +12,7 @@
 use oakhollow_terms::{Greeting, Scope};
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,14 +20,6 @@
 const SMALL: Shape = Shape { services: 4, servers: 7, zones: 7, calls: 3 };
 const INSTANCES: usize = 14;
 
-/// The program, which the workspace's tests build beside ours.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("this test's path");
-    let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
-    assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
-    program
-}
-
 /// One step with three real keepers. What it takes is bounded by the phases; no figure of time is judged.
 fn play(day: Day, instances: usize, scope: Scope) -> Result<StepReport, String> {
     let program = program();
--- a/lab/tests/scenes.rs
+++ b/lab/tests/scenes.rs
@@ -1,4 +1,7 @@
 //! Plays every scene in `lab/scenes/accord` on processes of the program, as many at once as the machine has room for.
+mod beside;
+
+use beside::program;
 use oakhollow_lab::admission::{busy, demand, room, Admission};
 use oakhollow_lab::play::{play, Arm, Report};
 use oakhollow_lab::replays::play_admitted;
@@ -8,14 +11,6 @@
 use std::sync::LazyLock;
 use std::thread;
 
-/// The program, which the workspace's tests build beside ours.
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("this test's path");
-    let program = own.ancestors().nth(2).expect("the build's folder").join("oakhollow");
-    assert!(program.exists(), "no {}: cargo test --workspace builds it", program.display());
-    program
-}
-
 /// The rig's own program.
 const STAND_IN: &str = env!("CARGO_BIN_EXE_oakhollow-lab");
 
