Red tests: system calls that fail, a full folder and a wrong clock, by a preloaded library

Cause: none of the terms on failing system calls, folders and clocks had a test that forces the moment.

--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -1,5 +1,6 @@
 //! Processes of the program: started, signalled and ended by their own ids alone, and never left behind: each dies with
 //! the thread that started it, whatever ends that.
+use oakhollow_faults::{library, Faults, CONTROL_VARIABLE};
 use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
@@ -24,6 +25,8 @@
     child: Option<Child>,
     /// The one that is being replaced.
     first: Option<Child>,
+    /// What fails in its processes, and the library that makes it fail.
+    faults: Option<(Faults, PathBuf)>,
 }
 
 /// An address that stays the process's when it is started again. Of the loopback range each has a host of its own: guards
@@ -50,6 +53,7 @@
             listener: None,
             child: None,
             first: None,
+            faults: None,
         })
     }
 
@@ -65,6 +69,23 @@
         Ok(())
     }
 
+    /// From now on the library of faults is loaded into its processes.
+    pub fn bend(&mut self) -> std::io::Result<()> {
+        let library = library(&self.program).ok_or(std::io::ErrorKind::NotFound)?;
+        self.faults = Some((Faults::new(&self.folder)?, library));
+        Ok(())
+    }
+
+    /// What fails in its processes, if they were bent.
+    pub fn faults(&self) -> Option<&Faults> {
+        self.faults.as_ref().map(|(faults, _)| faults)
+    }
+
+    /// Where its processes keep what outlives them.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Starts a second process beside the first.
     pub fn replace(&mut self) -> std::io::Result<()> {
         self.first = self.child.take();
@@ -117,6 +138,9 @@
             command.arg("--operator").arg(self.folder.join("operator.toml"));
         }
         command.env("TMPDIR", &self.folder).env_remove("RELAY_PASSED_SOCKET");
+        if let Some((faults, library)) = &self.faults {
+            command.env("LD_PRELOAD", library).env(CONTROL_VARIABLE, faults.path());
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         if let Some(listener) = &self.listener {
             command.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?))).env("RELAY_PASSED_SOCKET", "5");
--- a/lab/src/ramp.rs
+++ b/lab/src/ramp.rs
@@ -222,6 +222,7 @@
                     me: at % balancers,
                     balancers,
                     discovery: rig.discoveries[usize::from(late(at))].address,
+                    console: false,
                     known: Some(&listed),
                     cold_from: ramp.cold_from,
                     fall_s: ramp.fall_s,
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -98,6 +98,7 @@
                     me: at,
                     balancers: case.processes,
                     discovery: rig.discovery.address,
+                    console: false,
                     known: Some(&listed[..]).filter(|_| case.known),
                     cold_from: 0.3,
                     fall_s: 1.5,
--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -239,6 +239,8 @@
     pub me: usize,
     pub balancers: usize,
     pub discovery: SocketAddr,
+    /// Whether it has a console.
+    pub console: bool,
     /// The list as the platform leaves it, if it does.
     pub known: Option<&'a [Listed]>,
     pub cold_from: f64,
@@ -248,11 +250,12 @@
 
 /// A process's file: one workload, `view`, that may be repeated.
 pub fn file(sidecar: &Sidecar, told: &Told) -> String {
-    let Told { at, me, balancers, discovery, known, cold_from, fall_s, warm_within_s } = told;
+    let Told { at, me, balancers, discovery, console, known, cold_from, fall_s, warm_within_s } = told;
+    let console = if *console { format!(r#""console":"{}","#, sidecar.console) } else { String::new() };
     let known = known.map_or(String::new(), |listed| format!(r#""known":{},"#, line(1, true, listed)));
     let seed = 0x9E37_79B9_7F4A_7C15_u64.wrapping_mul(1 + *at as u64);
     format!(
-        r#"{{"name":"{}","listen":"{}","discovery":"{discovery}","seed":"{seed:x}",{known}
+        r#"{{"name":"{}","listen":"{}","discovery":"{discovery}","seed":"{seed:x}",{console}{known}
         "settings":{{"me":{me},"balancers":{balancers},"zones":["a"],"discovery":"on_request",
         "bounds":{{"most_hops":3,"cancel":true,"parallel_tries":true,"retry_after":true,"max_retry_after_s":2.0}},
         "rules":{{"ask_within_s":10,"cold_from":{cold_from},"fall_s":{fall_s},"warm_within_s":{warm_within_s}}},
--- /dev/null
+++ b/lab/tests/faults.rs
@@ -0,0 +1,212 @@
+//! What a process owes while its system calls fail, its folder is full or its machine's clock is wrong: one process of the
+//! program each, with the library of faults loaded into it alone.
+mod beside;
+mod turn;
+
+use beside::program;
+use oakhollow_faults::{FaultKind, Faults, ALWAYS};
+use oakhollow_lab::processes::Sidecar;
+use oakhollow_lab::shared::{all_serve, file, unix_ms, view, Folder, Listed, Shared, Told};
+use oakhollow_lab::stand::{ask, dial, each, read_head};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use turn::turn;
+
+const SERVERS: usize = 4;
+const WARM_WITHIN: Duration = Duration::from_secs(3);
+
+/// A server that answers at once and counts what it is sent.
+struct Server {
+    listed: Listed,
+    seen: Arc<AtomicUsize>,
+}
+
+impl Server {
+    fn start(name: String) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let seen = Arc::<AtomicUsize>::default();
+        let count = seen.clone();
+        each(listener, move |stream| {
+            let _ = stream.set_nodelay(true);
+            let mut stream = BufReader::new(stream);
+            while read_head(&mut stream).is_some() {
+                count.fetch_add(1, Ordering::Relaxed);
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                if stream.get_mut().write_all(answer).is_err() {
+                    return;
+                }
+            }
+        });
+        Server { listed: Listed { name, address, since_ms: 0 }, seen }
+    }
+}
+
+struct Rig {
+    sidecar: Sidecar,
+    servers: Vec<Server>,
+    discovery: Shared,
+    calls: usize,
+    _folder: Folder,
+}
+
+impl Rig {
+    /// Nothing fails yet, but the clock may be wrong from the start.
+    fn start(clock_s: i64) -> Rig {
+        let servers: Vec<Server> = (0..SERVERS).map(|at| Server::start(format!("s{at}"))).collect();
+        let listed = servers.iter().map(|server| server.listed.clone()).collect();
+        let discovery = Shared::start(listed).expect("a discovery");
+        let folder = Folder::new("faults");
+        let mut sidecar = Sidecar::new(&program(), "n0", folder.path()).expect("a folder");
+        let told = Told {
+            at: 0,
+            me: 0,
+            balancers: 1,
+            discovery: discovery.address,
+            console: true,
+            known: None,
+            cold_from: 0.3,
+            fall_s: 1.5,
+            warm_within_s: WARM_WITHIN.as_secs_f64(),
+        };
+        sidecar.write(&file(&sidecar, &told)).expect("written");
+        sidecar.bend().expect("the library of faults");
+        let mut rig = Rig { sidecar, servers, discovery, calls: 0, _folder: folder };
+        rig.faults().step_clock(clock_s).expect("stepped");
+        rig.sidecar.start().expect("started");
+        rig.serves();
+        rig
+    }
+
+    fn faults(&self) -> &Faults {
+        self.sidecar.faults().expect("bent")
+    }
+
+    fn set(&self, kind: FaultKind, rate: u64) {
+        self.faults().set(kind, rate).expect("set");
+    }
+
+    fn serves(&mut self) {
+        all_serve(std::slice::from_mut(&mut self.sidecar)).expect("serves");
+    }
+
+    /// Killed, and started again with the same folder.
+    fn restart(&mut self) {
+        self.sidecar.kill();
+        self.sidecar.start().expect("started");
+        self.serves();
+    }
+
+    /// The status with which the console answers.
+    fn console(&self, path: &str) -> u16 {
+        let asked = format!("PUT {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        let to = self.sidecar.console;
+        let answer = dial(to).and_then(|mut stream| ask(&mut stream, &asked));
+        answer.expect("an answer").0
+    }
+
+    /// Calls for so long, 100 a second; the part of them that a server had.
+    fn part(&mut self, server: usize, length: Duration) -> f64 {
+        let seen = |rig: &Rig| rig.servers.iter().map(|server| server.seen.load(Ordering::Relaxed)).collect();
+        let (before, begun): (Vec<usize>, Instant) = (seen(self), Instant::now());
+        let mut stream = dial(self.sidecar.listen);
+        while begun.elapsed() < length {
+            self.calls += 1;
+            let asked = stream.as_mut().and_then(|stream| ask(stream, &view(&format!("p{}", self.calls))));
+            if !asked.is_some_and(|(_, lasts)| lasts) {
+                stream = dial(self.sidecar.listen);
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        let after: Vec<usize> = seen(self);
+        let (had, all) =
+            (after[server] - before[server], after.iter().sum::<usize>() - before.iter().sum::<usize>());
+        assert!(all > 50, "{all} calls came through");
+        had as f64 / all as f64
+    }
+
+    fn starts_again(&mut self, server: usize) {
+        let listed = Listed { since_ms: unix_ms(), ..self.servers[server].listed.clone() };
+        self.discovery.tell(listed);
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// How long each of so many calls took, by callers side by side; none where nothing came within 1.7 s.
+fn answers(to: SocketAddr, callers: usize, each: usize) -> Vec<Option<Duration>> {
+    let call = move |caller: usize, call: usize, stream: &mut Option<BufReader<std::net::TcpStream>>| {
+        let begun = Instant::now();
+        let id = format!("a{caller}-{call}-{}", to.port());
+        let answered = stream.as_mut().and_then(|stream| ask(stream, &view(&id)));
+        if !answered.is_some_and(|(_, lasts)| lasts) {
+            *stream = dial(to);
+        }
+        answered.map(|_| begun.elapsed())
+    };
+    let callers: Vec<_> = (0..callers)
+        .map(|caller| {
+            thread::spawn(move || {
+                let mut stream = dial(to);
+                if let Some(stream) = &stream {
+                    let _ = stream.get_ref().set_read_timeout(Some(Duration::from_millis(1_700)));
+                }
+                (0..each).map(|number| call(caller, number, &mut stream)).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    callers.into_iter().flat_map(|caller| caller.join().expect("ended")).collect()
+}
+
+#[test]
+fn calls_are_answered_though_reads_and_writes_are_short() {
+    let _turn = turn();
+    let rig = Rig::start(0);
+    for kind in [FaultKind::ShortReceive, FaultKind::ShortSend, FaultKind::Interrupted] {
+        rig.set(kind, ALWAYS / 20);
+    }
+    let took = answers(rig.sidecar.listen, 6, 150);
+    let lost = took.iter().filter(|took| took.is_none()).count();
+    let slow = took.iter().flatten().filter(|took| **took > Duration::from_millis(500)).count();
+    let short = rig.faults().arrived(FaultKind::ShortReceive);
+    assert!(short > 20, "{short} reads were short");
+    assert_eq!((lost, slow), (0, 0), "of {} calls: without an answer, and after more than 0.5 s", took.len());
+}
+
+#[test]
+fn a_server_out_by_hand_stays_out_after_a_kill_though_the_disk_was_full_or_failing() {
+    let _turn = turn();
+    for kind in [FaultKind::FullDisk, FaultKind::FailedSync, FaultKind::FailedRename] {
+        let mut rig = Rig::start(0);
+        rig.set(kind, ALWAYS);
+        let status = rig.console("/endpoints/s0/maint");
+        assert_ne!(status, 200, "{kind:?}: a promise that a kill undoes");
+        assert!(rig.faults().arrived(kind) > 0, "{kind:?} never arrived");
+        // Out at once all the same, and kept as soon as there is room.
+        assert_eq!(rig.part(0, Duration::from_secs(1)), 0.0, "{kind:?}");
+        rig.set(kind, 0);
+        thread::sleep(Duration::from_millis(2_500));
+        rig.restart();
+        assert_eq!(rig.part(0, Duration::from_secs(1)), 0.0, "{kind:?}: in use after a restart");
+        assert_eq!(rig.console("/endpoints/s0/ready"), 200);
+    }
+}
+
+#[test]
+fn a_server_that_starts_again_warms_up_whatever_the_wall_clock_says() {
+    let _turn = turn();
+    for clock_s in [0, -3_600, 3_600] {
+        let mut rig = Rig::start(clock_s);
+        rig.part(1, Duration::from_secs(1));
+        rig.starts_again(0);
+        let cold = rig.part(0, Duration::from_millis(700));
+        thread::sleep(WARM_WITHIN);
+        let warm = rig.part(0, Duration::from_secs(2));
+        assert!(clock_s == 0 || rig.faults().clock_readings() > 0, "the clock was never read");
+        assert!(cold < 0.2, "{clock_s} s: {cold:.2} of the calls in its first 0.7 s");
+        assert!(warm > 0.15, "{clock_s} s: {warm:.2} of the calls once it is warm");
+    }
+}
