--- /dev/null
+++ b/guard/src/permit.rs
@@ -0,0 +1,84 @@
+//! What allows an attempt to be started and its first byte to be written: only the guard can make these.
+use oakhollow::types::{CallId, HopNo, Micros, ServerId};
+
+/// Allows one attempt to be made ready: to wait for a connection.
+#[derive(PartialEq, Eq, Debug)]
+pub struct AttemptPermit {
+    pub(crate) request: CallId,
+    pub(crate) attempt: HopNo,
+    pub(crate) server: ServerId,
+}
+
+impl AttemptPermit {
+    /// The request it is of.
+    pub fn request(&self) -> CallId {
+        self.request
+    }
+
+    /// Which attempt it is.
+    pub fn attempt(&self) -> HopNo {
+        self.attempt
+    }
+}
+
+/// Allows the first byte of one attempt, now.
+#[derive(PartialEq, Eq, Debug)]
+pub struct SendPermit {
+    pub(crate) _made_by_guard: (),
+}
+
+/// What is known at the last moment before an attempt's first byte, as the kernel tells it then.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct LastLook {
+    /// The server still takes new requests at that address.
+    pub server_wanted: bool,
+    /// The lease, if there is one, has not run out.
+    pub lease_valid: bool,
+    /// The client has closed its connection.
+    pub client_gone: bool,
+    /// What is left of the attempt's time.
+    pub left: Micros,
+    /// The time that the server will be told.
+    pub told: Micros,
+}
+
+/// Why an attempt is not started, or not sent.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Denial {
+    /// The request has its answer, or is not known.
+    RequestOver,
+    /// The client has gone.
+    ClientGone,
+    /// No time is left.
+    OutOfTime,
+    /// The server takes nothing new.
+    ServerNotWanted,
+    /// The lease has run out.
+    LeaseLapsed,
+    /// An earlier attempt may have run, or still may.
+    MayHaveRun,
+}
+
+impl Denial {
+    /// All denials, in the order of their declaration.
+    pub const ALL: [Denial; 6] = [
+        Denial::RequestOver,
+        Denial::ClientGone,
+        Denial::OutOfTime,
+        Denial::ServerNotWanted,
+        Denial::LeaseLapsed,
+        Denial::MayHaveRun,
+    ];
+
+    /// The name by which it is counted.
+    pub fn name(self) -> &'static str {
+        match self {
+            Denial::RequestOver => "request_over",
+            Denial::ClientGone => "client_gone",
+            Denial::OutOfTime => "out_of_time",
+            Denial::ServerNotWanted => "server_not_wanted",
+            Denial::LeaseLapsed => "lease_lapsed",
+            Denial::MayHaveRun => "may_have_run",
+        }
+    }
+}
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -176,6 +176,29 @@
         }
     }
 
+    /// Kills the second of two processes; the first goes on.
+    pub fn kill_second(&mut self) {
+        if let Some(first) = self.first.take() {
+            let second = self.child.replace(first);
+            second.into_iter().for_each(|mut second| _ = (second.kill(), second.wait()));
+        }
+    }
+
+    /// The first of two processes has ended; also where there are not two.
+    pub fn first_ended(&mut self) -> bool {
+        let ended = self.first.as_mut().is_none_or(|first| !matches!(first.try_wait(), Ok(None)));
+        if ended {
+            self.first = None;
+        }
+        ended
+    }
+
+    /// The code with which it ended, if it had one. None while it runs.
+    pub fn exit_code(&mut self) -> Option<Option<i32>> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.code())
+    }
+
     /// Has ended by itself.
     pub fn ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
--- a/lab/tests/faults.rs
+++ b/lab/tests/faults.rs
@@ -1,7 +1,6 @@
 //! What a process owes while its system calls fail, its folder is full or its machine's clock is wrong: one process of the
 //! program each, with the library of faults loaded into it alone.
 mod beside;
-mod turn;
 
 use beside::program;
 use oakhollow_faults::{FaultKind, Faults, ALWAYS};
@@ -14,7 +13,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use turn::turn;
 
 const SERVERS: usize = 4;
 const WARM_WITHIN: Duration = Duration::from_secs(3);
@@ -161,9 +159,21 @@
     callers.into_iter().flat_map(|caller| caller.join().expect("ended")).collect()
 }
 
+/// All cases side by side: each has a process of its own, and mostly waits.
+fn at_once<C: Copy + Send, const N: usize>(cases: [C; N], check: impl Fn(C) + Sync) {
+    thread::scope(|scope| {
+        let checks = cases.map(|case| {
+            scope.spawn({
+                let check = &check;
+                move || check(case)
+            })
+        });
+        checks.into_iter().for_each(|check| check.join().expect("a case that holds"));
+    });
+}
+
 #[test]
 fn calls_are_answered_though_reads_and_writes_are_short() {
-    let _turn = turn();
     let rig = Rig::start(0);
     for kind in [FaultKind::ShortReceive, FaultKind::ShortSend, FaultKind::Interrupted] {
         rig.set(kind, ALWAYS / 20);
@@ -176,10 +186,34 @@
     assert_eq!((lost, slow), (0, 0), "of {} calls: without an answer, and after more than 0.5 s", took.len());
 }
 
+#[test]
+fn accepts_that_fail_for_a_moment_hold_up_nobody() {
+    let rig = Rig::start(0);
+    // Rests, and is to be there still.
+    let mut rests = dial(rig.sidecar.listen).expect("connected");
+    assert_eq!(ask(&mut rests, &view("first")).map(|(status, _)| status), Some(200));
+    rig.set(FaultKind::FailedAccept, ALWAYS / 3);
+    let mut worst = Duration::ZERO;
+    for call in 0..60 {
+        let begun = Instant::now();
+        let mut stream = dial(rig.sidecar.listen).expect("connected");
+        let answered = ask(&mut stream, &view(&format!("accept{call}")));
+        assert_eq!(answered.map(|(status, _)| status), Some(200));
+        worst = worst.max(begun.elapsed());
+    }
+    let arrived = rig.faults().arrived(FaultKind::FailedAccept);
+    assert!(arrived > 10, "{arrived} accepts failed");
+    assert_eq!(
+        ask(&mut rests, &view("last")).map(|(status, _)| status),
+        Some(200),
+        "the idle one was closed"
+    );
+    assert!(worst < Duration::from_millis(45), "one took {worst:?}");
+}
+
 #[test]
 fn a_server_out_by_hand_stays_out_after_a_kill_though_the_disk_was_full_or_failing() {
-    let _turn = turn();
-    for kind in [FaultKind::FullDisk, FaultKind::FailedSync, FaultKind::FailedRename] {
+    at_once([FaultKind::FullDisk, FaultKind::FailedSync, FaultKind::FailedRename], |kind| {
         let mut rig = Rig::start(0);
         rig.set(kind, ALWAYS);
         let status = rig.console("/endpoints/s0/maint");
@@ -192,13 +226,36 @@
         rig.restart();
         assert_eq!(rig.part(0, Duration::from_secs(1)), 0.0, "{kind:?}: in use after a restart");
         assert_eq!(rig.console("/endpoints/s0/ready"), 200);
+    });
+}
+
+#[test]
+fn a_folder_that_cannot_be_read_for_a_moment_is_no_empty_one() {
+    let mut rig = Rig::start(0);
+    assert_eq!(rig.console("/endpoints/s0/maint"), 200);
+    // Its configuration is a file too: starts at which that can't be read end at once, and are no case of this.
+    let (mut starts, mut served) = (0, 0);
+    while served < 5 {
+        starts += 1;
+        assert!(starts < 200, "{served} of {starts} starts with reads that fail came to serve");
+        rig.sidecar.kill();
+        rig.set(FaultKind::FailedRead, ALWAYS / 3);
+        rig.sidecar.start().expect("started");
+        thread::sleep(Duration::from_millis(100));
+        if rig.sidecar.ended() {
+            continue;
+        }
+        rig.serves();
+        rig.set(FaultKind::FailedRead, 0);
+        served += 1;
+        assert_eq!(rig.part(0, Duration::from_secs(1)), 0.0, "at start {starts}, {}", rig.sidecar.log());
     }
+    assert!(rig.faults().arrived(FaultKind::FailedRead) > 0);
 }
 
 #[test]
 fn a_server_that_starts_again_warms_up_whatever_the_wall_clock_says() {
-    let _turn = turn();
-    for clock_s in [0, -3_600, 3_600] {
+    at_once([0, -3_600, 3_600], |clock_s| {
         let mut rig = Rig::start(clock_s);
         rig.part(1, Duration::from_secs(1));
         rig.starts_again(0);
@@ -208,31 +265,33 @@
         assert!(clock_s == 0 || rig.faults().clock_readings() > 0, "the clock was never read");
         assert!(cold < 0.2, "{clock_s} s: {cold:.2} of the calls in its first 0.7 s");
         assert!(warm > 0.15, "{clock_s} s: {warm:.2} of the calls once it is warm");
-    }
+    });
 }
 
 #[test]
-fn accepts_that_fail_for_a_moment_hold_up_nobody() {
-    let _turn = turn();
-    let rig = Rig::start(0);
-    // Rests, and is to be there still.
-    let mut rests = dial(rig.sidecar.listen).expect("connected");
-    assert_eq!(ask(&mut rests, &view("first")).map(|(status, _)| status), Some(200));
-    rig.set(FaultKind::FailedAccept, ALWAYS / 3);
-    let mut worst = Duration::ZERO;
-    for call in 0..60 {
-        let begun = Instant::now();
-        let mut stream = dial(rig.sidecar.listen).expect("connected");
-        let answered = ask(&mut stream, &view(&format!("accept{call}")));
-        assert_eq!(answered.map(|(status, _)| status), Some(200));
-        worst = worst.max(begun.elapsed());
-    }
-    let arrived = rig.faults().arrived(FaultKind::FailedAccept);
-    assert!(arrived > 10, "{arrived} accepts failed");
-    assert_eq!(
-        ask(&mut rests, &view("last")).map(|(status, _)| status),
-        Some(200),
-        "the idle one was closed"
-    );
-    assert!(worst < Duration::from_millis(45), "one took {worst:?}");
+fn a_server_put_back_by_hand_is_sent_to_whatever_the_wall_clock_says() {
+    at_once([0, -3_600, 3_600], |clock_s| {
+        let mut rig = Rig::start(0);
+        assert_eq!(rig.console("/endpoints/s0/maint"), 200);
+        rig.faults().step_clock(clock_s).expect("stepped");
+        rig.restart();
+        assert_eq!(rig.part(0, Duration::from_secs(1)), 0.0, "{clock_s} s: out by hand");
+        assert_eq!(rig.console("/endpoints/s0/ready"), 200);
+        let part = rig.part(0, Duration::from_secs(3));
+        assert!(part > 0.05, "{clock_s} s: {part:.2} of the calls since it is back");
+    });
+}
+
+#[test]
+fn a_server_put_back_before_a_restart_warms_up_whatever_the_wall_clock_says() {
+    at_once([0, -3_600, 3_600], |clock_s| {
+        let mut rig = Rig::start(0);
+        assert_eq!(rig.console("/endpoints/s0/maint"), 200);
+        assert_eq!(rig.console("/endpoints/s0/ready"), 200);
+        rig.faults().step_clock(clock_s).expect("stepped");
+        rig.restart();
+        thread::sleep(WARM_WITHIN);
+        let part = rig.part(0, Duration::from_secs(2));
+        assert!(part > 0.15, "{clock_s} s: {part:.2} of the calls once it is warm");
+    });
 }
--- a/lab/tests/handover.rs
+++ b/lab/tests/handover.rs
@@ -83,3 +83,12 @@
     let follows = told.read_line(&mut next).is_ok() && next.contains("server-7");
     assert!(in_snapshot || follows, "neither in {} bytes of snapshot nor after it: {next:?}", snapshot.len());
 }
+
+#[test]
+fn a_socket_that_could_not_be_made_once_is_made_later() {
+    let _turn = turn();
+    let rig = Rig::start(4, |socket| std::fs::create_dir(socket).expect("in the way"));
+    thread::sleep(Duration::from_millis(300));
+    std::fs::remove_dir(&rig.socket).expect("out of the way");
+    assert!(rig.successor().is_some(), "nobody can take over for the rest of its life");
+}
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -2,13 +2,14 @@
 //! asking for leases. What is agreed is carried out before it is said to be known. The rules are those of the package
 //! `oakhollow_accord`; without `[accord]` in the operator's file nothing here runs.
 use crate::board::{lock, Mark, Shared as Board};
-use crate::folder::Keeper as Folder;
 use crate::lease::Lease;
 use crate::lines::{line, say, within};
+use crate::maintenance_store::MaintenanceStore;
 use crate::peers::Peers;
 use crate::roster::Elsewhere;
 use crate::start_time::Heard;
 use crate::timers::Clock;
+use crate::uninterrupted::Uninterrupted;
 use crate::workers::{Order, Orders};
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
@@ -136,7 +137,7 @@
     pub orders: Orders,
     pub board: Board,
     /// Where marks are kept, and the other process of this sidecar, which is told of them.
-    pub keeper: Option<Arc<Folder>>,
+    pub store: Option<Arc<MaintenanceStore>>,
     pub peers: Peers,
     pub clock: Clock,
     pub log: Logger,
@@ -429,12 +430,13 @@
 
     /// A mark that was set by hand at another instance.
     async fn mark(&self, name: &str, out: bool, at: u64) {
-        let mark = Mark { name: name.into(), out, at: Micros(at) };
+        // By another host's clock: it has been by now.
+        let mark = Mark { name: name.into(), out, at: Micros(at).min(self.parts.clock.now()) };
         {
             let mut board = lock(&self.parts.board);
             board.set(&mark);
-            if let Some(keeper) = &self.parts.keeper {
-                keeper.keep(board.marks(), &self.parts.log);
+            if let Some(store) = &self.parts.store {
+                store.submit(board.marks().clone(), &self.parts.log);
             }
         }
         info!(self.parts.log, "{} {} by hand, at another instance", name, if out { "out" } else { "back" });
@@ -496,7 +498,7 @@
     stream: Async<TcpStream>, words: &Receiver<Word>, silence: Duration, inputs: &Sender<Input>,
     heard: impl Fn(Word) -> Input,
 ) -> Option<String> {
-    let (reads, mut writes) = io::split(stream);
+    let (reads, mut writes) = io::split(Uninterrupted(stream));
     let mut reads = BufReader::new(reads);
     let hears = async {
         let (mut since, mut count) = (Instant::now(), 0);
@@ -606,7 +608,7 @@
         // Byte by byte: what comes behind the greeting is for others to read.
         while greeting.last() != Some(&b'\n') && greeting.len() < 1024 {
             let mut byte = [0];
-            if (&stream).read(&mut byte).await.ok()? == 0 {
+            if Uninterrupted(&stream).read(&mut byte).await.ok()? == 0 {
                 return None;
             }
             greeting.push(byte[0]);
--- a/sidecar/src/board.rs
+++ b/sidecar/src/board.rs
@@ -1,8 +1,10 @@
 //! What the whole program knows of servers by name: the list as last told, and which are out by hand. No sockets, no clock.
+use crate::metrics::ServerCounts;
 use oakhollow::types::Micros;
 use oakhollow_terms::{Entry, List, Marks, Version};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// A server taken out by hand, or put back, at that time.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -26,6 +28,10 @@
     marks: Marks,
     /// The list was told by discovery, or discovery has failed to.
     pub settled: bool,
+    /// When the list was last told, or said to be unchanged.
+    pub told: Option<Instant>,
+    /// The watch of the list is open and has told something.
+    pub watch_open: bool,
     /// Workers take callers in, and the program is not leaving.
     pub able: bool,
     /// A majority's leases live, where instances agree on settings.
@@ -101,6 +107,20 @@
         self.marks.set(&mark.name, mark.out, mark.at);
     }
 
+    /// Servers by what they may be sent.
+    pub fn counts(&self) -> ServerCounts {
+        let mut counts = ServerCounts::default();
+        for entry in self.entries.values() {
+            let out = self.marks.out.contains(&entry.name);
+            match (out, entry.ready()) {
+                (true, _) => counts.maintenance += 1,
+                (false, true) => counts.ready += 1,
+                (false, false) => counts.draining += 1,
+            }
+        }
+        counts
+    }
+
     /// Whether a call would be served at once.
     pub fn serves(&self) -> bool {
         let mut usable = self.entries.values().filter(|entry| entry.ready());
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -2,21 +2,25 @@
 //! back. It has a thread, a reactor and descriptors of its own, so that it answers however busy the workers are.
 use crate::accord::Accord;
 use crate::board::{lock, Mark, Refused, Shared};
-use crate::folder::Keeper;
 use crate::http1::answers::Answer;
 use crate::http1::head::{Fault, Head};
 use crate::http1::messages::{Assembler, Came, Side};
+use crate::maintenance_store::{Kept, MaintenanceStore};
+use crate::metrics::{Gauges, Metrics};
 use crate::peers::Peers;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use crate::timers::Clock;
-use crate::workers::{on_this_thread, Order, Orders};
+use crate::workers::{self, on_this_thread, Order, Orders};
 use async_executor::Task;
 use futures_lite::{future, AsyncWriteExt};
-use slog::{info, Logger};
+use oakhollow::types::Micros;
+use slog::{info, warn, Logger};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::Builder;
 use std::time::Duration;
@@ -27,7 +31,7 @@
 pub const SOCKETS: usize = CALLERS + 4;
 /// How long a caller may take until its call is there whole, and to take its answer.
 const WITHIN: Duration = Duration::from_millis(2_500);
-/// How long the workers may take to apply a mark: whoever asked waits for a second.
+/// How long the workers may take to apply a mark, and the disk to keep it: whoever asked waits for a second.
 const APPLIED: Duration = Duration::from_millis(900);
 /// After a failed accept.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -37,14 +41,18 @@
     pub orders: Orders,
     pub clock: Clock,
     pub log: Logger,
-    pub keeper: Option<Arc<Keeper>>,
+    pub store: Option<Arc<MaintenanceStore>>,
     pub peers: Peers,
     pub accord: Option<Accord>,
+    pub metrics: Arc<Metrics>,
+    /// What each worker holds.
+    pub gauges: Vec<workers::Gauges>,
 }
 
 /// What may be asked, as the paths have it.
 const HEALTH: &str = "/healthcheck";
 const ACCORD: &str = "/accord";
+const METRICS: &str = "/metrics";
 /// How often an address that another process has is tried again.
 const TRIES: Duration = Duration::from_millis(100);
 const SERVERS: &str = "/endpoints/";
@@ -53,6 +61,7 @@
 enum Call<'a> {
     Health,
     Accord,
+    Metrics,
     Mark { name: &'a str, out: bool },
 }
 
@@ -64,6 +73,7 @@
         }
         _ if path == HEALTH => (Call::Health, "GET"),
         _ if path == ACCORD => (Call::Accord, "GET"),
+        _ if path == METRICS => (Call::Metrics, "GET"),
         _ => return Err(none),
     };
     let fits = method == wanted || (method == "HEAD" && wanted == "GET");
@@ -97,26 +107,30 @@
                 Some(bound.map_err(|fault| Error::new(fault.kind(), format!("console: {at}: {fault}")))?)
             }
         };
-        let life = move || -> std::io::Result<()> {
-            let listener = match bound {
-                Some(listener) => listener,
-                None => loop {
-                    std::thread::sleep(TRIES);
-                    match TcpListener::bind(at) {
-                        Err(fault) if fault.kind() == ErrorKind::AddrInUse => {}
-                        bound => break bound?,
-                    }
-                },
-            };
-            info!(self.log, "console at {}", listener.local_addr()?);
-            on_this_thread(|tasks| self.answer_all(listener, tasks))
-        };
-        Builder::new().name("console".into()).spawn(move || _ = life())?;
+        Builder::new().name("console".into()).spawn(move || self.live(at, bound))?;
         Ok(())
     }
 
-    async fn answer_all(self, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
-        let (console, listener) = (std::rc::Rc::new(self), Async::listening(listener)?);
+    /// Guards against a program whose console has gone for good by one error: whatever ends it, it listens again.
+    fn live(self, at: SocketAddr, mut bound: Option<TcpListener>) {
+        let console = Rc::new(self);
+        loop {
+            let listened = bound.take().map_or_else(|| TcpListener::bind(at), Ok).and_then(|listener| {
+                info!(console.log, "console at {}", listener.local_addr()?);
+                on_this_thread(|tasks| console.clone().answer_all(listener, tasks))
+            });
+            match listened {
+                // The process before this one has the address still, as was said.
+                Err(fault) if fault.kind() == ErrorKind::AddrInUse => {}
+                Err(fault) => warn!(console.log, "console: {}: {}, trying on", at, fault),
+                Ok(()) => warn!(console.log, "console: {}: ended, trying on", at),
+            }
+            std::thread::sleep(TRIES);
+        }
+    }
+
+    async fn answer_all(self: Rc<Self>, listener: TcpListener, tasks: Tasks) -> std::io::Result<()> {
+        let (console, listener) = (self, Async::listening(listener)?);
         let mut callers: VecDeque<Task<()>> = VecDeque::new();
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -162,6 +176,7 @@
                 Some(accord) => Ok(Answer::plain(200, accord.status().await)),
                 None => Err(Fault { status: 404, why: "instances agree on nothing here" }),
             },
+            Call::Metrics => Ok(Answer::plain(200, self.metrics.text(self.gauges()))),
             Call::Mark { name, out } => {
                 let name = plain(name).ok_or(Fault { status: 400, why: "the name is malformed" })?;
                 self.mark(&name, out).await
@@ -169,14 +184,24 @@
         }
     }
 
+    fn gauges(&self) -> Gauges {
+        let board = lock(&self.board);
+        Gauges {
+            requests: self.gauges.iter().map(|worker| worker.calls.get()).sum(),
+            connections: self.gauges.iter().map(|worker| worker.connections.get()).sum(),
+            servers: board.counts(),
+            list_age: board.told.map(|told| Micros(told.elapsed().as_micros() as u64)),
+            watch_open: board.watch_open,
+        }
+    }
+
     async fn mark(&self, name: &str, out: bool) -> Result<Answer, Fault> {
-        let marked = {
+        let (marked, kept) = {
             let mut board = lock(&self.board);
             let marked = board.mark(name, out, self.clock.now());
-            if let (Ok(_), Some(keeper)) = (&marked, &self.keeper) {
-                keeper.keep(board.marks(), &self.log);
-            }
-            marked
+            // Under the lock: states are submitted in the order in which they held.
+            let store = self.store.as_ref().filter(|_| marked.is_ok());
+            (marked, store.map(|store| store.submit(board.marks().clone(), &self.log)))
         };
         let mark = marked.map_err(|refused| match refused {
             Refused::Unknown => Fault { status: 404, why: "nobody has this name" },
@@ -193,17 +218,34 @@
             self.orders.have_done(|done| Order::Marked(mark.clone(), done)).await;
             true
         };
-        let late = async {
-            Timer::after(APPLIED).await;
-            false
+        let kept = async {
+            match kept {
+                Some(kept) => kept.recv().await == Ok(Kept::Yes),
+                // The platform names no folder: nothing outlives this process, and nobody was promised that.
+                None => true,
+            }
         };
+        let (applied, kept) = future::zip(in_time(applied), in_time(kept)).await;
         // It holds in a moment all the same, and may be said again.
-        let slow = Fault { status: 504, why: "not applied everywhere yet" };
-        let text = if *out { "out of use" } else { "in use" };
-        future::or(applied, late).await.then(|| Answer::plain(200, text)).ok_or(slow)
+        if !applied {
+            return Err(Fault { status: 504, why: "not applied everywhere yet" });
+        }
+        if !kept {
+            return Err(Fault { status: 507, why: "applied, but not kept yet: a restart may undo it" });
+        }
+        Ok(Answer::plain(200, if *out { "out of use" } else { "in use" }))
     }
 }
 
+/// False where it takes longer than whoever asked waits.
+async fn in_time(done: impl Future<Output = bool>) -> bool {
+    let late = async {
+        Timer::after(APPLIED).await;
+        false
+    };
+    future::or(done, late).await
+}
+
 async fn read(stream: &Async<TcpStream>) -> Option<Result<Head, Fault>> {
     let mut inbox = Assembler::new(Side::Requests);
     loop {
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/decider.rs
@@ -2,9 +2,11 @@
 //! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
 //! knows no protocol but through [`Protocol`].
 use crate::board::Mark;
-use crate::bounds::Gauge;
 use crate::generations::{ClassId, Left};
 use crate::lease::Lease;
+use crate::limits::Gauge;
+use crate::metrics::{AttemptKind, RefusalReason};
+use crate::monitor::Monitor;
 use crate::oneshot::{self, oneshot};
 use crate::reactor::Timer;
 use crate::roster::{self, Elsewhere, Roster};
@@ -17,6 +19,7 @@
 use futures_lite::{future, StreamExt};
 use oakhollow::rules::Sidecar;
 use oakhollow::types::*;
+use oakhollow_guard::AttemptPermit;
 use oakhollow_terms::{List, Marks, Place, Taught, Unsure};
 use slog::{info, Logger};
 use std::cell::Cell;
@@ -34,9 +37,10 @@
     /// A server's answer, whole.
     type Answer: 'static;
 
-    /// Sends one hop and waits for its end, until `by` at most. Dropping the future cancels the hop.
-    fn hop(
-        &self, content: Rc<Self::Content>, to: SocketAddr, by: Instant, progress: Rc<Progress>,
+    /// Makes one attempt and waits for its end, until `by` at most. Dropping the future cancels it.
+    fn attempt(
+        &self, permit: AttemptPermit, content: Rc<Self::Content>, to: SocketAddr, by: Instant,
+        progress: Rc<Progress>,
     ) -> impl Future<Output = End<Self::Answer>> + 'static;
 
     /// Nothing new is wanted at this address.
@@ -151,15 +155,19 @@
         let _ = self.notes.send(note).await;
     }
 
-    /// Takes an API call; its verdict comes from the receiver.
+    /// The number of the next request.
+    pub fn number(&self) -> CallId {
+        CallId(self.calls.replace(self.calls.get().wrapping_add(1)))
+    }
+
+    /// Takes a request under its number; its verdict comes from what this returns.
     pub async fn take(
-        &self, ask: Ask, content: P::Content,
-    ) -> (CallId, oneshot::Receiver<Verdict<P::Answer>>) {
+        &self, call: CallId, ask: Ask, content: P::Content,
+    ) -> oneshot::Receiver<Verdict<P::Answer>> {
         let (verdict, answer) = oneshot();
-        let call = CallId(self.calls.replace(self.calls.get().wrapping_add(1)));
         self.held.up();
         self.tell(Note::Taken(Taken { call, ask, content: Rc::new(content), verdict })).await;
-        (call, answer)
+        answer
     }
 }
 
@@ -177,6 +185,7 @@
     went_out: bool,
     server: ServerId,
     progress: Rc<Progress>,
+    kind: AttemptKind,
     running: Option<Task<()>>,
 }
 
@@ -196,6 +205,7 @@
     /// Load reports that could not be read.
     odd: u64,
     lease: Lease,
+    monitor: Rc<Monitor>,
     /// Nothing may be sent on, as the module was last told.
     held_back: bool,
     /// What calls of workloads that are offered no more, or otherwise, may still do.
@@ -215,13 +225,15 @@
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     pub lease: Lease,
+    /// What is told all that happens, and says whether an attempt may be started.
+    pub monitor: Rc<Monitor>,
     /// What another process learnt in our place.
     pub taught: Taught,
 }
 
 impl<P: Protocol> Decider<P> {
     pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
-        let Parts { protocol, desk, tasks, log, ask, lease, taught } = parts;
+        let Parts { protocol, desk, tasks, log, ask, lease, monitor, taught } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut decider = Decider {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
@@ -231,6 +243,7 @@
             ends: VecDeque::new(),
             odd: 0,
             lease,
+            monitor,
             held_back: false,
             left: FnvHashMap::default(),
             most_hops: place.terms.most_hops as usize,
@@ -302,6 +315,7 @@
                 let known =
                     Call { class, content, abandon, most_hops, verdict: Some(verdict), hops: Vec::new() };
                 self.calls.insert(call, known);
+                self.monitor.queued(call);
                 self.on(Event::Arrived(Arrival { call, workload, left, customer, repeat, key }));
             }
             Note::Withdrawn(call) => {
@@ -315,7 +329,8 @@
             Note::Ended { call, hop, end: End { outcome, answer, told, waited } } => {
                 let running = self.calls.get_mut(&call).and_then(|known| known.hops.get_mut(hop.0 as usize));
                 // One cancelled a moment ago has been counted as that.
-                if running.and_then(|hop| hop.running.take()).is_some() {
+                if let Some(kind) = running.and_then(|hop| hop.running.take().map(|_| hop.kind)) {
+                    self.monitor.attempt_ended(call, hop, kind, outcome);
                     if let Some(answer) = answer {
                         self.answer(call, Verdict::Succeeded(answer));
                     }
@@ -337,6 +352,7 @@
             }
             Note::Look => {}
             Note::AnswerBy(by) => {
+                self.monitor.shutdown_begun(by);
                 self.answer_by = by;
                 self.calls.values_mut().for_each(|call| call.abandon = call.abandon.min(by));
                 let (desk, left) = (self.desk.clone(), duration(by - self.desk.clock.now()));
@@ -381,6 +397,7 @@
     }
 
     fn listed(&mut self, kind: ListKind, told: roster::Told) {
+        told.entries.iter().for_each(|listing| self.monitor.server_listed(listing));
         self.on(Event::Listed { kind, entries: &told.entries });
         told.retired.into_iter().for_each(|address| self.protocol.retire(address));
         self.desk.listed.set(self.roster.any_ready());
@@ -454,6 +471,15 @@
         self.end_hops(id, |begun| (!begun).then_some(Outcome::Cancelled));
     }
 
+    /// Ends a hop, if it is still out.
+    fn end_hop(&mut self, id: CallId, no: HopNo, outcome: Outcome) {
+        let hop = self.calls.get_mut(&id).and_then(|call| call.hops.get_mut(no.0 as usize));
+        if let Some(kind) = hop.and_then(|hop| hop.running.take().map(|_| hop.kind)) {
+            self.monitor.attempt_ended(id, no, kind, outcome);
+            self.ends.push_back((id, no, outcome));
+        }
+    }
+
     /// Ends the hops of a call that are still out, each with the outcome that it has by whether a server may have begun it;
     /// one without an outcome goes on.
     fn end_hops(&mut self, id: CallId, outcome: impl Fn(bool) -> Option<Outcome>) {
@@ -461,6 +487,7 @@
         for (hop, no) in call.hops.iter_mut().zip(0..) {
             let Some(outcome) = outcome(hop.progress.written.get().is_some()) else { continue };
             if hop.running.take().is_some() {
+                self.monitor.attempt_ended(id, HopNo(no), hop.kind, outcome);
                 self.ends.push_back((id, HopNo(no), outcome));
             }
         }
@@ -472,13 +499,10 @@
             match action {
                 Action::Send { call, server, give_up } => self.send(call, server, give_up),
                 Action::Cancel { call, hop } => {
-                    let known = self.calls.get_mut(&call);
-                    let hops = known.and_then(|known| known.hops.get_mut(hop.0 as usize));
-                    if hops.and_then(|hop| hop.running.take()).is_some() {
-                        self.ends.push_back((call, hop, Outcome::Cancelled));
-                    }
+                    self.end_hop(call, hop, Outcome::Cancelled);
                 }
                 Action::Dismiss { call, cool_down } => {
+                    self.refused(call);
                     self.answer(call, Verdict::Dismissed { cool_down });
                     self.clear(call);
                 }
@@ -500,6 +524,23 @@
         self.actions = actions;
     }
 
+    /// Says why a call is refused, as far as that can be seen from here.
+    fn refused(&self, id: CallId) {
+        let Some(call) = self.calls.get(&id).filter(|call| call.verdict.is_some()) else { return };
+        let reason = if self.held_back {
+            RefusalReason::NoLease
+        } else if !self.roster.any_ready() {
+            RefusalReason::NoServer
+        } else if self.answer_by <= self.desk.clock.now() {
+            RefusalReason::ShuttingDown
+        } else if call.hops.is_empty() {
+            RefusalReason::Overload
+        } else {
+            RefusalReason::AttemptsFailed
+        };
+        self.monitor.refused(id, reason);
+    }
+
     /// Ends the hops that have not begun and are not allowed any more. Guards against one whose connection comes up after
     /// others were told that what forbids it is kept to.
     fn forbid(&mut self) {
@@ -518,10 +559,7 @@
             .map(|(id, _, no)| (id, no))
             .collect();
         for (id, no) in forbidden {
-            let hop = self.calls.get_mut(&id).and_then(|call| call.hops.get_mut(no));
-            if hop.and_then(|hop| hop.running.take()).is_some() {
-                self.ends.push_back((id, HopNo(no as u32), Outcome::NotSent));
-            }
+            self.end_hop(id, HopNo(no as u32), Outcome::NotSent);
         }
         self.settle();
     }
@@ -554,21 +592,39 @@
         let sound = sound && (!self.lease.on() || self.allowed(call, call.hops.len(), server, now));
         let address = self.roster.address(server).filter(|_| sound);
         let progress = Rc::<Progress>::default();
-        let running = address.and_then(|address| {
+        let kind = kind_of_next(&call.hops);
+        // Asked for last of all: what it allows is counted as started.
+        let allowed = address.and_then(|address| {
+            let permit = self.monitor.start_attempt(id, no, server, kind).ok()?;
+            Some((address, permit))
+        });
+        let running = allowed.and_then(|(address, permit)| {
             let (desk, content) = (self.desk.clone(), call.content.clone());
             let by = desk.clock.instant(now + give_up.min(left));
-            let hop = self.protocol.hop(content, address, by, progress.clone());
+            let hop = self.protocol.attempt(permit, content, address, by, progress.clone());
             self.tasks.spawn(async move {
                 let end = hop.await;
                 desk.tell(Note::Ended { call: id, hop: no, end }).await;
             })
         });
         if running.is_none() {
+            self.monitor.attempt_ended(id, no, kind, Outcome::NotSent);
             self.ends.push_back((id, no, Outcome::NotSent));
         }
         let went_out = running.is_some();
         if let Some(call) = self.calls.get_mut(&id) {
-            call.hops.push(Hop { sent: now, went_out, server, progress, running });
+            call.hops.push(Hop { sent: now, went_out, server, progress, kind, running });
         }
     }
 }
+
+/// What the next attempt is, after these.
+fn kind_of_next(hops: &[Hop]) -> AttemptKind {
+    if hops.iter().any(|hop| hop.running.is_some()) {
+        AttemptKind::Hedge
+    } else if hops.iter().any(|hop| hop.went_out) {
+        AttemptKind::Retry
+    } else {
+        AttemptKind::First
+    }
+}
--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -1,6 +1,6 @@
 //! What goes back to a caller, as bytes.
+use super::attempt::{chunk, Reply};
 use super::head::{Fault, Framing};
-use super::hop::{chunk, Reply};
 use crate::decider::Verdict;
 use oakhollow::types::Micros;
 use std::borrow::Cow;
--- a/sidecar/src/http1/hop.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -1,15 +1,18 @@
-//! One hop: a request to a server, and what comes back, as the outcome that the protocol gives it.
+//! One attempt: a request to a server, and what comes back, as the outcome that the protocol gives it.
 use super::head::{Fault, Head};
 use super::load;
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use super::Fence;
 use crate::decider::{End, Progress, Told};
+use crate::metrics::SystemCall;
+use crate::monitor::Monitor;
 use crate::reactor::{Async, EndOf, Timer};
 use crate::timers::duration;
 use async_channel::{bounded, Receiver, Sender};
 use futures_lite::{future, AsyncWrite};
 use oakhollow::types::{Micros, Outcome};
+use oakhollow_guard::{AttemptPermit, Denial, LastLook};
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::net::{SocketAddr, TcpStream};
@@ -114,12 +117,17 @@
         }
     }
 
-    fn bytes(&self, left: Duration) -> Vec<u8> {
-        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", left.as_millis().max(1));
+    fn bytes(&self, told: Micros) -> Vec<u8> {
+        let timeout = format!("{TIMEOUT}: {}\r\n\r\n", told.0 / 1_000);
         [&self.front, timeout.as_bytes(), &self.body].concat()
     }
 }
 
+/// What a server is told of the time that is left: whole milliseconds, and one at least.
+fn told(left: Duration) -> Micros {
+    Micros::millis(left.as_millis().max(1) as u64)
+}
+
 /// One chunk of a chunked body; nothing for nothing, which would end it.
 pub fn chunk(part: &[u8]) -> Vec<u8> {
     if part.is_empty() {
@@ -177,7 +185,7 @@
             if !body.is_empty() || self.rest.whole() {
                 return Some(body);
             }
-            let read = async { self.link.stream.read_behind(self.rest.end()).await.ok() };
+            let read = async { self.link.read_behind(self.rest.end()).await.ok() };
             let idle = async {
                 Timer::after(IDLE).await;
                 None
@@ -199,22 +207,19 @@
     }
 }
 
-/// Where a hop goes, and what forbids its first byte.
+/// Where an attempt goes, and what forbids its first byte.
 pub struct Target {
     pub at: SocketAddr,
     /// False once its server wants nothing new.
     pub wanted: Rc<Cell<bool>>,
     pub fence: Fence,
+    /// What is told all that happens, and says whether the first byte may be written.
+    pub monitor: Rc<Monitor>,
+    pub permit: AttemptPermit,
 }
 
-impl Target {
-    /// Guards against a connection that comes up after its server drains, or after the lease.
-    fn shut(&self) -> bool {
-        !self.wanted.get() || self.fence.shut()
-    }
-}
-
-pub async fn hop(
+/// Makes an attempt, until `by` at most.
+pub async fn attempt(
     pool: Rc<Pool>, content: Rc<Outgoing>, to: Target, (by, progress): (Instant, Rc<Progress>),
     tells_load: bool,
 ) -> End<Reply> {
@@ -223,7 +228,7 @@
         exchanged.map_or_else(ended, |reply| judge(reply, tells_load))
     };
     let late = async {
-        // A call's time runs from its last byte, which this hop passes on.
+        // A request's time runs from its last byte, which this attempt passes on.
         if content.upload.is_some() {
             return future::pending().await;
         }
@@ -240,31 +245,46 @@
     pool: &Rc<Pool>, content: &Outgoing, target: &Target, by: Instant, progress: &Progress,
 ) -> Result<Reply, Outcome> {
     let to = target.at;
-    // What a hop before this one has passed on is gone.
+    // What an attempt before this one has passed on is gone.
     if content.upload.as_ref().is_some_and(|upload| upload.parts.borrow().is_none()) {
         return Err(Outcome::NotSent);
     }
     let link = match pool.idle(to) {
         Some(link) => link,
-        None => pool.connect(to, target.wanted.clone()).await?,
+        None => pool.connect(to, target.wanted.clone()).await.map_err(|failure| {
+            if let Some(error) = &failure.error {
+                target.monitor.system_error(SystemCall::Connect, error);
+            }
+            failure.outcome
+        })?,
     };
-    if target.shut() {
-        return Err(Outcome::NotSent);
-    }
-    // Guards against a first byte for a caller whose end came in one turn with the connection, or with what its call waited for:
-    // the withdrawal, which is on its way, ends this hop.
-    if content.gone.has_come() {
-        return future::pending().await;
-    }
     // The connection took its time too.
     let left = content.left(by, Instant::now());
-    if left.is_zero() {
-        return Err(Outcome::NoConnection);
-    }
+    let told = told(left);
+    let look = LastLook {
+        server_wanted: target.wanted.get(),
+        lease_valid: !target.fence.shut(),
+        client_gone: content.gone.has_come(),
+        left: Micros(left.as_micros() as u64),
+        told,
+    };
+    let permit = match target.monitor.send(&target.permit, look) {
+        Ok(permit) => permit,
+        // Guards against a first byte for a client whose end came in one turn with the connection, or with what its request
+        // waited for: the withdrawal, which is on its way, ends this attempt.
+        Err(Denial::ClientGone | Denial::RequestOver) => return future::pending().await,
+        Err(Denial::OutOfTime) => return Err(Outcome::NoConnection),
+        Err(Denial::ServerNotWanted | Denial::LeaseLapsed | Denial::MayHaveRun) => {
+            return Err(Outcome::NotSent)
+        }
+    };
     progress.begun.set(true);
     let mut inbox = Assembler::new(Side::Answers);
-    let sent = write(&link.stream, &content.bytes(left)).await;
-    sent.map_err(|_| Outcome::NoConnection)?;
+    let broken = |error: std::io::Error| {
+        target.monitor.system_error(SystemCall::Transfer, &error);
+        Outcome::NoConnection
+    };
+    link.begin(permit, &content.bytes(told)).await.map_err(broken)?;
     let mut late = None;
     if let Some(upload) = &content.upload {
         let sent = async { pass_on(upload, &link).await.map(|()| None) };
@@ -277,6 +297,7 @@
         }
     }
     progress.written.set(Some(Instant::now()));
+    target.monitor.last_byte_written(&target.permit);
     // From here on it may have run, whatever breaks.
     let late = async {
         match late {
@@ -299,13 +320,13 @@
     let gone = |_| Outcome::NoConnection;
     while let Ok(part) = parts.recv().await {
         let part = if upload.chunked { chunk(&part) } else { part };
-        write(&link.stream, &part).await.map_err(gone)?;
+        link.go_on(&part).await.map_err(gone)?;
     }
     if upload.whole.get().is_none() {
         return Err(Outcome::NoConnection);
     }
     if upload.chunked {
-        write(&link.stream, LAST_CHUNK).await.map_err(gone)?;
+        link.go_on(LAST_CHUNK).await.map_err(gone)?;
     }
     Ok(())
 }
@@ -335,7 +356,7 @@
     let read = async {
         let mut begun = None;
         loop {
-            let read = async { Some(link.stream.read_behind(inbox.end()).await) };
+            let read = async { Some(link.read_behind(inbox.end()).await) };
             let idle = async {
                 match begun {
                     Some(_) => _ = Timer::after(STALLED).await,
--- a/sidecar/src/http1/callers.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -1,17 +1,20 @@
-//! One caller's connection: reads its requests and gives each API call its one answer.
+//! One client's connection: reads its requests and gives each its one answer.
 use super::answers::Answer;
-use super::door::Door;
+use super::attempt::{self, Feed, Outgoing, Reply, LAST_CHUNK, TIMEOUT};
+use super::connections::{Closed, Connections, Held};
 use super::head::{Fault, Framing, Head, MOST_LONG};
-use super::hop::{self, Feed, Outgoing, LAST_CHUNK, TIMEOUT};
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::Note;
 use crate::decider::{Ask, Verdict};
+use crate::monitor::{Accepted, OpenRequest};
 use crate::reactor::{Async, Timer};
 use futures_lite::future;
 use oakhollow::types::*;
+use oakhollow_guard::{AnswerKind, CloseReason, Effect};
 use oakhollow_terms::Named;
 use rustix::net::sockopt;
-use std::net::{IpAddr, Shutdown, TcpStream};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How long a caller may take from connecting, or from the first byte of a later request, until its request is
@@ -28,10 +31,11 @@
 /// What a caller may send ahead while its API call is out, and after its last answer.
 const MOST_AHEAD: usize = 16 * 1024;
 
-pub struct Caller<'a> {
-    door: &'a Door,
+/// A connection with the state of its reading.
+pub struct ClientConnection<'a> {
+    held: &'a Held,
+    shared: &'a Connections,
     stream: Async<TcpStream>,
-    source: IpAddr,
     inbox: Assembler,
     /// Nothing has been answered on it yet.
     fresh: bool,
@@ -43,67 +47,110 @@
     Request(Message),
     Begun(Begun),
     Fault(Fault),
-    Nothing,
+    Closed(CloseReason),
 }
 
-impl Caller<'_> {
-    pub fn new(door: &Door, stream: Async<TcpStream>, source: IpAddr) -> Caller<'_> {
-        Caller {
-            door,
+/// An answer that is to be given.
+struct Due {
+    answer: Answer,
+    /// The connection may carry another request after it.
+    lasts: bool,
+    /// The client speaks an old version, without chunks.
+    old: bool,
+    /// The request that it is owed to; none where none was accepted.
+    owed: Option<(OpenRequest, AnswerKind)>,
+}
+
+/// None if the client has gone.
+type Answered = Option<AnswerOwed>;
+
+/// An answer, and the request that it is owed to, if that was accepted.
+type AnswerOwed = (Answer, Option<(OpenRequest, AnswerKind)>);
+
+/// What a request is, beside what the decisions need of it.
+struct Identity {
+    class: Rc<str>,
+    effect: Effect,
+    id: Rc<str>,
+}
+
+impl Due {
+    /// Whoever sends what can't be taken is parted with: guards against hundreds of such requests at once.
+    fn fault(fault: Fault) -> Due {
+        Due { answer: fault.into(), lasts: false, old: false, owed: None }
+    }
+}
+
+impl ClientConnection<'_> {
+    /// One that was just taken in.
+    pub fn new(held: &Held, stream: Async<TcpStream>) -> ClientConnection<'_> {
+        ClientConnection {
+            held,
+            shared: &held.shared,
             stream,
-            source,
             inbox: Assembler::new(Side::Requests),
             fresh: true,
             late: Timer::never(),
         }
     }
 
-    pub async fn serve(mut self) {
+    /// Serves it until it is closed.
+    pub async fn serve(mut self) -> Closed {
         loop {
-            let mut old = false;
-            // Whoever sends what can't be taken is parted with: guards against hundreds of such requests at once.
-            let (answer, lasts) = match self.next().await {
+            let due = match self.next().await {
                 // Between requests nothing can be lost; lingering would keep out those who wait to be taken in.
-                Next::Nothing => return,
-                Next::Fault(fault) => (fault.into(), false),
+                Next::Closed(reason) => return Closed::by(reason),
+                Next::Fault(fault) => Due::fault(fault),
                 Next::Request(request) => {
-                    let lasts = request.lasts;
-                    old = request.head.old();
+                    let (lasts, old) = (request.lasts, request.head.old());
                     match self.answer(request).await {
-                        Ok(Some(answer)) => (answer, lasts),
-                        Ok(None) => return,
-                        Err(fault) => (fault.into(), false),
+                        Ok(Some((answer, owed))) => Due { answer, lasts, old, owed },
+                        Ok(None) => return Closed::by(CloseReason::ClientGone),
+                        Err(fault) => Due::fault(fault),
                     }
                 }
                 Next::Begun(begun) => {
-                    let lasts = begun.head.lasts();
-                    old = begun.head.old();
+                    let (lasts, old) = (begun.head.lasts(), begun.head.old());
                     match self.carry(begun).await {
-                        Ok(Some((answer, whole))) => (answer, lasts && whole),
-                        Ok(None) => return,
-                        Err(fault) => (fault.into(), false),
+                        Ok(Some(((answer, owed), whole))) => Due { answer, lasts: lasts && whole, old, owed },
+                        Ok(None) => return Closed::by(CloseReason::ClientGone),
+                        Err(fault) => Due::fault(fault),
                     }
                 }
             };
-            let framing = answer.framing(old);
-            let lasts = lasts && self.door.keeps() && framing != Framing::UntilClose;
-            if !self.give(answer, lasts, framing).await {
-                return;
-            }
-            if !lasts {
-                return self.part().await;
+            if let Some(closed) = self.finish(due).await {
+                return closed;
             }
             self.fresh = false;
         }
     }
 
+    /// Gives an answer. None if the connection is kept.
+    async fn finish(&self, due: Due) -> Option<Closed> {
+        let Due { answer, lasts, old, owed } = due;
+        let framing = answer.framing(old);
+        let lasts = lasts && self.shared.keeps() && framing != Framing::UntilClose;
+        if let Some((open, kind)) = &owed {
+            open.answer_begun(*kind);
+        }
+        let broken = self.give(answer, lasts, framing).await.err();
+        let reason = broken.or_else(|| (!lasts).then_some(CloseReason::LastAnswer));
+        if let Some((open, _)) = owed {
+            open.close(reason);
+        }
+        if reason == Some(CloseReason::LastAnswer) {
+            self.part().await;
+        }
+        reason.map(Closed::by)
+    }
+
     /// Waits for the next request, and for the word to close while there is none.
     async fn next(&mut self) -> Next {
         let (start, mut leave_given) = (Instant::now(), false);
         let mut until = start + if self.fresh { WITHIN } else { KEPT };
         let mut paced = 0;
-        let door = self.door;
-        let mut stay = Some(door.stay(self.source, !self.fresh));
+        let shared = self.shared;
+        let mut stay = Some(shared.stay(self.held.source, !self.fresh));
         loop {
             match self.inbox.take() {
                 Ok(Some(Came::Whole(request))) => return Next::Request(request),
@@ -114,7 +161,7 @@
             if self.inbox.waits_for_leave() && !std::mem::replace(&mut leave_given, true) {
                 let leave = b"HTTP/1.1 100 Continue\r\n\r\n";
                 if !self.write(leave).await {
-                    return Next::Nothing;
+                    return Next::Closed(CloseReason::ClientClosed);
                 }
             }
             let begun = self.inbox.held() > 0;
@@ -150,11 +197,11 @@
                     let more = self.inbox.body().saturating_sub(paced);
                     (until, paced) = (until + at_slowest(more), paced + more);
                 }
-                Some(None) => return Next::Nothing,
+                Some(None) => return Next::Closed(CloseReason::ClientClosed),
                 // The program is leaving: what has begun is waited for, and one let in at the last moment has a little
                 // time to begin.
                 None if stay.is_none()
-                    && door.closing()
+                    && shared.closing()
                     && until > Instant::now()
                     && (begun || self.fresh) =>
                 {
@@ -165,109 +212,149 @@
                 None if stay.is_some() && begun => {
                     return Next::Fault(Fault { status: 408, why: "the request came too slowly" })
                 }
-                None => return Next::Nothing,
+                None => return Next::Closed(self.why_nothing_came(stay.is_none())),
             }
         }
     }
 
-    /// The answer to a request; none if the caller left before it.
-    async fn answer(&mut self, request: Message) -> Result<Option<Answer>, Fault> {
+    /// Why the connection is closed on which no request is open; `told` to close, or out of time.
+    fn why_nothing_came(&self, told: bool) -> CloseReason {
+        match (told, self.shared.closing()) {
+            (true, true) => CloseReason::ShuttingDown,
+            (true, false) => CloseReason::Evicted,
+            (false, _) if self.fresh => CloseReason::NoRequest,
+            (false, _) => CloseReason::Idle,
+        }
+    }
+
+    /// The answer to a request; none if the client left before it.
+    async fn answer(&mut self, request: Message) -> Result<Answered, Fault> {
         if asks_if_ready(&request) {
-            return Ok(Some(Answer::ready(self.door.ready())));
+            return Ok(Some((Answer::ready(self.shared.ready()), None)));
         }
-        let (ask, ..) = self.read_call(&request.head)?;
+        let (ask, _, _, identity) = self.read_call(&request.head)?;
         // Guards against a stranger's request under the id of one that is open: servers tell the two apart by nothing.
-        let door = self.door;
-        let id = request.head.only("Request-Id")?.unwrap_or_default();
-        let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
-        // Guards against a hop for one that left before its request was read: it may have waited to be taken in.
+        let shared = self.shared;
+        let _open =
+            shared.open_id(&identity.id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
+        // Guards against an attempt for one that left before its request was read: it may have waited to be taken in.
         if self.stream.has_ended() {
             return Ok(None);
         }
-        let (call, verdict) = door.desk.take(ask, Outgoing::new(request, self.stream.end())?).await;
+        let content = Outgoing::new(request, self.stream.end())?;
+        let open = self.accept(&ask, identity);
+        let verdict = shared.desk.take(open.request(), ask, content).await;
         let answered = async { (&verdict).await };
         let (stream, inbox) = (&self.stream, &mut self.inbox);
-        // Read on for a while, so that what the machine holds of the next request does not grow stale.
+        // Read on for a while, so that what the kernel holds of the next request does not grow stale.
         let ahead = async {
             while inbox.held() <= MOST_AHEAD && read(stream, inbox.end()).await.is_some() {}
             future::pending().await
         };
         let verdict: Option<Verdict<_>> = future::or(answered, future::or(gone(stream), ahead)).await;
-        if verdict.is_none() {
-            door.desk.tell(Note::Withdrawn(call)).await;
+        match verdict {
+            Some(verdict) => Ok(Some(given(verdict, open))),
+            None => {
+                self.withdraw(open).await;
+                Ok(None)
+            }
         }
-        Ok(verdict.map(Answer::from))
     }
 
     /// The answer to a request whose body is passed on as it comes, and whether all of it has come.
-    async fn carry(&mut self, begun: Begun) -> Result<Option<(Answer, bool)>, Fault> {
+    async fn carry(&mut self, begun: Begun) -> Result<Option<(AnswerOwed, bool)>, Fault> {
         let Begun { head, kept, mut rest } = begun;
-        let (mut ask, left, long) = self.read_call(&head)?;
-        let (door, came) = (self.door, kept.len());
-        // To the module it is a call of which nothing may be sent twice, and its time begins with its last byte.
-        ask.workload = long;
+        let (mut ask, left, long, mut identity) = self.read_call(&head)?;
+        let (shared, came) = (self.shared, kept.len());
+        // To the module it is a request of which nothing may be sent twice, and its time begins with its last byte.
+        (ask.workload, identity.effect) = (long, Effect::Unsafe);
         let longest = at_slowest(rest.length().unwrap_or(MOST_LONG));
-        ask.abandon = (ask.abandon + Micros(longest.as_micros() as u64)).min(door.latest());
-        let id = head.only("Request-Id")?.unwrap_or_default();
-        let _open = door.open_id(id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
+        ask.abandon = (ask.abandon + Micros(longest.as_micros() as u64)).min(shared.latest());
+        let _open =
+            shared.open_id(&identity.id).ok_or(Fault { status: 409, why: "this Request-Id is open" })?;
         let (content, feed) = Outgoing::begun(&head, kept, &rest, left, self.stream.end())?;
         if self.stream.has_ended() {
             return Ok(None);
         }
-        let (call, verdict) = door.desk.take(ask, content).await;
+        let open = self.accept(&ask, identity);
+        let verdict = shared.desk.take(open.request(), ask, content).await;
         let answered = async { Ok((&verdict).await) };
         let pumped = pump(&self.stream, &mut rest, feed, came);
         let left = async { Ok(gone(&self.stream).await) };
         let verdict = future::or(answered, future::or(left, pumped)).await;
-        if !matches!(verdict, Ok(Some(_))) {
-            door.desk.tell(Note::Withdrawn(call)).await;
-        }
         let whole = rest.whole();
         if whole {
             self.inbox.push(rest.behind());
         }
-        Ok(verdict?.map(|verdict| (Answer::from(verdict), whole)))
+        match verdict {
+            Ok(Some(verdict)) => Ok(Some((given(verdict, open), whole))),
+            Ok(None) => {
+                self.withdraw(open).await;
+                Ok(None)
+            }
+            // Accepted, and answered by the fault.
+            Err(fault) => {
+                shared.desk.tell(Note::Withdrawn(open.request())).await;
+                Ok(Some(((fault.into(), Some((open, AnswerKind::Failed))), false)))
+            }
+        }
     }
 
-    /// Writes an answer, the rest of a long one as it comes. False if the connection is over by that.
-    async fn give(&self, mut answer: Answer, lasts: bool, framing: Framing) -> bool {
-        if hop::write(&self.stream, &answer.bytes(lasts, framing)).await.is_err() {
-            return false;
-        }
-        let Answer::Passed(reply) = &mut answer else { return true };
+    /// From now on an answer is owed.
+    fn accept(&self, ask: &Ask, identity: Identity) -> OpenRequest {
+        let Identity { class, effect, id } = identity;
+        let (request, deadline) = (self.shared.desk.number(), ask.abandon);
+        self.shared.monitor.accept(Accepted { request, request_id: id, class, effect, deadline })
+    }
+
+    /// The client has gone.
+    async fn withdraw(&self, open: OpenRequest) {
+        open.client_gone();
+        self.shared.desk.tell(Note::Withdrawn(open.request())).await;
+        open.close(Some(CloseReason::ClientGone));
+    }
+
+    /// Writes an answer, the rest of a long one as it comes. An error is why the connection is over by that.
+    async fn give(&self, mut answer: Answer, lasts: bool, framing: Framing) -> Result<(), CloseReason> {
+        attempt::write(&self.stream, &answer.bytes(lasts, framing))
+            .await
+            .map_err(|_| CloseReason::AnswerNotTaken)?;
+        let Answer::Passed(reply) = &mut answer else { return Ok(()) };
         let keeps = reply.head.lasts();
-        let Some(mut rest) = reply.rest.take() else { return true };
-        loop {
-            let Some(part) = rest.more().await else { break };
+        let Some(mut rest) = reply.rest.take() else { return Ok(()) };
+        let reason = loop {
+            let Some(part) = rest.more().await else { break CloseReason::AnswerBroken };
             let over = part.is_empty();
             let bytes = match framing {
                 Framing::Chunked if over => LAST_CHUNK.to_vec(),
-                Framing::Chunked => hop::chunk(&part),
+                Framing::Chunked => attempt::chunk(&part),
                 _ => part,
             };
-            if hop::write(&self.stream, &bytes).await.is_err() {
-                break;
+            if attempt::write(&self.stream, &bytes).await.is_err() {
+                break CloseReason::AnswerNotTaken;
             }
             if over {
                 rest.done(keeps);
-                return true;
+                return Ok(());
             }
-        }
+        };
         // Guards against an end that a caller takes for the answer's.
         let _ = sockopt::set_socket_linger(self.stream.get_ref(), Some(Duration::ZERO));
-        false
+        Err(reason)
     }
 
-    /// What the decisions need of a request, the time that its caller gives it, and its workload if its body is not kept.
-    fn read_call(&self, head: &Head) -> Result<(Ask, Micros, WorkloadId), Fault> {
-        let (names, came) = (self.door.names(), self.door.desk.clock.now());
+    /// What the decisions need of a request, the time that its client gives it, its workload if its body is not kept, and what
+    /// it is known by.
+    fn read_call(&self, head: &Head) -> Result<(Ask, Micros, WorkloadId, Identity), Fault> {
+        let (names, came) = (self.shared.names(), self.shared.desk.clock.now());
         let (method, target, _) = head.request()?;
         let fault = |status, why| Fault { status, why };
         if !matches!(method, "GET" | "POST") {
             return Err(fault(405, "only GET and POST are spoken"));
         }
         head.only("Host")?.ok_or(fault(400, "Host is missing"))?;
-        head.only("Request-Id")?.filter(|id| !id.is_empty()).ok_or(fault(400, "Request-Id is missing"))?;
+        let id = head.only("Request-Id")?.filter(|id| !id.is_empty());
+        let id = id.ok_or(fault(400, "Request-Id is missing"))?;
         let path = target.split('?').next().unwrap_or_default();
         let first = path.split('/').nth(1).unwrap_or_default();
         let name = head.only("Request-Class")?.unwrap_or(first);
@@ -277,6 +364,8 @@
         let workload = names.workloads.iter().position(|workload| workload.name == name);
         let workload = workload.ok_or(fault(404, "no such workload"))?;
         let Named { abandon: longest, tagged, .. } = names.workloads[workload];
+        let class = names.class_names[workload].clone();
+        let identity = Identity { class, effect: names.effects[workload], id: id.into() };
         // Guards against sending twice what no server could tell for a repeat.
         if head.only("Idempotency-Key")?.is_none_or(str::is_empty) && tagged {
             return Err(fault(400, "Idempotency-Key is missing"));
@@ -296,10 +385,10 @@
             most_hops: names.most_hops,
             customer: CustomerId(customer.and_then(known).unwrap_or(0)),
             repeat: head.only("Client-Retry")? == Some("1"),
-            abandon: (came + left).min(self.door.latest()),
+            abandon: (came + left).min(self.shared.latest()),
             key: if names.warm_keys { key(head.only("Request-Info")?) } else { None },
         };
-        Ok((ask, left, names.numbers[workload].long))
+        Ok((ask, left, names.numbers[workload].long, identity))
     }
 
     /// Ends our sending, and waits a little for the caller to end its own: a close with bytes unread would reset
@@ -327,10 +416,20 @@
 
     /// False if the caller is gone or takes nothing.
     async fn write(&self, bytes: &[u8]) -> bool {
-        hop::write(&self.stream, bytes).await.is_ok()
+        attempt::write(&self.stream, bytes).await.is_ok()
     }
 }
 
+/// A verdict as an answer, owed to that request.
+fn given(verdict: Verdict<Reply>, open: OpenRequest) -> AnswerOwed {
+    let kind = match &verdict {
+        Verdict::Succeeded(_) => AnswerKind::Served,
+        Verdict::Dismissed { .. } => AnswerKind::Refused,
+        Verdict::Errored => AnswerKind::Failed,
+    };
+    (verdict.into(), Some((open, kind)))
+}
+
 /// The time that so much of a body may take: a third more than the platform's word.
 fn at_slowest(bytes: usize) -> Duration {
     Duration::from_secs_f64(bytes as f64 / SLOWEST)
--- a/sidecar/src/http1/door.rs
+++ b/sidecar/src/http1/connections.rs
@@ -1,27 +1,21 @@
-//! The door for callers: takes connections in, holds no more than it may, and closes those with no request open when
-//! room is wanted or the program leaves.
-use super::callers::Caller;
+//! What the connections of clients share: how many there may be, which have no request open and may be closed, the ids of open
+//! requests, and whether the process still takes requests.
 use super::{Desk, Names};
-use crate::bounds::{Gauge, Place, Share};
+use crate::eviction::{self, Holder};
+use crate::limits::{Gauge, Share, Slot};
+use crate::monitor::Monitor;
 use crate::oneshot;
-use crate::reactor::{Async, Timer};
-use crate::tasks::Tasks;
-use crate::yielding::{self, Holder};
 use async_channel::{bounded, Receiver, Sender};
-use futures_lite::future;
 use oakhollow::types::Micros;
-use slog::{info, warn, Logger};
+use oakhollow_guard::CloseReason;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::BuildHasher;
-use std::net::{IpAddr, TcpListener, TcpStream};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
-
-/// After a failed accept: what made it fail, such as a lack of descriptors, does not pass in an instant.
-const PAUSE: Duration = Duration::from_millis(50);
+use std::time::Instant;
 
 /// One stay of a connection among those with no request open; the longer ago it began, the lower.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -38,38 +32,64 @@
     _told: oneshot::Sender<()>,
 }
 
-/// Where a connection comes from.
-pub struct Source {
-    door: Rc<Door>,
-    at: IpAddr,
-    place: Option<Place>,
+/// Says that a client's connection is closed, and why: no path ends one without.
+#[must_use]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Closed(CloseReason);
+
+impl Closed {
+    /// For that reason.
+    pub fn by(reason: CloseReason) -> Closed {
+        Closed(reason)
+    }
+
+    /// Why.
+    pub fn reason(self) -> CloseReason {
+        self.0
+    }
+}
+
+/// A connection that is held, and where it comes from.
+pub struct Held {
+    /// What it shares with the others.
+    pub shared: Rc<Connections>,
+    /// Where it comes from.
+    pub source: IpAddr,
+    slot: Option<Slot>,
 }
 
-impl Drop for Source {
+impl Held {
+    /// It is closed.
+    pub fn closed(self, closed: Closed) {
+        self.shared.monitor.connection_closed(closed.reason());
+    }
+}
+
+impl Drop for Held {
     fn drop(&mut self) {
-        let mut sources = self.door.sources.borrow_mut();
+        let mut sources = self.shared.sources.borrow_mut();
         // Guards against one entry for every address that ever came.
-        if let Some(count) = sources.get_mut(&self.at).filter(|count| **count > 1) {
+        if let Some(count) = sources.get_mut(&self.source).filter(|count| **count > 1) {
             *count -= 1;
         } else {
-            sources.remove(&self.at);
+            sources.remove(&self.source);
         }
         drop(sources);
-        drop(self.place.take());
-        self.door.connections.down();
-        self.door.stir();
+        drop(self.slot.take());
+        self.shared.connections.down();
+        self.shared.stir();
     }
 }
 
 /// The id of a request that is open; given up when it is answered.
 pub struct OpenId<'a> {
-    door: &'a Door,
+    shared: &'a Connections,
     id: String,
 }
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
-        self.door.ids.shut(&self.id);
+        self.shared.ids.shut(&self.id);
     }
 }
 
@@ -97,12 +117,12 @@
 }
 
 /// What the connections of callers share.
-pub struct Door {
+pub struct Connections {
     pub desk: Rc<Desk>,
     names: RefCell<Rc<Names>>,
-    tasks: Tasks,
-    log: Logger,
-    /// Places for connections, and how many connections there are.
+    /// What is told all that happens.
+    pub monitor: Rc<Monitor>,
+    /// Slots for connections, and how many connections there are.
     open: Rc<Share>,
     connections: Gauge,
     stays: Cell<StayId>,
@@ -120,16 +140,15 @@
     answer_by: Cell<Micros>,
 }
 
-impl Door {
+impl Connections {
     pub fn new(
-        desk: Rc<Desk>, names: Names, tasks: Tasks, log: Logger, open: (Rc<Share>, Gauge), ids: Arc<Ids>,
-    ) -> Rc<Door> {
+        desk: Rc<Desk>, names: Names, monitor: Rc<Monitor>, open: (Rc<Share>, Gauge), ids: Arc<Ids>,
+    ) -> Rc<Connections> {
         let (open, connections) = open;
-        Rc::new(Door {
+        Rc::new(Connections {
             desk,
             names: RefCell::new(Rc::new(names)),
-            tasks,
-            log,
+            monitor,
             open,
             connections,
             stays: Cell::default(),
@@ -145,6 +164,39 @@
         })
     }
 
+    /// Holds one more connection; given up when what this returns is dropped.
+    pub fn hold(shared: &Rc<Connections>, source: IpAddr, slot: Slot) -> Held {
+        shared.connections.up();
+        *shared.sources.borrow_mut().entry(source).or_default() += 1;
+        Held { shared: shared.clone(), source, slot: Some(slot) }
+    }
+
+    /// How many are held.
+    pub fn held(&self) -> usize {
+        self.open.held()
+    }
+
+    /// A slot for one more. Where there is none, one connection with no request open is closed, and others are closed with
+    /// their next answer until there is.
+    pub fn slot(&self) -> Option<Slot> {
+        let slot = self.open.take();
+        self.crowded.set(slot.is_none());
+        if slot.is_none() {
+            self.make_room();
+        }
+        slot
+    }
+
+    /// A slot for one that is here already and can't be sent away.
+    pub fn slot_anyway(&self) -> Slot {
+        self.open.take_anyway()
+    }
+
+    /// Waits until there may be a slot.
+    pub async fn room_made(&self) {
+        let _ = self.stirred.1.recv().await;
+    }
+
     /// What requests call things by, from now on.
     pub fn rename(&self, names: Names) {
         self.names.replace(Rc::new(names));
@@ -193,63 +245,9 @@
         self.closing.get()
     }
 
-    /// Takes connections in until dropped.
-    pub async fn welcome(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
-        let mut failures = 0_u32;
-        loop {
-            let place = loop {
-                if let Some(place) = self.open.take() {
-                    break place;
-                }
-                self.crowded.set(true);
-                self.make_room();
-                let stirred = async { _ = self.stirred.1.recv().await };
-                future::or(stirred, async { _ = Timer::after(PAUSE).await }).await;
-            };
-            self.crowded.set(false);
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    if std::mem::take(&mut failures) > 0 {
-                        info!(self.log, "connections are taken in again, {} open", self.open.held());
-                    }
-                    self.take_in(stream, place);
-                }
-                Err(fault) => {
-                    // Guards against spinning: the connection that can't be taken in stays readable.
-                    failures += 1;
-                    drop(place);
-                    if failures == 1 {
-                        warn!(self.log, "cannot take connections in, {} open: {}", self.open.held(), fault);
-                    }
-                    self.make_room();
-                    Timer::after(PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Takes in what the machine has accepted already: those clients may have written their requests.
-    pub fn take_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
-        while let Ok((stream, _)) = listener.get_ref().accept() {
-            if let Ok(stream) = Async::connected(stream) {
-                self.take_in(stream, self.open.take_anyway());
-            }
-        }
-    }
-
-    fn take_in(self: &Rc<Self>, stream: Async<TcpStream>, place: Place) {
-        let _ = stream.get_ref().set_nodelay(true);
-        // One that has gone already has no address, and nothing to say.
-        let Ok(peer) = stream.get_ref().peer_addr() else { return };
-        self.connections.up();
-        *self.sources.borrow_mut().entry(peer.ip()).or_default() += 1;
-        let source = Source { door: self.clone(), at: peer.ip(), place: Some(place) };
-        self.tasks.run(async move { Caller::new(&source.door, stream, source.at).serve().await });
-    }
-
     /// Closes one connection with no request open. Guards against kept connections shutting out new clients, and
     /// against one source, or many that say nothing, taking what the usual callers need.
-    fn make_room(&self) {
+    pub fn make_room(&self) {
         let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
         let holder = |stay: &Stay| Holder {
             known: stay.known,
@@ -257,7 +255,7 @@
             silent: stay.since.elapsed(),
             like: sources.get(&stay.source).copied().unwrap_or(0),
         };
-        let first = yielding::first(idle.iter().map(|(id, stay)| (*id, holder(stay))));
+        let first = eviction::first(idle.iter().map(|(id, stay)| (*id, holder(stay))));
         drop(first.and_then(|id| idle.remove(&id)));
     }
 
@@ -276,7 +274,7 @@
 
     /// Counts an id among the open ones; none if it is there already.
     pub fn open_id(&self, id: &str) -> Option<OpenId<'_>> {
-        self.ids.open(id).then(|| OpenId { door: self, id: id.to_string() })
+        self.ids.open(id).then(|| OpenId { shared: self, id: id.to_string() })
     }
 
     /// A connection has no request open from now on, until what this returns is dropped. It tells by its end that
@@ -289,13 +287,13 @@
             self.idle.borrow_mut().insert(id, stay);
             self.stir();
         }
-        Staying { door: self, id, told }
+        Staying { shared: self, id, told }
     }
 }
 
 /// A connection's place among those with no request open; given up when it has one.
 pub struct Staying<'a> {
-    door: &'a Door,
+    shared: &'a Connections,
     id: StayId,
     told: oneshot::Receiver<()>,
 }
@@ -303,7 +301,7 @@
 impl Staying<'_> {
     /// Bytes of a request have come.
     pub fn stirs(&self) {
-        if let Some(stay) = self.door.idle.borrow_mut().get_mut(&self.id) {
+        if let Some(stay) = self.shared.idle.borrow_mut().get_mut(&self.id) {
             (stay.begun, stay.since) = (true, Instant::now());
         }
     }
@@ -315,7 +313,7 @@
 
 impl Drop for Staying<'_> {
     fn drop(&mut self) {
-        self.door.idle.borrow_mut().remove(&self.id);
-        self.door.stir();
+        self.shared.idle.borrow_mut().remove(&self.id);
+        self.shared.stir();
     }
 }
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -1,10 +1,11 @@
 //! The platform's protocol, HTTP/1.1 over plain TCP. Nothing outside this folder knows it.
+pub mod acceptor;
 pub mod answers;
-pub mod callers;
+pub mod attempt;
 pub mod chunks;
-pub mod door;
+pub mod client_connection;
+pub mod connections;
 pub mod head;
-pub mod hop;
 pub mod load;
 pub mod messages;
 pub mod pool;
@@ -13,7 +14,9 @@
 use crate::decider::{End, Progress, Protocol};
 use crate::generations::{ClassId, Numbers};
 use crate::lease::Lease;
+use crate::monitor::Monitor;
 use crate::timers::Clock;
+use oakhollow_guard::{AttemptPermit, Effect};
 use oakhollow_terms::Named;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -26,6 +29,7 @@
     /// Whether servers tell their load with answers.
     pub tells_load: bool,
     pub fence: Fence,
+    pub monitor: Rc<Monitor>,
 }
 
 /// Looked at before a hop's first byte: guards against a hop of a process that was stopped for longer than its lease.
@@ -44,6 +48,10 @@
 /// What requests call things by.
 pub struct Names {
     pub workloads: Vec<Named>,
+    /// Their names, in the same order, as metrics have them.
+    pub class_names: Vec<Rc<str>>,
+    /// What requests of them do at a server, in the same order.
+    pub effects: Vec<Effect>,
     /// Their numbers, in the same order.
     pub numbers: Vec<Numbers>,
     pub classes: Vec<ClassId>,
@@ -54,15 +62,22 @@
 }
 
 impl Protocol for Http1 {
-    type Content = hop::Outgoing;
-    type Answer = hop::Reply;
+    type Content = attempt::Outgoing;
+    type Answer = attempt::Reply;
 
-    fn hop(
-        &self, content: Rc<hop::Outgoing>, to: SocketAddr, by: Instant, progress: Rc<Progress>,
-    ) -> impl Future<Output = End<hop::Reply>> + 'static {
+    fn attempt(
+        &self, permit: AttemptPermit, content: Rc<attempt::Outgoing>, to: SocketAddr, by: Instant,
+        progress: Rc<Progress>,
+    ) -> impl Future<Output = End<attempt::Reply>> + 'static {
         // Taken here, not when the hop first runs: what retires the address between the two is meant for it.
-        let to = hop::Target { at: to, wanted: self.pool.wanted(to), fence: self.fence.clone() };
-        hop::hop(self.pool.clone(), content, to, (by, progress), self.tells_load)
+        let to = attempt::Target {
+            at: to,
+            wanted: self.pool.wanted(to),
+            fence: self.fence.clone(),
+            monitor: self.monitor.clone(),
+            permit,
+        };
+        attempt::attempt(self.pool.clone(), content, to, (by, progress), self.tells_load)
     }
 
     fn retire(&self, at: SocketAddr) {
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -1,15 +1,18 @@
 //! Connections to servers: opened when none is free, kept while idle, bounded all together. One carries one
 //! request at a time.
-use crate::bounds::{Place, Share};
+use super::attempt::write;
+use crate::limits::{Share, Slot};
 use crate::reactor::{Async, Timer};
+use crate::system_errors::is_our_shortage;
 use crate::tasks::Tasks;
 use crate::timers::duration;
 use futures_lite::future;
 use oakhollow::types::{Micros, Outcome};
+use oakhollow_guard::SendPermit;
 use slog::{info, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::io::ErrorKind;
+use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -24,13 +27,28 @@
 
 /// One open connection; dropping it closes it.
 pub struct Link {
-    pub stream: Async<TcpStream>,
-    _place: Place,
+    stream: Async<TcpStream>,
+    _slot: Slot,
     /// Whether connections of that time to that address are still to be kept.
     wanted: Rc<Cell<bool>>,
 }
 
 impl Link {
+    /// Writes the beginning of an attempt, or all of it. There is no other way to write a first byte.
+    pub async fn begin(&self, _permit: SendPermit, bytes: &[u8]) -> Result<()> {
+        write(&self.stream, bytes).await
+    }
+
+    /// Writes more of an attempt that was begun.
+    pub async fn go_on(&self, bytes: &[u8]) -> Result<()> {
+        write(&self.stream, bytes).await
+    }
+
+    /// As [`Async::read_behind`].
+    pub async fn read_behind(&self, into: &mut Vec<u8>) -> Result<usize> {
+        self.stream.read_behind(into).await
+    }
+
     /// What has come between requests, where anything but nothing means the end; also what the thread has not been told of.
     fn come(&self) -> Come {
         match self.stream.get_ref().peek(&mut [0]) {
@@ -41,6 +59,20 @@
     }
 }
 
+/// Why there is no connection; either outcome proves that nothing ran.
+pub struct ConnectFailure {
+    /// What that says of the server.
+    pub outcome: Outcome,
+    /// The kernel's error, if that is what it was.
+    pub error: Option<Error>,
+}
+
+impl ConnectFailure {
+    fn by(outcome: Outcome, error: Option<Error>) -> ConnectFailure {
+        ConnectFailure { outcome, error }
+    }
+}
+
 #[derive(PartialEq, Eq)]
 enum Come {
     Nothing,
@@ -158,13 +190,15 @@
 
     /// Opens a connection for one who has asked whether it is [`Pool::wanted`]. The outcome of a failure proves that
     /// nothing ran.
-    pub async fn connect(&self, to: SocketAddr, wanted: Rc<Cell<bool>>) -> Result<Rc<Link>, Outcome> {
+    pub async fn connect(
+        &self, to: SocketAddr, wanted: Rc<Cell<bool>>,
+    ) -> std::result::Result<Rc<Link>, ConnectFailure> {
         // Before the first wait, so that connections on their way keep to the bound too.
-        let place = match self.open.take() {
-            Some(place) => place,
+        let slot = match self.open.take() {
+            Some(slot) => slot,
             None => {
                 drop(self.take_oldest());
-                self.open.take().ok_or(Outcome::NotSent)?
+                self.open.take().ok_or(ConnectFailure::by(Outcome::NotSent, None))?
             }
         };
         let connected = async { Some(Async::<TcpStream>::connect(to).await) };
@@ -175,11 +209,13 @@
         match future::or(connected, late).await {
             Some(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                Ok(Rc::new(Link { stream, _place: place, wanted }))
+                Ok(Rc::new(Link { stream, _slot: slot, wanted }))
             }
-            // Our own lack of descriptors says nothing of the server.
-            Some(Err(fault)) if out_of_descriptors(&fault) => Err(Outcome::NotSent),
-            _ => Err(Outcome::NoConnection),
+            Some(Err(error)) if is_our_shortage(&error) => {
+                Err(ConnectFailure::by(Outcome::NotSent, Some(error)))
+            }
+            Some(Err(error)) => Err(ConnectFailure::by(Outcome::NoConnection, Some(error))),
+            None => Err(ConnectFailure::by(Outcome::NoConnection, None)),
         }
     }
 
@@ -257,15 +293,10 @@
     }
 }
 
-/// EMFILE and ENFILE.
-fn out_of_descriptors(fault: &std::io::Error) -> bool {
-    matches!(fault.raw_os_error(), Some(23 | 24))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bounds::Bound;
+    use crate::limits::Bound;
     use crate::reactor::block_on;
     use async_executor::LocalExecutor;
     use slog::{o, Discard};
@@ -279,7 +310,8 @@
         let executor = Rc::new(LocalExecutor::new());
         let (open, times) = (Share::of(Bound::new(8, 1)), (Micros::millis(1_000), Micros::millis(60_000)));
         let pool = Pool::new(Tasks::of(&executor), open, times, Logger::root(Discard, o!()));
-        let connect = || block_on(pool.connect(to, pool.wanted(to))).expect("a reactor").expect("connected");
+        let connect =
+            || block_on(pool.connect(to, pool.wanted(to))).expect("a reactor").ok().expect("connected");
         let parked = |link: &Rc<Link>| {
             let before = Instant::now();
             pool.park(to, link.clone());
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -4,6 +4,7 @@
 use crate::accord::Accord;
 use crate::board::{lock, Shared};
 use crate::start_time::Heard;
+use crate::uninterrupted::Uninterrupted;
 use crate::workers::{Order, Orders};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -184,6 +185,16 @@
             // An ask meanwhile changes nothing, since each watch ends by itself: guards against giving one up, again and
             // again, that discovery has not come to yet.
             turn = future::or(moved(), ended).await;
+            self.note_watch(false);
+        }
+    }
+
+    /// Whether the watch is open, for whoever asks at the console.
+    fn note_watch(&self, open: bool) {
+        let mut board = lock(&self.board);
+        board.watch_open = open;
+        if open {
+            board.told = self.up_to_date;
         }
     }
 
@@ -206,7 +217,7 @@
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.told.0, self.discovery
         );
-        by(due, (&stream).write_all(ask.as_bytes())).await?.ok_or_else(silent)?;
+        by(due, Uninterrupted(&stream).write_all(ask.as_bytes())).await?.ok_or_else(silent)?;
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
@@ -216,7 +227,7 @@
             // longer, but only while it flows: guards against waiting on for one that was cut off.
             let due = self.since + silence;
             let most = due + Duration::from_secs_f64(came as f64 / SLOWEST);
-            let read = by(most.min(due.max(last + FLOWS)), (&stream).read(&mut buffer)).await?;
+            let read = by(most.min(due.max(last + FLOWS)), Uninterrupted(&stream).read(&mut buffer)).await?;
             let count = read.ok_or(Break::Silent(silence))?;
             (last, came) = (Instant::now(), came + count);
             if count == 0 {
@@ -246,6 +257,7 @@
                 self.tell(line.trim_ascii(), !self.heard).await?;
                 (self.since, self.heard, came) = (Instant::now(), true, 0);
                 self.up_to_date = Some(self.since);
+                self.note_watch(true);
                 silence = SILENCE;
             }
             if chunks.done() {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -4,15 +4,20 @@
 //! carried by [`workers`], each a thread of its own.
 pub mod accord;
 pub mod board;
-pub mod bounds;
 pub mod console;
 pub mod decider;
-pub mod folder;
+pub mod durable_file;
+pub mod eviction;
 pub mod generations;
+pub mod host_clock;
 pub mod http1;
 pub mod lease;
+pub mod limits;
 pub mod lines;
 pub mod logging;
+pub mod maintenance_store;
+pub mod metrics;
+pub mod monitor;
 pub mod oneshot;
 pub mod peers;
 pub mod phases;
@@ -20,9 +25,10 @@
 pub mod reactor;
 pub mod roster;
 pub mod start_time;
+pub mod system_errors;
 pub mod tasks;
 pub mod timers;
+pub mod uninterrupted;
 pub mod workers;
-pub mod yielding;
 
 pub use phases::{run, signals, Word};
--- a/sidecar/src/bounds.rs
+++ b/sidecar/src/limits.rs
@@ -70,8 +70,8 @@
         self.bound.halved.load(Ordering::Acquire) && self.held.get() > self.bound.half
     }
 
-    /// One place, if there is any; given up when it is dropped.
-    pub fn take(self: &Rc<Share>) -> Option<Place> {
+    /// One slot, if there is any; given up when it is dropped.
+    pub fn take(self: &Rc<Share>) -> Option<Slot> {
         if self.bound.halved.load(Ordering::Acquire) && self.held.get() >= self.bound.half {
             return None;
         }
@@ -81,28 +81,28 @@
                 .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| (left > 0).then(|| left - 1))
                 .ok()?;
         }
-        Some(self.place())
+        Some(self.slot())
     }
 
-    /// One place whether there is any or not: for what is here already and can't be sent away.
-    pub fn take_anyway(self: &Rc<Share>) -> Place {
+    /// One slot whether there is any or not: for what is here already and can't be sent away.
+    pub fn take_anyway(self: &Rc<Share>) -> Slot {
         if self.held.get() >= self.bound.floor {
             self.bound.common.fetch_sub(1, Ordering::AcqRel);
         }
-        self.place()
+        self.slot()
     }
 
-    fn place(self: &Rc<Share>) -> Place {
+    fn slot(self: &Rc<Share>) -> Slot {
         self.held.set(self.held.get() + 1);
-        Place(self.clone())
+        Slot(self.clone())
     }
 }
 
 /// One of what a bound allows.
 #[derive(Debug)]
-pub struct Place(Rc<Share>);
+pub struct Slot(Rc<Share>);
 
-impl Drop for Place {
+impl Drop for Slot {
     fn drop(&mut self) {
         let share = &self.0;
         if share.held.get() > share.bound.floor {
@@ -120,14 +120,14 @@
     fn one_may_take_all_but_the_others_floors() {
         let bound = Bound::new(40, 4);
         let shares: Vec<_> = (0..4).map(|_| Share::of(bound.clone())).collect();
-        let greedy: Vec<Place> = std::iter::from_fn(|| shares[0].take()).collect();
+        let greedy: Vec<Slot> = std::iter::from_fn(|| shares[0].take()).collect();
         assert_eq!(greedy.len(), 25);
-        let others: Vec<Place> =
+        let others: Vec<Slot> =
             shares[1..].iter().flat_map(|share| std::iter::from_fn(|| share.take())).collect();
         assert_eq!(others.len(), 15);
         // What is given back by whoever holds more than its floor is anybody's.
         drop(greedy);
-        let rest: Vec<Place> = std::iter::from_fn(|| shares[1].take()).collect();
+        let rest: Vec<Slot> = std::iter::from_fn(|| shares[1].take()).collect();
         assert_eq!(rest.len(), 20);
     }
 
@@ -135,7 +135,7 @@
     fn half_of_it_is_another_processes_while_that_lives() {
         let bound = Bound::new(8, 1);
         let share = Share::of(bound.clone());
-        let mut held: Vec<Place> = (0..6).filter_map(|_| share.take()).collect();
+        let mut held: Vec<Slot> = (0..6).filter_map(|_| share.take()).collect();
         bound.halve(true);
         assert!(share.over() && share.take().is_none());
         held.truncate(3);
@@ -150,10 +150,10 @@
     fn what_is_taken_anyway_is_given_back_before_others_take() {
         let bound = Bound::new(8, 2);
         let (one, other) = (Share::of(bound.clone()), Share::of(bound));
-        let mut held: Vec<Place> = std::iter::from_fn(|| one.take()).collect();
+        let mut held: Vec<Slot> = std::iter::from_fn(|| one.take()).collect();
         held.push(one.take_anyway());
         assert_eq!((held.len(), one.held()), (7, 7));
-        let floor: Vec<Place> = std::iter::from_fn(|| other.take()).collect();
+        let floor: Vec<Slot> = std::iter::from_fn(|| other.take()).collect();
         assert_eq!(floor.len(), 2);
         held.pop();
         assert!(other.take().is_none());
--- a/sidecar/src/logging.rs
+++ b/sidecar/src/logging.rs
@@ -1,5 +1,5 @@
 //! Log lines on standard error, written by a thread of their own: a slow reader must not hold up an API call.
-use slog::{o, Drain, Logger};
+use slog::{o, Drain, Level, LevelFilter, Logger};
 use slog_async::AsyncGuard;
 use std::io::Write;
 use std::sync::mpsc::channel;
@@ -9,16 +9,19 @@
 /// How long the end may wait for lines that are not written yet.
 const FLUSH: Duration = Duration::from_millis(500);
 
-pub fn to_stderr(name: &str) -> (Logger, FlushGuard) {
-    to(std::io::stderr(), name)
+/// Lines of that level and above, on standard error.
+pub fn to_stderr(name: &str, level: Level) -> (Logger, FlushGuard) {
+    to(std::io::stderr(), name, level)
 }
 
-pub fn to(writer: impl Write + Send + 'static, name: &str) -> (Logger, FlushGuard) {
+/// Lines of that level and above.
+pub fn to(writer: impl Write + Send + 'static, name: &str, level: Level) -> (Logger, FlushGuard) {
     let plain = slog_term::PlainSyncDecorator::new(writer);
     // A line that can't be written, or queued, is lost and nothing more.
     let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
     let (queued, guard) = slog_async::Async::new(lines).build_with_guard();
-    (Logger::root(queued.ignore_res(), o!("sidecar" => name.to_string())), FlushGuard(Some(guard)))
+    let filtered = LevelFilter::new(queued, level);
+    (Logger::root(filtered.ignore_res(), o!("sidecar" => name.to_string())), FlushGuard(Some(guard)))
 }
 
 /// Once dropped, what was logged before has been written, unless the reader is too slow. Guards against an end that loses
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,5 +1,5 @@
 //! `oakhollow`: one sidecar, started with the file that `RELAY_CONFIG` or the first argument names.
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use oakhollow_sidecar::{logging, planned, run, signals, workers};
 use oakhollow_terms::{Operator, Shape, Start};
 use slog::warn;
@@ -18,6 +18,27 @@
     /// The operator's own file; see deploy/oakhollow.toml.
     #[arg(long, env = "OAKHOLLOW_OPERATOR", value_name = "FILE")]
     operator: Option<PathBuf>,
+    /// What is logged.
+    #[arg(long, env = "OAKHOLLOW_LOG_LEVEL", value_enum, default_value_t = LogLevel::Info)]
+    log_level: LogLevel,
+}
+
+/// What is logged.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogLevel {
+    /// Changes of mode, faults and broken rules.
+    Info,
+    /// Every transition of every request, connection, attempt and the watch besides.
+    Debug,
+}
+
+impl From<LogLevel> for slog::Level {
+    fn from(level: LogLevel) -> slog::Level {
+        match level {
+            LogLevel::Info => slog::Level::Info,
+            LogLevel::Debug => slog::Level::Debug,
+        }
+    }
 }
 
 #[derive(Subcommand)]
@@ -52,7 +73,7 @@
         args.operator.map(|path| Operator::from_file(&path, cores())).transpose()?.unwrap_or_default();
     let start = Start::from_file(&path)?;
     let read = |before: &Shape| Start::after(before, &path);
-    let (log, _flush) = logging::to_stderr(&start.name);
+    let (log, _flush) = logging::to_stderr(&start.name, args.log_level.into());
     if let Some(plan) = operator.plan() {
         planned::doubts(&plan).iter().for_each(|doubt| warn!(log, "the plan does not hold {}", doubt));
     }
--- a/sidecar/src/peers.rs
+++ b/sidecar/src/peers.rs
@@ -1,16 +1,17 @@
 //! Two processes of one sidecar while one replaces the other. A local socket in the sidecar's folder carries one line from
 //! the old to the new, a snapshot, and then each side's marks, a line each; its end means that the other is gone.
 use crate::board::{lock, Mark, Shared as Board};
-use crate::bounds::Bound;
-use crate::folder::Keeper;
+use crate::limits::Bound;
 use crate::lines::{line, say, within};
+use crate::maintenance_store::MaintenanceStore;
+use crate::timers::Clock;
+use crate::uninterrupted::Uninterrupted;
 use crate::workers::{Order, Orders, Shared};
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use futures_lite::io::{self, BufReader, ReadHalf, WriteHalf};
-use oakhollow::types::Micros;
-use oakhollow_terms::{read, Line, Marks, Rest, Taught, Told};
+use oakhollow_terms::{read, Line, List, Marks, Rest, Taught, Told};
 use slog::{info, warn, Logger};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -18,15 +19,17 @@
 
 /// How long a process that comes waits for the one before it.
 const WITHIN: Duration = Duration::from_millis(300);
-/// Marks that may wait for a peer that does not read.
-const MOST_WAITING: usize = 256;
+/// Lines that may wait for a peer that does not read: each server's mark once.
+const MOST_WAITING: usize = Marks::MOST;
 /// The longest line that is taken: a list of many thousands.
 const MOST_LINE: u64 = 16 * 1024 * 1024;
 /// How long until a socket that could not be made is tried again.
 const PAUSE: Duration = Duration::from_millis(500);
 
-type Incoming = BufReader<ReadHalf<Async<UnixStream>>>;
-type Outgoing = WriteHalf<Async<UnixStream>>;
+type Incoming = BufReader<ReadHalf<Uninterrupted<Async<UnixStream>>>>;
+/// The way to one other process, and what is to be said to it.
+type Link = (Sender<Line>, Receiver<Line>);
+type Outgoing = WriteHalf<Uninterrupted<Async<UnixStream>>>;
 
 /// The way to other processes of this sidecar, if there are any.
 #[derive(Clone, Default)]
@@ -37,6 +40,13 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A new one, which is told all that is said from now on.
+    fn link(&self) -> Link {
+        let (link, lines) = bounded(MOST_WAITING);
+        self.links().push(link.clone());
+        (link, lines)
+    }
+
     /// Tells a mark to all but the one that told it.
     pub fn tell(&self, mark: &Mark, from: Option<&Sender<Line>>) {
         let Mark { name, out, at } = mark.clone();
@@ -69,17 +79,17 @@
 
 /// Asks the process before this one for its snapshot. None if there is none, or nothing that can be used: a start never
 /// hangs on it.
-pub async fn greet(keeper: &Keeper, log: &Logger) -> Option<Predecessor> {
-    let path = keeper.socket();
+pub async fn greet(store: &MaintenanceStore, log: &Logger) -> Option<Predecessor> {
+    let path = store.socket();
     if !path.exists() {
         return None;
     }
     let greeted = async {
         let stream = Async::<UnixStream>::connect(&path).await.map_err(|fault| fault.to_string())?;
-        let (reads, writes) = io::split(stream);
+        let (reads, writes) = io::split(Uninterrupted(stream));
         let mut reads = BufReader::new(reads);
         let line = line(&mut reads, MOST_LINE).await.ok_or("it said nothing")?;
-        let (marks, rest) = Marks::from_json(line.as_bytes(), keeper.listen)?;
+        let (marks, rest) = store.read(line.as_bytes())?;
         Ok(Predecessor { marks, rest, reads, writes })
     };
     let late = async {
@@ -100,8 +110,9 @@
     pub peers: Peers,
     pub board: Board,
     pub orders: Orders,
-    pub keeper: Arc<Keeper>,
+    pub store: Arc<MaintenanceStore>,
     pub bounds: [Bound; 2],
+    pub clock: Clock,
     pub log: Logger,
 }
 
@@ -110,7 +121,7 @@
     pub async fn run(self, before: Option<Predecessor>) {
         let follow = async {
             if let Some(Predecessor { reads, writes, .. }) = before {
-                self.link(reads, writes, Shared::WithPredecessor).await;
+                self.link(reads, writes, self.peers.link(), Shared::WithPredecessor).await;
             }
             future::pending::<()>().await
         };
@@ -118,44 +129,59 @@
     }
 
     async fn welcome(&self) {
+        let mut failing = false;
         loop {
             // Anew after each: whoever came has put its own socket there, and may be gone without a yes.
-            let path = self.keeper.socket();
+            let path = self.store.socket();
             let _ = std::fs::remove_file(&path);
             let listener = match Async::<UnixListener>::bind(&path) {
                 Ok(listener) => listener,
                 Err(fault) => {
-                    warn!(self.log, "nobody can take over: {}: {}", path.display(), fault);
-                    return;
+                    if !std::mem::replace(&mut failing, true) {
+                        warn!(self.log, "nobody can take over, trying on: {}: {}", path.display(), fault);
+                    }
+                    Timer::after(PAUSE).await;
+                    continue;
                 }
             };
+            failing = false;
             let Ok((stream, _)) = listener.accept().await else {
                 Timer::after(PAUSE).await;
                 continue;
             };
             drop(listener);
-            let (reads, mut writes) = io::split(stream);
+            let (reads, mut writes) = io::split(Uninterrupted(stream));
             let taught = self.taught().await;
-            let snapshot = {
-                let board = lock(&self.board);
-                board.marks().to_json(self.keeper.listen, Rest { list: Some(board.list()), taught })
-            };
+            let (marks, list, link) = self.snapshot();
+            let snapshot = self.store.word(&marks, Rest { list: Some(list), taught });
             if say(&mut writes, &snapshot).await {
-                self.link(BufReader::new(reads), writes, Shared::WithSuccessor).await;
+                self.link(BufReader::new(reads), writes, link, Shared::WithSuccessor).await;
+            } else {
+                self.unlink(&link.0);
             }
         }
     }
 
+    /// What holds now, and a link that is told all that changes from now on: both under one lock, so that no mark falls
+    /// between the two.
+    fn snapshot(&self) -> (Marks, List, Link) {
+        let board = lock(&self.board);
+        (board.marks().clone(), board.list(), self.peers.link())
+    }
+
+    fn unlink(&self, link: &Sender<Line>) {
+        self.peers.links().retain(|other| !other.same_channel(link));
+    }
+
     /// Shares with another process until that is gone.
-    async fn link(&self, mut reads: Incoming, mut writes: Outgoing, with: Shared) {
-        let (link, lines): (Sender<Line>, Receiver<Line>) = bounded(MOST_WAITING);
-        self.peers.links().push(link.clone());
+    async fn link(&self, mut reads: Incoming, mut writes: Outgoing, (link, lines): Link, with: Shared) {
         self.share(with).await;
         let heard = async {
             while let Some(line) = line(&mut reads, MOST_LINE).await {
                 match read(line.trim().as_bytes()) {
-                    Ok(Line::Mark(Told { name, out, at_us })) => {
-                        self.mark(Mark { name, out, at: Micros(at_us) }, &link).await;
+                    // Made a moment ago: guards against a time by the other process's clock.
+                    Ok(Line::Mark(Told { name, out, .. })) => {
+                        self.mark(Mark { name, out, at: self.clock.now() }, &link).await;
                     }
                     // What it still has ends with each answer: guards against doing with half for seconds.
                     Ok(Line::Parting) => {
@@ -176,7 +202,7 @@
             }
         };
         future::or(heard, said).await;
-        self.peers.links().retain(|other| !other.same_channel(&link));
+        self.unlink(&link);
         self.share(Shared::Alone).await;
     }
 
@@ -197,7 +223,7 @@
         {
             let mut board = lock(&self.board);
             board.set(&mark);
-            self.keeper.keep(board.marks(), &self.log);
+            self.store.submit(board.marks().clone(), &self.log);
         }
         info!(
             self.log,
@@ -223,8 +249,9 @@
     fn greeted(name: &str, says: Option<&str>) -> (Option<Marks>, Duration) {
         let folder = std::env::temp_dir().join(format!("oakhollow-peers-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        let keeper = Keeper::at(&folder, "127.0.0.1:70".parse().expect("an address"));
-        let listener = std::os::unix::net::UnixListener::bind(keeper.socket()).expect("a socket");
+        let store =
+            MaintenanceStore::at(&folder, "127.0.0.1:70".parse().expect("an address"), Clock::start());
+        let listener = std::os::unix::net::UnixListener::bind(store.socket()).expect("a socket");
         let said = says.map(str::to_string);
         // None: it dies and leaves its file behind.
         let other = said.map(|said| {
@@ -235,7 +262,7 @@
             })
         });
         let begun = Instant::now();
-        let before = block_on(greet(&keeper, &Logger::root(Discard, o!())));
+        let before = block_on(greet(&store, &Logger::root(Discard, o!())));
         let took = begun.elapsed();
         other.map(thread::JoinHandle::join);
         let _ = std::fs::remove_dir_all(&folder);
@@ -245,8 +272,8 @@
     #[test]
     fn a_start_never_hangs_on_what_the_process_before_says() {
         let mut marks = Marks::default();
-        marks.set("s-1", true, Micros(1));
-        let whole = marks.to_json("127.0.0.1:70".parse().expect("an address"), Rest::default());
+        marks.set("s-1", true, oakhollow::types::Micros(1));
+        let whole = marks.to_json("127.0.0.1:70".parse().expect("an address"), Rest::default(), None);
         let line = |text: &str| format!("{text}\n");
         assert_eq!(greeted("whole", Some(&line(&whole))).0, Some(marks));
         let odd = [
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/phases.rs
@@ -1,11 +1,12 @@
 //! The program's life from start to exit, as named phases of one object.
 use crate::accord::{self, Accord};
 use crate::board::{lock, Board, Shared};
-use crate::bounds::Bound;
 use crate::console::{self, Console};
-use crate::folder::Keeper;
 use crate::http1::watch::Watch;
 use crate::lease::Lease;
+use crate::limits::Bound;
+use crate::maintenance_store::MaintenanceStore;
+use crate::metrics::Metrics;
 use crate::peers::{self, Linking, Peers, Predecessor};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
@@ -169,15 +170,17 @@
         };
         let listeners = listeners.map_err(|fault| format!("listen: {address}: {fault}"))?;
         let place = listeners[0].local_addr().map_err(|fault| format!("listen: {address}: {fault}"))?;
-        let keeper = Keeper::new(place).map(Arc::new);
-        let before = match &keeper {
-            Some(keeper) if passed => peers::greet(keeper, &log).await,
+        let clock = Clock::start();
+        let store = MaintenanceStore::new(place, clock).map(Arc::new);
+        let before = match &store {
+            Some(store) if passed => peers::greet(store, &log).await,
             _ => None,
         };
         if let Some(list) = before.as_ref().and_then(|before| before.rest.list.clone()) {
             start.known = list;
         }
-        let program = Program::build(start, operator, log, tasks, (listeners, passed), (keeper, before));
+        let program =
+            Program::build(start, operator, log, tasks, (listeners, passed), (store, clock, before));
         program?.live(reread, words).await
     }))
 }
@@ -278,10 +281,10 @@
 impl Program {
     fn build(
         start: Start, operator: Operator, log: Logger, tasks: Tasks, listeners: (Vec<TcpListener>, bool),
-        kept: (Option<Arc<Keeper>>, Option<Predecessor>),
+        kept: (Option<Arc<MaintenanceStore>>, Clock, Option<Predecessor>),
     ) -> std::result::Result<Program, String> {
         let failed = |fault: Error| format!("cannot start: {fault}");
-        let ((listeners, passed), (keeper, before)) = (listeners, kept);
+        let ((listeners, passed), (store, clock, before)) = (listeners, kept);
         let lease = operator.accord.as_ref().map_or_else(Lease::off, |operated| Lease::none(operated.unsure));
         let agrees = operator.accord.clone().map(|operated| (operated, start.clone()));
         let Start { place, limits, known, .. } = start;
@@ -306,10 +309,10 @@
         let (moves, moved) = bounded(1);
         let longest = longest(&place);
         say_if_cut_short(&log, longest);
-        let (clock, told) = (Clock::start(), known.index);
-        let marks = match (&before, &keeper) {
+        let told = known.index;
+        let marks = match (&before, &store) {
             (Some(before), _) => before.marks.clone(),
-            (None, Some(keeper)) => keeper.marks(&log),
+            (None, Some(store)) => store.load(&log)?,
             (None, None) => Marks::default(),
         };
         let taught = before.as_ref().map(|before| before.rest.taught.clone()).unwrap_or_default();
@@ -317,6 +320,7 @@
         let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
         let known = Arc::new(known);
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
+        let metrics = Arc::new(Metrics::new());
         let kit = Kit {
             place,
             seed: start.seed,
@@ -329,6 +333,7 @@
             clock,
             log: log.clone(),
             lease: lease.clone(),
+            metrics: metrics.clone(),
             ask,
             ids: Arc::default(),
             passed,
@@ -347,21 +352,23 @@
         if let Some((operated, start)) = agrees {
             lock(&board).sure = false;
             let (orders, board, log) = (orders.clone(), board.clone(), log.clone());
-            let (keeper, peers) = (keeper.clone(), peers.clone());
-            let parts = accord::Parts { operated, lease, orders, board, keeper, peers, clock, log };
+            let (store, peers) = (store.clone(), peers.clone());
+            let parts = accord::Parts { operated, lease, orders, board, store, peers, clock, log };
             let (accord, agreeing) = accord::begin(&start, known, parts)?;
             tasks.run(agreeing);
             agreed = Some(accord);
         }
         if let Some(at) = start.console {
             let (board, orders, peers) = (board.clone(), orders.clone(), peers.clone());
-            let (keeper, accord) = (keeper.clone(), agreed.clone());
-            let console = Console { board, orders, clock, log: log.clone(), keeper, peers, accord };
+            let (store, accord) = (store.clone(), agreed.clone());
+            let (metrics, gauges) = (metrics.clone(), crew.gauges());
+            let log = log.clone();
+            let console = Console { board, orders, clock, log, store, peers, accord, metrics, gauges };
             console.listen(at, takes_over).map_err(failed)?;
         }
-        if let Some(keeper) = keeper.filter(|_| passed) {
+        if let Some(store) = store.filter(|_| passed) {
             let (peers, board, orders) = (peers.clone(), board.clone(), orders.clone());
-            let linking = Linking { peers, board, orders, keeper, bounds, log: log.clone() };
+            let linking = Linking { peers, board, orders, store, bounds, clock, log: log.clone() };
             tasks.run(linking.run(before));
         }
         let told_to = (orders.clone(), board.clone(), agreed.clone());
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/roster.rs
@@ -136,7 +136,7 @@
     /// When a server started, as far as the list goes. What was settled when that start was first heard of stands. Guards
     /// against a clock that was stepped back: a later start has the later time, whatever the list says.
     fn started(&self, entry: &Entry, server: ServerId, window: Option<StartWindow>) -> Micros {
-        let listed = Micros::millis(entry.since_ms());
+        let listed = entry.started();
         match (self.known.get(&server), window) {
             (Some(known), _) if known.entry.since_ms() == entry.since_ms() => known.started,
             (_, None) => listed,
--- /dev/null
+++ b/sidecar/src/uninterrupted.rs
@@ -0,0 +1,38 @@
+//! Streams whose reads and writes are tried again when a signal interrupts them: to whoever uses one, `EINTR` is no error.
+use futures_lite::{AsyncRead, AsyncWrite};
+use std::io::{ErrorKind, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A stream that is never interrupted.
+#[derive(Debug)]
+pub struct Uninterrupted<S>(pub S);
+
+fn retried<T>(mut work: impl FnMut() -> Poll<Result<T>>) -> Poll<Result<T>> {
+    loop {
+        match work() {
+            Poll::Ready(Err(error)) if error.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Uninterrupted<S> {
+    fn poll_read(mut self: Pin<&mut Self>, context: &mut Context, buffer: &mut [u8]) -> Poll<Result<usize>> {
+        retried(|| Pin::new(&mut self.0).poll_read(context, buffer))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Uninterrupted<S> {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
+        retried(|| Pin::new(&mut self.0).poll_write(context, bytes))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Result<()>> {
+        retried(|| Pin::new(&mut self.0).poll_flush(context))
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Result<()>> {
+        retried(|| Pin::new(&mut self.0).poll_close(context))
+    }
+}
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -2,13 +2,16 @@
 //! and counts as one of the sidecars in all that is shared out among them; nothing of a call ever crosses from one to
 //! another. Phases, reloads and the watch of the list are the program's, which tells its workers by orders.
 use crate::board::Mark;
-use crate::bounds::{Bound, Gauge, Share};
 use crate::decider::Parts;
 use crate::generations::{ClassId, Classes, Generations, Left, Numbers};
-use crate::http1::door::{Door, Ids};
+use crate::http1::acceptor::Acceptor;
+use crate::http1::connections::{Connections, Ids};
 use crate::http1::pool::Pool;
 use crate::http1::{Decider, Desk, Fence, Http1, Names, Note};
 use crate::lease::Lease;
+use crate::limits::{Bound, Gauge, Share};
+use crate::metrics::Metrics;
+use crate::monitor::{self, Monitor};
 use crate::reactor::{self, Async};
 use crate::roster::Elsewhere;
 use crate::start_time::Heard;
@@ -171,6 +174,11 @@
         self.workers.iter().map(|worker| worker.gauges.calls.get()).sum()
     }
 
+    /// What each worker holds.
+    pub fn gauges(&self) -> Vec<Gauges> {
+        self.workers.iter().map(|worker| worker.gauges.clone()).collect()
+    }
+
     pub fn connections(&self) -> usize {
         self.workers.iter().map(|worker| worker.gauges.connections.get()).sum()
     }
@@ -202,6 +210,7 @@
     pub clock: Clock,
     pub log: Logger,
     pub lease: Lease,
+    pub metrics: Arc<Metrics>,
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     pub ids: Arc<Ids>,
@@ -278,7 +287,13 @@
 
 /// What requests call things by.
 fn names_of(place: &mut Place, numbers: Vec<Numbers>, classes: Vec<ClassId>) -> Names {
+    let class_names = place.workloads.iter().map(|named| named.name.as_str().into()).collect();
     Names {
+        class_names,
+        effects: numbers
+            .iter()
+            .map(|number| monitor::effect(place.terms.workloads[number.usual.0].kind))
+            .collect(),
         workloads: std::mem::take(&mut place.workloads),
         numbers,
         classes,
@@ -297,6 +312,8 @@
     (place.terms, numbers) = generations.take(place.terms);
     let log = if kit.workers > 1 { kit.log.new(o!("worker" => number)) } else { kit.log };
     let (desk, notes) = Desk::new(kit.clock, gauges.calls);
+    let limits = monitor::limits(&place.terms, place.drain_grace);
+    let monitor = Monitor::new(limits, kit.metrics, kit.clock, log.clone());
     let links = Share::of(kit.links);
     let pool = Pool::new(tasks.clone(), links, (place.connect_within, place.idle_close), log.clone());
     // One watch feeds all: the first asks for all of them, and they hear the same.
@@ -306,12 +323,14 @@
             pool: pool.clone(),
             tells_load: place.terms.tells_load,
             fence: Fence { lease: kit.lease.clone(), clock: kit.clock },
+            monitor: monitor.clone(),
         }),
         desk: desk.clone(),
         tasks: tasks.clone(),
         log: log.clone(),
         ask,
         lease: kit.lease,
+        monitor: monitor.clone(),
         taught: kit.taught,
     };
     let seed = kit.seed ^ (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
@@ -325,17 +344,18 @@
     let names = names_of(&mut place, numbers, named);
     let mut with = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
     let callers = (Share::of(kit.callers), gauges.connections);
-    let door = Door::new(desk.clone(), names, tasks.clone(), log, callers, kit.ids);
+    let connections = Connections::new(desk.clone(), names, monitor.clone(), callers, kit.ids);
+    let acceptor = Acceptor::new(connections.clone(), tasks.clone(), log);
     let mut listener = Some(Rc::new(Async::listening(listener)?));
-    let mut welcome = None;
+    let mut accepting = None;
     while let Ok(order) = orders.recv().await {
         match order {
             Order::Listed(kind, list, heard) => desk.tell(Note::Listed(kind, list, heard)).await,
             Order::Marked(mark, done) => desk.tell(Note::Marked(mark, done)).await,
             Order::Open(done) => {
-                let taking = listener.clone().map(|listener| door.clone().welcome(listener));
-                welcome = taking.and_then(|taking| tasks.spawn(taking));
-                door.set_able(true);
+                let accept_all = listener.clone().map(|listener| acceptor.clone().accept_all(listener));
+                accepting = accept_all.and_then(|taking| tasks.spawn(taking));
+                connections.set_able(true);
                 drop(done);
             }
             Order::Asked(to) => desk.tell(Note::Asked(to)).await,
@@ -347,22 +367,23 @@
                 (named, left) = classes_of(&mut classes, &place);
                 (place.terms, numbers) = generations.take(place.terms);
                 pool.retune(place.connect_within, place.idle_close);
+                monitor.set_limits(monitor::limits(&place.terms, place.drain_grace));
                 let names = names_of(&mut place, numbers, named);
                 terms = place.terms;
                 // The module first: a call that comes by the new names must find its number there.
                 let terms = Box::new(shared(terms.clone(), with));
                 desk.tell(Note::Retuned(terms, left.clone(), Some(done))).await;
-                door.rename(names);
+                connections.rename(names);
             }
             Order::Shared(now) => {
                 with = now;
                 let terms = Box::new(shared(terms.clone(), with));
                 desk.tell(Note::Retuned(terms, left.clone(), None)).await;
-                door.give_way();
+                connections.give_way();
             }
             Order::Part(by) => {
-                if let Some(welcome) = welcome.take() {
-                    welcome.cancel().await;
+                if let Some(accepting) = accepting.take() {
+                    accepting.cancel().await;
                 }
                 listener = None;
                 if with != Shared::Alone && terms.beyond_first.is_some() {
@@ -370,24 +391,24 @@
                     none_beyond(&mut last);
                     desk.tell(Note::Retuned(Box::new(last), left.clone(), None)).await;
                 }
-                door.part();
-                door.answer_by(by);
+                connections.part();
+                connections.answer_by(by);
                 desk.tell(Note::AnswerBy(by)).await;
             }
             Order::SayNo(by) => {
-                door.set_able(false);
+                connections.set_able(false);
                 // Guards against a kill that finds an API call without its answer, also one taken before.
-                door.answer_by(by);
+                connections.answer_by(by);
                 desk.tell(Note::AnswerBy(by)).await;
             }
             Order::Shut(done) => {
-                if let Some(welcome) = welcome.take() {
-                    welcome.cancel().await;
+                if let Some(accepting) = accepting.take() {
+                    accepting.cancel().await;
                 }
-                door.close();
+                connections.close();
                 // Dropped at once after: a listener left open would go on accepting for nobody.
                 if let Some(listener) = listener.take().filter(|_| !kit.passed) {
-                    door.take_rest(&listener);
+                    acceptor.take_rest(&listener);
                 }
                 drop(done);
             }
--- /dev/null
+++ b/sidecar/tests/start_time.rs
@@ -0,0 +1,31 @@
+//! What a list may say of a server's start, and what is made of it.
+use oakhollow::types::Micros;
+use oakhollow_sidecar::start_time::StartWindow;
+
+const NOW: Micros = Micros::millis(10_000_000);
+const HOUR: Micros = Micros::millis(3_600_000);
+
+fn window(complete_for_ms: Option<u64>) -> StartWindow {
+    StartWindow { latest: NOW, earliest: complete_for_ms.map(|length| NOW - Micros::millis(length)) }
+}
+
+#[test]
+fn a_start_that_may_be_true_is_believed() {
+    let a_while_ago = NOW - Micros::millis(900);
+    for window in [window(None), window(Some(500)), window(Some(1_500))] {
+        assert_eq!(window.bound(a_while_ago), a_while_ago);
+        assert_eq!(window.bound(NOW), NOW);
+        // Long ago.
+        assert_eq!(window.bound(Micros(0)), Micros(0));
+    }
+    assert_eq!(window(None).bound(NOW - HOUR), NOW - HOUR);
+}
+
+#[test]
+fn a_start_that_cannot_be_true_counts_as_now() {
+    assert_eq!(window(None).bound(NOW + HOUR), NOW);
+    assert_eq!(window(Some(500)).bound(NOW + Micros(1)), NOW);
+    // New on a list that was up to date half a second ago, and 2 s may be lost on the way.
+    assert_eq!(window(Some(500)).bound(NOW - Micros::millis(2_501)), NOW);
+    assert_eq!(window(Some(500)).bound(NOW - HOUR), NOW);
+}
--- /dev/null
+++ b/sidecar/tests/uninterrupted.rs
@@ -0,0 +1,60 @@
+//! A read or write that a signal interrupts is tried again.
+use futures_lite::{future, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use oakhollow_sidecar::uninterrupted::Uninterrupted;
+use std::io::{ErrorKind, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Every other call is interrupted.
+#[derive(Default)]
+struct Interrupts {
+    calls: usize,
+    written: Vec<u8>,
+}
+
+impl Interrupts {
+    fn interrupted(&mut self) -> bool {
+        self.calls += 1;
+        self.calls % 2 == 1
+    }
+}
+
+impl AsyncRead for Interrupts {
+    fn poll_read(mut self: Pin<&mut Self>, _: &mut Context, buffer: &mut [u8]) -> Poll<Result<usize>> {
+        if self.interrupted() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        buffer[0] = 7;
+        Poll::Ready(Ok(1))
+    }
+}
+
+impl AsyncWrite for Interrupts {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
+        if self.interrupted() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        self.written.push(bytes[0]);
+        Poll::Ready(Ok(1))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[test]
+fn an_interrupted_call_is_no_error() {
+    let mut stream = Uninterrupted(Interrupts::default());
+    future::block_on(async {
+        let mut three = [0; 3];
+        stream.read_exact(&mut three).await.expect("read");
+        assert_eq!(three, [7; 3]);
+        stream.write_all(b"abc").await.expect("written");
+    });
+    assert_eq!(stream.0.written, b"abc");
+}
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use agreed::{Common, Greeting, Own};
 pub use list::{Entry, List, Version};
-pub use marks::{Line, Marks, Rest, Taught, Told};
+pub use marks::{HostClock, Line, Marks, Rest, Taught, Told};
 pub use operator::{Accord, Lists, Operator, Scope, Unsure};
 pub use place::{micros, Named, Place, REPORT_VALUES};
 pub use plan::Planned;
--- a/terms/src/list.rs
+++ b/terms/src/list.rs
@@ -71,6 +71,11 @@
         self.since_ms
     }
 
+    /// The same as a time of its own unit; one that no clock reaches is the latest there is.
+    pub fn started(&self) -> Micros {
+        Micros(self.since_ms.saturating_mul(1000))
+    }
+
     pub fn left(&self) -> bool {
         matches!(self.status, Status::Left)
     }
@@ -89,7 +94,7 @@
             },
             size: self.weight,
             mark: mark(&self.name),
-            started: Micros(self.since_ms.saturating_mul(1000)),
+            started: self.started(),
         }
     }
 }
--- a/terms/src/marks.rs
+++ b/terms/src/marks.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::Path;
 
 /// By name, whatever the list says.
 #[derive(Clone, PartialEq, Debug, Default)]
@@ -24,11 +23,34 @@
     out: BTreeSet<String>,
     back: BTreeMap<String, u64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    clock: Option<HostClock>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     list: Option<List>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     servers: Vec<ServerFigures>,
 }
 
+/// How a process's clock stands to the monotonic clock of its host, which all processes since one boot share.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct HostClock {
+    /// Tells one boot of the host from another.
+    pub boot: String,
+    /// By how much the process's clock is ahead of the monotonic one, in microseconds.
+    pub ahead_us: i64,
+}
+
+impl HostClock {
+    /// A time of a process with the clock `writer`, by our clock, which says `now`. Of another boot, or of nobody knows
+    /// which, the wall clocks are compared. It has been by now in any case.
+    fn rebase(ours: Option<&HostClock>, writer: Option<&HostClock>, at: Micros, now: Micros) -> Micros {
+        let shift = match (ours, writer) {
+            (Some(ours), Some(writer)) if ours.boot == writer.boot => ours.ahead_us - writer.ahead_us,
+            _ => 0,
+        };
+        Micros(at.0.saturating_add_signed(shift)).min(now)
+    }
+}
+
 /// What a process has learnt of a server, as written.
 #[derive(Clone, Serialize, Deserialize)]
 struct ServerFigures {
@@ -118,27 +140,48 @@
         }
     }
 
-    /// `rest` goes to a successor only.
-    pub fn to_json(&self, listen: SocketAddr, rest: Rest) -> String {
+    /// `rest` goes to a successor only; `clock` is that of this process.
+    pub fn to_json(&self, listen: SocketAddr, rest: Rest, clock: Option<HostClock>) -> String {
         let back = self.back.iter().map(|(name, at)| (name.clone(), at.0)).collect();
         let servers = rest.taught.iter().map(ServerFigures::of).collect();
-        let written =
-            Written { version: VERSION, listen, out: self.out.clone(), back, list: rest.list, servers };
+        let written = Written {
+            version: VERSION,
+            listen,
+            out: self.out.clone(),
+            back,
+            clock,
+            list: rest.list,
+            servers,
+        };
         to_json(&written)
     }
 
+    /// `ours` is our clock, which says `now`: times are given by that.
+    ///
     /// ```
-    /// use oakhollow_terms::{Marks, Rest, Taught};
+    /// use oakhollow::types::Micros;
+    /// use oakhollow_terms::{HostClock, Marks, Rest, Taught};
     /// let (here, there) = ("127.0.0.1:70".parse().unwrap(), "127.0.0.1:71".parse().unwrap());
+    /// let read = |json: String, listen| Marks::from_json(json.as_bytes(), listen, None, Micros::millis(9));
     /// let mut marks = Marks::default();
     /// marks.out.insert("s-1".into());
-    /// assert_eq!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), here).unwrap().0, marks);
+    /// assert_eq!(read(marks.to_json(here, Rest::default(), None), here).unwrap().0, marks);
     /// let taught: Taught = vec![("s-2".into(), oakhollow::learnt::Judged { ease: 0.5, ..Default::default() })];
     /// let rest = Rest { taught: taught.clone(), ..Rest::default() };
-    /// assert_eq!(Marks::from_json(marks.to_json(here, rest).as_bytes(), here).unwrap().1.taught, taught);
-    /// assert!(Marks::from_json(marks.to_json(here, Rest::default()).as_bytes(), there).unwrap_err().starts_with("listen: "));
+    /// assert_eq!(read(marks.to_json(here, rest, None), here).unwrap().1.taught, taught);
+    /// assert!(read(marks.to_json(here, Rest::default(), None), there).unwrap_err().starts_with("listen: "));
+    ///
+    /// // Put back 2 ms ago by a clock that was 5 ms ahead of ours.
+    /// let clock = |ahead_us| Some(HostClock { boot: "one".into(), ahead_us });
+    /// marks.set("s-3", false, Micros::millis(12));
+    /// let json = marks.to_json(here, Rest::default(), clock(5_000));
+    /// let ours = Marks::from_json(json.as_bytes(), here, clock(0).as_ref(), Micros::millis(9)).unwrap().0;
+    /// assert_eq!(ours.back["s-3"], Micros::millis(7));
+    /// assert_eq!(read(json, here).unwrap().0.back["s-3"], Micros::millis(9));
     /// ```
-    pub fn from_json(json: &[u8], listen: SocketAddr) -> Result<(Marks, Rest), String> {
+    pub fn from_json(
+        json: &[u8], listen: SocketAddr, ours: Option<&HostClock>, now: Micros,
+    ) -> Result<(Marks, Rest), String> {
         let written: Written = read(json)?;
         if written.version != VERSION {
             return Err(format!("version: {} is not read", written.version));
@@ -146,26 +189,10 @@
         if written.listen != listen {
             return Err(format!("listen: {} is another sidecar's", written.listen));
         }
-        let back = written.back.into_iter().map(|(name, at)| (name, Micros(at))).collect();
+        let writer = written.clock;
+        let by_ours = |at| HostClock::rebase(ours, writer.as_ref(), Micros(at), now);
+        let back = written.back.into_iter().map(|(name, at)| (name, by_ours(at))).collect();
         let taught = written.servers.into_iter().filter_map(ServerFigures::read).collect();
         Ok((Marks { out: written.out, back }, Rest { list: written.list, taught }))
     }
-
-    /// None where there is no file.
-    pub fn from_file(path: &Path, listen: SocketAddr) -> Option<Result<Marks, String>> {
-        let json = std::fs::read(path).ok()?;
-        let read = Marks::from_json(&json, listen).map(|(marks, _)| marks);
-        Some(read.map_err(|fault| format!("{}: {fault}", path.display())))
-    }
-
-    /// Written whole or not at all.
-    pub fn to_file(&self, path: &Path, listen: SocketAddr) -> std::io::Result<()> {
-        let fresh = path.with_extension(format!("new-{}", std::process::id()));
-        let written = std::fs::write(&fresh, self.to_json(listen, Rest::default()))
-            .and_then(|()| std::fs::rename(&fresh, path));
-        if written.is_err() {
-            let _ = std::fs::remove_file(&fresh);
-        }
-        written
-    }
 }
