Soak: real processes with overlapping troubles from a seed, a judge of records, seeded mistakes

Cause: nothing played two or three rare events at once on real sockets. oakhollow-lab soak starts 24 to 48 processes in four setups (asked, pushed with two workers, agreeing, passed sockets), draws three lanes of 34 kinds of trouble from a seed, and judges from what clients and servers wrote down; the guard's verdict is read from the logs beside it. Failed tries: processes started by a thread that ended died with it; a stopped process was continued under its successor's id; both looked like finds and were the rig's.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod scale;
 pub mod scene;
 pub mod shared;
+pub mod soak;
 pub mod stand;
 pub mod stand_in;
 pub mod traffic;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,8 @@
 use oakhollow_lab::scale::report;
 use oakhollow_lab::scale::run::{step, Plan};
 use oakhollow_lab::scene::Scene;
+use oakhollow_lab::soak;
+use oakhollow_lab::soak::trouble::Trouble;
 use oakhollow_lab::stand_in::{run, How};
 use oakhollow_lab::traffic::{measure, Report};
 use oakhollow_terms::Scope;
@@ -45,6 +47,8 @@
         #[arg(long)]
         logs: bool,
     },
+    /// Dozens of processes with two or three troubles at a time, drawn from a seed; the exit is not 0 if a promise is broken.
+    Soak(Soak),
     /// What so many instances say to agree, and how long a change takes: simulated, in one process.
     Traffic {
         #[arg(default_values_t = [10, 100, 300, 1000])]
@@ -152,6 +156,76 @@
     program: Option<PathBuf>,
 }
 
+#[derive(clap::Args)]
+struct Soak {
+    /// Draws the timetable and all else that is left to chance; the first, where there are several.
+    #[arg(long)]
+    seed: u64,
+    /// How many seeds are played, one after the other.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    #[arg(long, default_value_t = 36)]
+    processes: usize,
+    /// How long troubles go on.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    /// A kind of trouble that is left out; may stand several times.
+    #[arg(long, value_name = "KIND")]
+    without: Vec<String>,
+    /// Prints the timetable of each seed.
+    #[arg(long)]
+    timetable: bool,
+    /// Prints how often each two kinds overlapped, over all seeds.
+    #[arg(long)]
+    pairs: bool,
+    /// Leaves kinds out of a seed with a finding, one after the other, for as long as something is found.
+    #[arg(long)]
+    shrink: bool,
+    /// The program; beside this one if it is not named.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+fn soak(args: &Soak) -> ExitCode {
+    let program = args.program.clone().unwrap_or_else(beside);
+    let mut without = Vec::new();
+    for name in &args.without {
+        match Trouble::named(name) {
+            Some(trouble) => without.push(trouble),
+            None => {
+                eprintln!("--without: no kind {name:?}; there are {}", soak::report::kinds());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    let length = Duration::from_secs_f64(args.seconds);
+    let (mut pairs, mut clean) = (soak::report::Pairs::default(), true);
+    for seed in args.seed..args.seed + args.seeds {
+        let plan = soak::Plan { seed, processes: args.processes, length, without: without.clone() };
+        match soak::play(&program, &plan) {
+            Ok(report) => {
+                print!("{report}");
+                if args.timetable {
+                    print!("{}", report.timetable_text());
+                }
+                pairs.add(&report);
+                clean &= report.is_clean();
+                if args.shrink && !report.is_clean() {
+                    println!("shrunk: {}", soak::shrink(&program, &plan));
+                }
+            }
+            Err(why) => {
+                clean = false;
+                println!("seed {seed}: not played: {why}");
+            }
+        }
+    }
+    if args.pairs {
+        print!("{pairs}");
+    }
+    ExitCode::from(u8::from(!clean))
+}
+
 fn scale(args: &Scale) -> ExitCode {
     let program = args.program.clone().unwrap_or_else(beside);
     let plan = Plan {
@@ -266,6 +340,7 @@
             ExitCode::SUCCESS
         }
         Command::Scale(args) => scale(&args),
+        Command::Soak(args) => soak(&args),
         Command::Chain {
             depth,
             rate,
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Sends a signal to one of its processes by id, if that has not been waited for yet.
+    pub fn signal_one(&self, id: u32, signal: Signal) {
+        let ours = [&self.child, &self.first].into_iter().flatten().any(|child| child.id() == id);
+        if let Some(id) = Pid::from_raw(id as i32).filter(|_| ours) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
     /// Of the process that runs; none where none does.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- /dev/null
+++ b/lab/tests/soak_judge.rs
@@ -0,0 +1,110 @@
+//! The soak's judge finds each broken promise in records made by hand, and none in those of a promise that is kept.
+use oakhollow_lab::shared::lock;
+use oakhollow_lab::soak::fleet::Ends;
+use oakhollow_lab::soak::judge::judge;
+use oakhollow_lab::soak::records::{Attempt, Class, Deed, Ending, Event, ProcessId, Records, Request};
+
+const PROCESS: ProcessId = ProcessId { group: 0, number: 0 };
+
+/// A request that is served 0.1 s after it was sent, by one attempt.
+fn request() -> Request {
+    Request {
+        process: PROCESS,
+        id: "g0p0-1".into(),
+        class: Class::Pay,
+        sent: Some(10.0),
+        patience: 0.5,
+        reused: false,
+        ended: 10.1,
+        ending: Ending::Answered { status: 200, own: true },
+    }
+}
+
+fn attempt() -> Attempt {
+    Attempt {
+        process: PROCESS,
+        server: 2,
+        cell: 0,
+        id: "g0p0-1".into(),
+        first_byte: 10.02,
+        last_byte: Some(10.02),
+        over: 10.09,
+        told: Some(0.48),
+        deed: Deed::Ran,
+    }
+}
+
+fn found(request: Request, attempts: &[Attempt], events: &[(f64, Event)]) -> Vec<&'static str> {
+    let records = Records::new();
+    lock(&records.requests).push(request);
+    lock(&records.attempts).extend_from_slice(attempts);
+    lock(&records.events).extend(events.iter().map(|(at, event)| (*at, PROCESS, *event)));
+    judge(&records, &Ends::default()).findings.iter().map(|finding| finding.promise).collect()
+}
+
+fn ended(ending: Ending, at: f64) -> Request {
+    Request { ending, ended: at, ..request() }
+}
+
+#[test]
+fn a_promise_that_is_kept_is_no_finding() {
+    assert!(found(request(), &[attempt()], &[]).is_empty());
+    let turned_away = Attempt { deed: Deed::TurnedAway, ..attempt() };
+    let refused = Ending::Answered { status: 503, own: true };
+    assert!(found(ended(refused, 10.1), &[turned_away.clone()], &[]).is_empty());
+    assert!(found(request(), &[turned_away, attempt()], &[]).is_empty());
+    assert!(found(ended(Ending::Left, 10.1), &[attempt()], &[]).is_empty());
+    // Killed meanwhile, or crossed with the end of a connection that rested.
+    let killed = [(10.05, Event::Killed), (10.4, Event::Started)];
+    assert!(found(ended(Ending::Closed, 10.06), &[attempt()], &killed).is_empty());
+    assert!(found(Request { reused: true, ..ended(Ending::Closed, 10.01) }, &[], &[]).is_empty());
+}
+
+#[test]
+fn a_request_without_its_own_answer_is_found() {
+    assert_eq!(found(ended(Ending::Closed, 10.06), &[attempt()], &[]), ["answered"]);
+    assert_eq!(
+        found(Request { reused: true, ..ended(Ending::Closed, 10.06) }, &[attempt()], &[]),
+        ["answered"]
+    );
+    assert_eq!(found(ended(Ending::Nothing, 11.4), &[], &[]), ["answered"]);
+    let served = Ending::Answered { status: 200, own: true };
+    assert_eq!(found(ended(served, 11.2), &[attempt()], &[]), ["answered"]);
+    let strange = Ending::Answered { status: 200, own: false };
+    assert_eq!(found(ended(strange, 10.1), &[attempt()], &[]), ["own-answer"]);
+}
+
+#[test]
+fn effects_that_were_not_promised_are_found() {
+    assert_eq!(found(request(), &[attempt(), attempt()], &[]), ["run-once"]);
+    let refused = Ending::Answered { status: 503, own: true };
+    assert_eq!(found(ended(refused, 10.1), &[attempt()], &[]), ["refused-unless-run"]);
+    let elsewhere = Attempt { cell: 1, ..attempt() };
+    let saved = Request { class: Class::Save, ..request() };
+    assert_eq!(found(saved, &[attempt(), elsewhere], &[]), ["keyed-in-its-cell"]);
+}
+
+#[test]
+fn attempts_that_come_too_late_or_to_the_wrong_server_are_found() {
+    let late = Attempt { first_byte: 10.4, told: None, ..attempt() };
+    assert_eq!(found(ended(Ending::Left, 10.1), &[late], &[]), ["nothing-after-leaving"]);
+    let told = Attempt { told: Some(0.9), ..attempt() };
+    assert_eq!(found(request(), &[told], &[]), ["told-time-left"]);
+    let drained = [(9.0, Event::ToldDrained(2))];
+    assert_eq!(found(request(), &[attempt()], &drained), ["nothing-to-one-drained"]);
+    assert!(found(request(), &[attempt()], &[(9.0, Event::ToldDrained(2)), (9.9, Event::ToldReady(2))])
+        .is_empty());
+    assert!(found(request(), &[attempt()], &[(9.9, Event::ToldDrained(2))]).is_empty());
+    assert_eq!(found(request(), &[attempt()], &[(9.0, Event::TakenOut(2))]), ["nothing-to-one-out-by-hand"]);
+}
+
+#[test]
+fn a_process_that_ends_in_disorder_or_starts_late_is_found() {
+    assert_eq!(found(request(), &[attempt()], &[(12.0, Event::Ended(Some(1)))]), ["ends-in-order"]);
+    let in_order = [(12.0, Event::Terminated), (13.0, Event::Ended(Some(0)))];
+    assert!(found(request(), &[attempt()], &in_order).is_empty());
+    assert_eq!(
+        found(request(), &[attempt()], &[(1.0, Event::Started), (11.5, Event::Ready)]),
+        ["ready-in-time"]
+    );
+}
