--- a/lab/faults/examples/faulty_calls.rs
+++ b/lab/faults/examples/faulty_calls.rs
@@ -93,12 +93,26 @@
     }
 }
 
+/// A pair of local sockets, by which a process wakes itself or hears of signals, does not break.
+fn crosses_the_network(socket: c_int) -> bool {
+    if word(FaultKind::BrokenConnection.rate_word()).is_none_or(|rate| rate.load(Ordering::Relaxed) == 0) {
+        return false;
+    }
+    // SAFETY: an all-zero address is valid, and is filled in by the call up to the length given.
+    unsafe {
+        let mut address: libc::sockaddr = std::mem::zeroed();
+        let mut length = std::mem::size_of::<libc::sockaddr>() as libc::socklen_t;
+        let known = libc::getsockname(socket, &mut address, &mut length) == 0;
+        known && matches!(c_int::from(address.sa_family), libc::AF_INET | libc::AF_INET6)
+    }
+}
+
 /// What befalls a transfer on a socket: an error, or fewer bytes.
 fn bend_transfer(socket: c_int, length: usize, short: FaultKind) -> Result<usize, c_int> {
     if strikes(FaultKind::Interrupted) {
         return Err(libc::EINTR);
     }
-    if strikes(FaultKind::BrokenConnection) {
+    if crosses_the_network(socket) && strikes(FaultKind::BrokenConnection) {
         // SAFETY: concerns the caller's own descriptor; a failure changes nothing.
         unsafe { libc::shutdown(socket, libc::SHUT_RDWR) };
         return Err(if draw() & 1 == 0 { libc::ETIMEDOUT } else { libc::EHOSTUNREACH });
--- a/lab/src/soak/conduct.rs
+++ b/lab/src/soak/conduct.rs
@@ -111,6 +111,7 @@
 }
 
 fn hang_up(group: &Group, process: &Process, entry: &Entry) {
+    process.wait_for_handlers();
     if entry.trouble == Trouble::HangupBroken {
         let _ = process.spoil();
         process.signal(Signal::HUP);
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -23,7 +23,11 @@
 const SERVERS: usize = 4;
 /// How long a process may take to end by itself.
 const ENDS_WITHIN: Duration = Duration::from_secs(6);
+/// How long the kernel and the loader may take until the program runs.
+const LOADS: Duration = Duration::from_millis(60);
 const LOOK: Duration = Duration::from_millis(5);
+/// Lines of its log that are shown of a process which did not end.
+const LAST_LINES: usize = 12;
 
 /// How a group is set up.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -55,6 +59,8 @@
     pub console: SocketAddr,
     /// The process itself.
     pub sidecar: Mutex<Sidecar>,
+    /// When it was started last.
+    started: Mutex<Instant>,
     /// Something is under way that starts or ends it.
     pub busy: AtomicBool,
     /// What it is told of discovery, and the rest of its file.
@@ -93,6 +99,7 @@
     pub fn start(self: &Arc<Self>) -> std::io::Result<()> {
         let process = self.clone();
         on_lasting_thread(move || lock(&process.sidecar).start())?;
+        *lock(&self.started) = Instant::now();
         self.records.note(self.id, Event::Started);
         Ok(())
     }
@@ -103,6 +110,12 @@
         on_lasting_thread(move || lock(&process.sidecar).replace())
     }
 
+    /// Waits until it listens for signals: one that comes before its program runs at all ends it.
+    pub fn wait_for_handlers(&self) {
+        let since = *lock(&self.started);
+        thread::sleep((since + LOADS).saturating_duration_since(Instant::now()));
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         lock(&self.sidecar).signal(signal);
@@ -128,9 +141,28 @@
             thread::sleep(LOOK);
         }
         self.records.note(self.id, Event::Ended(None));
+        let log = lock(&self.sidecar).log();
+        let last: Vec<&str> = log.lines().rev().take(LAST_LINES).collect();
+        eprintln!(
+            "{:?} did not end; its last lines, the newest first:\n{}\n{}",
+            self.id,
+            last.join("\n"),
+            self.threads()
+        );
         self.kill();
     }
 
+    /// What its threads wait for, as the kernel tells it.
+    fn threads(&self) -> String {
+        let id = lock(&self.sidecar).id().unwrap_or_default();
+        let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+        let told = tasks.map(|task| {
+            let read = |name: &str| std::fs::read_to_string(task.path().join(name)).unwrap_or_default();
+            format!("{} {} {}", read("comm").trim(), read("wchan").trim(), read("syscall").trim())
+        });
+        told.collect::<Vec<_>>().join("\n")
+    }
+
     /// Writes its file as it was built, with discovery there.
     pub fn write(&self, discovery: SocketAddr) -> std::io::Result<()> {
         let text = lock(&self.file).replace("DISCOVERY", &discovery.to_string());
@@ -159,7 +191,7 @@
     /// Waits until it says that it is ready. False if it does not in time.
     pub fn wait_ready(&self, within: Duration) -> bool {
         let begun = Instant::now();
-        while begun.elapsed() < within {
+        while begun.elapsed() < within && !lock(&self.sidecar).ended() {
             let ready = dial(self.listen).and_then(|mut stream| ask(&mut stream, READY));
             if ready.is_some_and(|(status, _)| status == 200) {
                 self.records.note(self.id, Event::Ready);
@@ -265,6 +297,7 @@
                     listen: sidecar.listen,
                     console: sidecar.console,
                     sidecar: Mutex::new(sidecar),
+                    started: Mutex::new(Instant::now()),
                     busy: AtomicBool::new(false),
                     file: Mutex::new(file),
                     records: records.clone(),
--- a/sidecar/src/accord.rs
+++ b/sidecar/src/accord.rs
@@ -1,12 +1,12 @@
 //! The instances that agree on settings, on sockets: each dials the keepers, a line of JSON for each word, and keeps
 //! asking for leases. What is agreed is carried out before it is said to be known. The rules are those of the package
 //! `oakhollow_accord`; without `[accord]` in the operator's file nothing here runs.
-use crate::board::{lock, Mark, Shared as Board};
+use crate::endpoint_list::Elsewhere;
+use crate::endpoint_registry::{lock, Mark, Shared as EndpointRegistry};
+use crate::handover::HandoverLinks;
 use crate::lease::Lease;
 use crate::lines::{line, say, within};
 use crate::maintenance_store::MaintenanceStore;
-use crate::peers::Peers;
-use crate::roster::Elsewhere;
 use crate::start_time::Heard;
 use crate::timers::Clock;
 use crate::uninterrupted::Uninterrupted;
@@ -135,10 +135,10 @@
     pub operated: Operated,
     pub lease: Lease,
     pub orders: Orders,
-    pub board: Board,
+    pub registry: EndpointRegistry,
     /// Where marks are kept, and the other process of this sidecar, which is told of them.
     pub store: Option<Arc<MaintenanceStore>>,
-    pub peers: Peers,
+    pub peers: HandoverLinks,
     pub clock: Clock,
     pub log: Logger,
 }
@@ -384,7 +384,7 @@
         let acts = until.min(self.member.until()) > self.parts.clock.now();
         if acts != self.acted {
             self.acted = acts;
-            lock(&self.parts.board).sure = acts || self.parts.operated.unsure != Unsure::Refuse;
+            lock(&self.parts.registry).sure = acts || self.parts.operated.unsure != Unsure::Refuse;
             match acts {
                 true => info!(self.parts.log, "sure: a majority's leases live, keeps to {}", self.kept()),
                 false => {
@@ -416,7 +416,7 @@
             let entries = self.member.unknown().filter_map(|entry| read::<Entry>(entry.as_bytes()).ok());
             let entries: Vec<Entry> = entries.collect();
             if !entries.is_empty() {
-                let list = lock(&self.parts.board).add(entries);
+                let list = lock(&self.parts.registry).add(entries);
                 info!(self.parts.log, "discovery fails: {} servers by others' lists", list.endpoints.len());
                 self.member.listed(
                     self.parts.clock.now(),
@@ -433,10 +433,10 @@
         // By another host's clock: it has been by now.
         let mark = Mark { name: name.into(), out, at: Micros(at).min(self.parts.clock.now()) };
         {
-            let mut board = lock(&self.parts.board);
-            board.set(&mark);
+            let mut registry = lock(&self.parts.registry);
+            registry.set(&mark);
             if let Some(store) = &self.parts.store {
-                store.submit(board.marks().clone(), &self.parts.log);
+                store.submit(registry.marks().clone(), &self.parts.log);
             }
         }
         info!(self.parts.log, "{} {} by hand, at another instance", name, if out { "out" } else { "back" });
--- a/sidecar/src/console.rs
+++ b/sidecar/src/console.rs
@@ -1,13 +1,13 @@
 //! The second address, for operators alone: asks whether this process serves, and takes servers out by hand or puts them
 //! back. It has a thread, a reactor and descriptors of its own, so that it answers however busy the workers are.
 use crate::accord::Accord;
-use crate::board::{lock, Mark, Refused, Shared};
+use crate::endpoint_registry::{lock, Mark, Refused, Shared};
+use crate::handover::HandoverLinks;
 use crate::http1::answers::Answer;
 use crate::http1::head::{Fault, Head};
 use crate::http1::messages::{Assembler, Came, Side};
 use crate::maintenance_store::{Kept, MaintenanceStore};
 use crate::metrics::{Gauges, Metrics};
-use crate::peers::Peers;
 use crate::reactor::{Async, Timer};
 use crate::tasks::Tasks;
 use crate::timers::Clock;
@@ -37,12 +37,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 pub struct Console {
-    pub board: Shared,
+    pub registry: Shared,
     pub orders: Orders,
     pub clock: Clock,
     pub log: Logger,
     pub store: Option<Arc<MaintenanceStore>>,
-    pub peers: Peers,
+    pub peers: HandoverLinks,
     pub accord: Option<Accord>,
     pub metrics: Arc<Metrics>,
     /// What each worker holds.
@@ -170,7 +170,7 @@
     async fn answer(&self, head: &Head) -> Result<Answer, Fault> {
         let (method, target, _) = head.request()?;
         match read_call(method, target.split('?').next().unwrap_or_default())? {
-            Call::Health if lock(&self.board).serves() => Ok(Answer::plain(200, "serving")),
+            Call::Health if lock(&self.registry).serves() => Ok(Answer::plain(200, "serving")),
             Call::Health => Ok(Answer::plain(503, "not serving")),
             Call::Accord => match &self.accord {
                 Some(accord) => Ok(Answer::plain(200, accord.status().await)),
@@ -185,23 +185,23 @@
     }
 
     fn gauges(&self) -> Gauges {
-        let board = lock(&self.board);
+        let registry = lock(&self.registry);
         Gauges {
             requests: self.gauges.iter().map(|worker| worker.calls.get()).sum(),
             connections: self.gauges.iter().map(|worker| worker.connections.get()).sum(),
-            servers: board.counts(),
-            list_age: board.told.map(|told| Micros(told.elapsed().as_micros() as u64)),
-            watch_open: board.watch_open,
+            servers: registry.counts(),
+            list_age: registry.told.map(|told| Micros(told.elapsed().as_micros() as u64)),
+            watch_open: registry.watch_open,
         }
     }
 
     async fn mark(&self, name: &str, out: bool) -> Result<Answer, Fault> {
         let (marked, kept) = {
-            let mut board = lock(&self.board);
-            let marked = board.mark(name, out, self.clock.now());
+            let mut registry = lock(&self.registry);
+            let marked = registry.mark(name, out, self.clock.now());
             // Under the lock: states are submitted in the order in which they held.
             let store = self.store.as_ref().filter(|_| marked.is_ok());
-            (marked, store.map(|store| store.submit(board.marks().clone(), &self.log)))
+            (marked, store.map(|store| store.submit(registry.marks().clone(), &self.log)))
         };
         let mark = marked.map_err(|refused| match refused {
             Refused::Unknown => Fault { status: 404, why: "nobody has this name" },
--- a/sidecar/src/decider.rs
+++ b/sidecar/src/dispatcher.rs
@@ -1,7 +1,8 @@
 //! The one task that owns the module. All else reaches it through a bounded queue of notes; it hands each to the
 //! module as an event, and carries out, in order, the actions that come back. It decides nothing itself, and
 //! knows no protocol but through [`Protocol`].
-use crate::board::Mark;
+use crate::endpoint_list::{self, Elsewhere, EndpointList};
+use crate::endpoint_registry::Mark;
 use crate::generations::{ClassId, Left};
 use crate::lease::Lease;
 use crate::limits::Gauge;
@@ -9,7 +10,6 @@
 use crate::monitor::Monitor;
 use crate::oneshot::{self, oneshot};
 use crate::reactor::Timer;
-use crate::roster::{self, Elsewhere, Roster};
 use crate::start_time::{Heard, StartWindow};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock, Timers};
@@ -189,13 +189,13 @@
     running: Option<Task<()>>,
 }
 
-pub struct Decider<P: Protocol> {
+pub struct Dispatcher<P: Protocol> {
     protocol: Rc<P>,
     desk: Rc<Desk<P>>,
     tasks: Tasks,
     log: Logger,
     ask: Sender<()>,
-    roster: Roster,
+    endpoints: EndpointList,
     timers: Timers,
     sidecar: Sidecar,
     calls: FnvHashMap<CallId, Call<P>>,
@@ -216,7 +216,7 @@
     answer_by: Micros,
 }
 
-/// What goes into the making of a [`Decider`].
+/// What goes into the making of a [`Dispatcher`].
 pub struct Parts<P: Protocol> {
     pub protocol: Rc<P>,
     pub desk: Rc<Desk<P>>,
@@ -231,14 +231,14 @@
     pub taught: Taught,
 }
 
-impl<P: Protocol> Decider<P> {
-    pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Decider<P> {
+impl<P: Protocol> Dispatcher<P> {
+    pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Dispatcher<P> {
         let Parts { protocol, desk, tasks, log, ask, lease, monitor, taught } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
-        let mut decider = Decider {
+        let mut dispatcher = Dispatcher {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
             timers: Timers::new(desk.clock),
-            roster: Roster::new(&place.zones, marks),
+            endpoints: EndpointList::new(&place.zones, marks),
             calls: FnvHashMap::default(),
             ends: VecDeque::new(),
             odd: 0,
@@ -256,19 +256,19 @@
             log,
             ask,
         };
-        decider.carry_out();
-        let told = decider.roster.take(known, StartWindow { latest: now, earliest: None });
-        decider.listed(ListKind::Cached, told);
+        dispatcher.carry_out();
+        let told = dispatcher.endpoints.take(known, StartWindow { latest: now, earliest: None });
+        dispatcher.listed(ListKind::Cached, told);
         for (name, judged) in &taught {
-            if let Some(id) = decider.roster.number(name) {
-                decider.sidecar.judge_as(id, judged);
+            if let Some(id) = dispatcher.endpoints.number(name) {
+                dispatcher.sidecar.judge_as(id, judged);
             }
         }
-        let told = decider.roster.all();
-        decider.listed(ListKind::Cached, told);
+        let told = dispatcher.endpoints.all();
+        dispatcher.listed(ListKind::Cached, told);
         // Guards against a start that says it is ready before it may act.
-        decider.look();
-        decider
+        dispatcher.look();
+        dispatcher
     }
 
     /// Runs until nobody is left to send a note.
@@ -299,7 +299,7 @@
         let held_back = self.lease.refuses(|| self.desk.clock.now());
         if held_back != self.held_back {
             self.held_back = held_back;
-            let told = self.roster.hold_back(held_back);
+            let told = self.endpoints.hold_back(held_back);
             self.listed(ListKind::Cached, told);
         }
     }
@@ -342,11 +342,11 @@
             Note::Listed(kind, list, heard) => {
                 let clock = self.desk.clock;
                 let earliest = heard.complete_until.map(|until| clock.at(until));
-                let told = self.roster.take(&list, StartWindow { latest: clock.at(heard.at), earliest });
+                let told = self.endpoints.take(&list, StartWindow { latest: clock.at(heard.at), earliest });
                 self.listed(kind, told);
             }
             Note::Asked(to) => {
-                let named = |(id, judged)| (self.roster.name(id).to_string(), judged);
+                let named = |(id, judged)| (self.endpoints.name(id).to_string(), judged);
                 let servers = self.sidecar.judged().map(named).collect();
                 let _ = to.try_send(servers);
             }
@@ -377,18 +377,18 @@
                 self.left = left;
                 (self.most_hops, self.warm_within) = (terms.most_hops as usize, terms.warm_within);
                 self.on(Event::Retuned(&terms));
-                let told = self.roster.all();
+                let told = self.endpoints.all();
                 self.listed(ListKind::Cached, told);
                 self.forbid();
                 drop(done);
             }
             Note::Drained(elsewhere, done) => {
-                let told = self.roster.drain_elsewhere(elsewhere);
+                let told = self.endpoints.drain_elsewhere(elsewhere);
                 self.listed(ListKind::Cached, told);
                 drop(done);
             }
             Note::Marked(mark, done) => {
-                let told = self.roster.mark(&mark);
+                let told = self.endpoints.mark(&mark);
                 // Nothing was heard from discovery by this.
                 self.listed(ListKind::Cached, told);
                 drop(done);
@@ -396,11 +396,11 @@
         }
     }
 
-    fn listed(&mut self, kind: ListKind, told: roster::Told) {
+    fn listed(&mut self, kind: ListKind, told: endpoint_list::Told) {
         told.entries.iter().for_each(|listing| self.monitor.server_listed(listing));
         self.on(Event::Listed { kind, entries: &told.entries });
         told.retired.into_iter().for_each(|address| self.protocol.retire(address));
-        self.desk.listed.set(self.roster.any_ready());
+        self.desk.listed.set(self.endpoints.any_ready());
     }
 
     fn on(&mut self, event: Event) {
@@ -517,7 +517,7 @@
                 Action::Subscribe => _ = self.ask.try_send(()),
                 Action::Log { text, server: None } => info!(self.log, "{}", text),
                 Action::Log { text, server: Some(server) } => {
-                    info!(self.log, "{} {}", self.roster.name(server), text)
+                    info!(self.log, "{} {}", self.endpoints.name(server), text)
                 }
             }
         }
@@ -529,7 +529,7 @@
         let Some(call) = self.calls.get(&id).filter(|call| call.verdict.is_some()) else { return };
         let reason = if self.held_back {
             RefusalReason::NoLease
-        } else if !self.roster.any_ready() {
+        } else if !self.endpoints.any_ready() {
             RefusalReason::NoServer
         } else if self.answer_by <= self.desk.clock.now() {
             RefusalReason::ShuttingDown
@@ -578,7 +578,7 @@
         let sure = match self.lease.lapsed(|| now) {
             None | Some(Unsure::Hold) => true,
             Some(Unsure::Refuse) => false,
-            Some(Unsure::Strictest) => first && !self.roster.cold(server, now, self.warm_within),
+            Some(Unsure::Strictest) => first && !self.endpoints.cold(server, now, self.warm_within),
         };
         left && sure && no < self.most_hops
     }
@@ -590,7 +590,7 @@
         let (no, left) = (HopNo(call.hops.len() as u32), call.abandon - now);
         let sound = call.verdict.is_some() && left.0 > 0 && call.hops.len() < call.most_hops;
         let sound = sound && (!self.lease.on() || self.allowed(call, call.hops.len(), server, now));
-        let address = self.roster.address(server).filter(|_| sound);
+        let address = self.endpoints.address(server).filter(|_| sound);
         let progress = Rc::<Progress>::default();
         let kind = kind_of_next(&call.hops);
         // Asked for last of all: what it allows is counted as started.
--- a/sidecar/src/roster.rs
+++ b/sidecar/src/endpoint_list.rs
@@ -1,5 +1,5 @@
 //! Which number and address each server of the list has at this sidecar.
-use crate::board::Mark;
+use crate::endpoint_registry::Mark;
 use crate::start_time::StartWindow;
 use oakhollow::types::*;
 use oakhollow_terms::{Entry, List, Marks};
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 #[derive(Default)]
-pub struct Roster {
+pub struct EndpointList {
     zones: Vec<String>,
     numbers: HashMap<String, ServerId>,
     known: HashMap<ServerId, Known>,
@@ -47,9 +47,9 @@
     pub retired: Vec<SocketAddr>,
 }
 
-impl Roster {
-    pub fn new(zones: &[String], marks: Marks) -> Roster {
-        Roster { zones: zones.to_vec(), marks, ..Roster::default() }
+impl EndpointList {
+    pub fn new(zones: &[String], marks: Marks) -> EndpointList {
+        EndpointList { zones: zones.to_vec(), marks, ..EndpointList::default() }
     }
 
     /// Takes a mark set by hand: all that is known, as it stands by that.
@@ -245,20 +245,22 @@
             let json = format!(r#"{{"index":{since},"snapshot":false,"endpoints":[{entry}]}}"#);
             read(json.as_bytes()).expect("a list")
         };
-        let mut roster = Roster::new(&[], Marks::default());
+        let mut endpoints = EndpointList::new(&[], Marks::default());
         let window = StartWindow { latest: Micros::millis(10), earliest: None };
-        roster.take(&list("a", 1), window);
-        let held = roster.hold_back(true);
-        assert!(!roster.any_ready() && held.entries.iter().all(|entry| entry.standing == Standing::Draining));
+        endpoints.take(&list("a", 1), window);
+        let held = endpoints.hold_back(true);
+        assert!(
+            !endpoints.any_ready() && held.entries.iter().all(|entry| entry.standing == Standing::Draining)
+        );
         assert!(held.retired.is_empty());
-        let before = [roster.number("a"), {
-            roster.take(&list("b", 2), window).entries.first().map(|entry| entry.server)
+        let before = [endpoints.number("a"), {
+            endpoints.take(&list("b", 2), window).entries.first().map(|entry| entry.server)
         }];
-        let told = roster.hold_back(false).entries;
+        let told = endpoints.hold_back(false).entries;
         // Whichever is entered first, the later one is there, and all numbers told before are ready or gone.
         let last = |id: ServerId| told.iter().rfind(|entry| entry.server == id).map(|entry| entry.standing);
-        assert_eq!(last(roster.number("b").expect("there")), Some(Standing::Ready));
-        assert!(roster.number("a").is_none() && roster.any_ready());
+        assert_eq!(last(endpoints.number("b").expect("there")), Some(Standing::Ready));
+        assert!(endpoints.number("a").is_none() && endpoints.any_ready());
         for id in before.into_iter().flatten() {
             assert!(matches!(last(id), Some(Standing::Ready | Standing::Gone)), "{id:?}: {told:?}");
         }
--- a/sidecar/src/board.rs
+++ b/sidecar/src/endpoint_registry.rs
@@ -22,7 +22,7 @@
 }
 
 #[derive(Default, Debug)]
-pub struct Board {
+pub struct EndpointRegistry {
     entries: BTreeMap<String, Entry>,
     version: Version,
     marks: Marks,
@@ -38,18 +38,18 @@
     pub sure: bool,
 }
 
-/// The board as the program's threads share it.
-pub type Shared = Arc<Mutex<Board>>;
+/// The registry as the program's threads share it.
+pub type Shared = Arc<Mutex<EndpointRegistry>>;
 
-pub fn lock(board: &Shared) -> MutexGuard<'_, Board> {
-    board.lock().unwrap_or_else(PoisonError::into_inner)
+pub fn lock(registry: &Shared) -> MutexGuard<'_, EndpointRegistry> {
+    registry.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Board {
-    pub fn new(known: &List, marks: Marks) -> Board {
-        let mut board = Board { marks, sure: true, ..Board::default() };
-        board.take(known);
-        board
+impl EndpointRegistry {
+    pub fn new(known: &List, marks: Marks) -> EndpointRegistry {
+        let mut registry = EndpointRegistry { marks, sure: true, ..EndpointRegistry::default() };
+        registry.take(known);
+        registry
     }
 
     /// Takes what the list tells.
@@ -142,36 +142,36 @@
 
     #[test]
     fn two_calls_out_need_one_back_and_nobodys_name_is_refused() {
-        let mut board = Board::new(&list("a b"), Marks::default());
+        let mut registry = EndpointRegistry::new(&list("a b"), Marks::default());
         let at = Micros::millis;
-        assert_eq!(board.mark("c", true, at(1)), Err(Refused::Unknown));
-        assert!(board.mark("a", true, at(1)).is_ok() && board.mark("a", true, at(2)).is_ok());
+        assert_eq!(registry.mark("c", true, at(1)), Err(Refused::Unknown));
+        assert!(registry.mark("a", true, at(1)).is_ok() && registry.mark("a", true, at(2)).is_ok());
         // Kept while the list leaves it out, and put back all the same.
-        board.take(&list("b"));
-        assert!(board.marks().out.contains("a"));
-        assert_eq!(board.mark("a", false, at(3)).map(|mark| mark.at), Ok(at(3)));
-        assert!(board.marks().out.is_empty());
-        board.take(&list("a b"));
+        registry.take(&list("b"));
+        assert!(registry.marks().out.contains("a"));
+        assert_eq!(registry.mark("a", false, at(3)).map(|mark| mark.at), Ok(at(3)));
+        assert!(registry.marks().out.is_empty());
+        registry.take(&list("a b"));
         // A call that is only repeated is no second cold start.
-        assert_eq!(board.mark("a", false, at(9)).map(|mark| mark.at), Ok(at(3)));
-        assert_eq!(board.mark("b", false, at(9)).map(|mark| mark.at), Ok(at(0)));
+        assert_eq!(registry.mark("a", false, at(9)).map(|mark| mark.at), Ok(at(3)));
+        assert_eq!(registry.mark("b", false, at(9)).map(|mark| mark.at), Ok(at(0)));
     }
 
     #[test]
     fn it_serves_with_a_server_that_is_not_out_alone() {
-        let mut board = Board::new(&list("a"), Marks::default());
-        assert!(!board.serves());
-        (board.able, board.settled) = (true, true);
-        assert!(board.serves());
-        board.mark("a", true, Micros(1)).expect("known");
-        assert!(!board.serves());
+        let mut registry = EndpointRegistry::new(&list("a"), Marks::default());
+        assert!(!registry.serves());
+        (registry.able, registry.settled) = (true, true);
+        assert!(registry.serves());
+        registry.mark("a", true, Micros(1)).expect("known");
+        assert!(!registry.serves());
     }
 
     #[test]
     fn marks_are_bounded() {
         let names: Vec<String> = (0..=Marks::MOST).map(|number| format!("s{number}")).collect();
-        let mut board = Board::new(&list(&names.join(" ")), Marks::default());
-        let refused = names.iter().filter_map(|name| board.mark(name, true, Micros(1)).err());
+        let mut registry = EndpointRegistry::new(&list(&names.join(" ")), Marks::default());
+        let refused = names.iter().filter_map(|name| registry.mark(name, true, Micros(1)).err());
         assert_eq!(refused.collect::<Vec<_>>(), [Refused::TooMany]);
     }
 }
--- a/sidecar/src/peers.rs
+++ b/sidecar/src/handover.rs
@@ -1,6 +1,6 @@
 //! Two processes of one sidecar while one replaces the other. A local socket in the sidecar's folder carries one line from
 //! the old to the new, a snapshot, and then each side's marks, a line each; its end means that the other is gone.
-use crate::board::{lock, Mark, Shared as Board};
+use crate::endpoint_registry::{lock, Mark, Shared as EndpointRegistry};
 use crate::limits::Bound;
 use crate::lines::{line, say, within};
 use crate::maintenance_store::MaintenanceStore;
@@ -33,9 +33,9 @@
 
 /// The way to other processes of this sidecar, if there are any.
 #[derive(Clone, Default)]
-pub struct Peers(Arc<Mutex<Vec<Sender<Line>>>>);
+pub struct HandoverLinks(Arc<Mutex<Vec<Sender<Line>>>>);
 
-impl Peers {
+impl HandoverLinks {
     fn links(&self) -> std::sync::MutexGuard<'_, Vec<Sender<Line>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -107,8 +107,8 @@
 
 /// What the links of one process work on.
 pub struct Linking {
-    pub peers: Peers,
-    pub board: Board,
+    pub peers: HandoverLinks,
+    pub registry: EndpointRegistry,
     pub orders: Orders,
     pub store: Arc<MaintenanceStore>,
     pub bounds: [Bound; 2],
@@ -165,8 +165,8 @@
     /// What holds now, and a link that is told all that changes from now on: both under one lock, so that no mark falls
     /// between the two.
     fn snapshot(&self) -> (Marks, List, Link) {
-        let board = lock(&self.board);
-        (board.marks().clone(), board.list(), self.peers.link())
+        let registry = lock(&self.registry);
+        (registry.marks().clone(), registry.list(), self.peers.link())
     }
 
     fn unlink(&self, link: &Sender<Line>) {
@@ -221,9 +221,9 @@
 
     async fn mark(&self, mark: Mark, from: &Sender<Line>) {
         {
-            let mut board = lock(&self.board);
-            board.set(&mark);
-            self.store.submit(board.marks().clone(), &self.log);
+            let mut registry = lock(&self.registry);
+            registry.set(&mark);
+            self.store.submit(registry.marks().clone(), &self.log);
         }
         info!(
             self.log,
--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -1,7 +1,7 @@
 //! What goes back to a caller, as bytes.
 use super::attempt::{chunk, Reply};
 use super::head::{Fault, Framing};
-use crate::decider::Verdict;
+use crate::dispatcher::Verdict;
 use oakhollow::types::Micros;
 use std::borrow::Cow;
 
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -4,7 +4,7 @@
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::pool::{Link, Pool};
 use super::Fence;
-use crate::decider::{End, Progress, Told};
+use crate::dispatcher::{End, Progress, Told};
 use crate::metrics::SystemCall;
 use crate::monitor::Monitor;
 use crate::reactor::{Async, EndOf, Timer};
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -5,7 +5,7 @@
 use super::head::{Fault, Framing, Head, MOST_LONG};
 use super::messages::{Assembler, Begun, Came, Message, Rest, Side};
 use super::Note;
-use crate::decider::{Ask, Verdict};
+use crate::dispatcher::{Ask, Verdict};
 use crate::monitor::{Accepted, OpenRequest};
 use crate::reactor::{Async, Timer};
 use futures_lite::future;
--- a/sidecar/src/http1/load.rs
+++ b/sidecar/src/http1/load.rs
@@ -1,7 +1,7 @@
 //! What a server tells of its load with an answer. The platform's protocol has no header for it; this one is ours:
 //! `Load-Report: busy_reqs=3,pending=1,cpu_share=0.4`, the names being those of `report.columns`.
 use super::head::Head;
-use crate::decider::Told;
+use crate::dispatcher::Told;
 use oakhollow::types::Report;
 use oakhollow_terms::REPORT_VALUES;
 
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -11,7 +11,7 @@
 pub mod pool;
 pub mod watch;
 
-use crate::decider::{End, Progress, Protocol};
+use crate::dispatcher::{End, Progress, Protocol};
 use crate::generations::{ClassId, Numbers};
 use crate::lease::Lease;
 use crate::monitor::Monitor;
@@ -85,6 +85,6 @@
     }
 }
 
-pub type Desk = crate::decider::Desk<Http1>;
-pub type Note = crate::decider::Note<Http1>;
-pub type Decider = crate::decider::Decider<Http1>;
+pub type Desk = crate::dispatcher::Desk<Http1>;
+pub type Note = crate::dispatcher::Note<Http1>;
+pub type Dispatcher = crate::dispatcher::Dispatcher<Http1>;
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -2,7 +2,7 @@
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
 use crate::accord::Accord;
-use crate::board::{lock, Shared};
+use crate::endpoint_registry::{lock, Shared};
 use crate::start_time::Heard;
 use crate::uninterrupted::Uninterrupted;
 use crate::workers::{Order, Orders};
@@ -42,7 +42,7 @@
     /// All workers.
     told_to: Orders,
     /// What the program knows by name.
-    board: Shared,
+    registry: Shared,
     /// The other instances, where instances agree.
     accord: Option<Accord>,
     /// One for each time that the module asks.
@@ -107,13 +107,13 @@
         discovery: SocketAddr, told: Version, told_to: (Orders, Shared, Option<Accord>),
         words: (Receiver<()>, Receiver<SocketAddr>), log: Logger, most_line: usize,
     ) -> Watch {
-        let (told_to, board, accord) = told_to;
+        let (told_to, registry, accord) = told_to;
         let (asks, moves) = words;
         Watch {
             discovery,
             told,
             told_to,
-            board,
+            registry,
             accord,
             asks,
             moves,
@@ -191,16 +191,16 @@
 
     /// Whether the watch is open, for whoever asks at the console.
     fn note_watch(&self, open: bool) {
-        let mut board = lock(&self.board);
-        board.watch_open = open;
+        let mut registry = lock(&self.registry);
+        registry.watch_open = open;
         if open {
-            board.told = self.up_to_date;
+            registry.told = self.up_to_date;
         }
     }
 
     /// Discovery has been called, and has told nothing.
     async fn fails(&self) {
-        lock(&self.board).settled = true;
+        lock(&self.registry).settled = true;
         if let Some(accord) = &self.accord {
             accord.list_fails().await;
         }
@@ -288,9 +288,9 @@
             fault
         })?;
         {
-            let mut board = lock(&self.board);
-            board.take(&list);
-            board.settled = true;
+            let mut registry = lock(&self.registry);
+            registry.take(&list);
+            registry.settled = true;
         }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
         let (index, list) = (list.index, Arc::new(list));
@@ -312,7 +312,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::board::Board;
+    use crate::endpoint_registry::EndpointRegistry;
     use async_channel::bounded;
     use oakhollow_terms::Marks;
     use slog::{o, Discard};
@@ -322,8 +322,9 @@
         at: SocketAddr, workers: Vec<async_channel::Sender<Order>>,
         words: (Receiver<()>, Receiver<SocketAddr>),
     ) -> Watch {
-        let board: Shared = Arc::new(std::sync::Mutex::new(Board::new(&List::default(), Marks::default())));
-        let told_to = (Orders::of(workers), board, None);
+        let registry: Shared =
+            Arc::new(std::sync::Mutex::new(EndpointRegistry::new(&List::default(), Marks::default())));
+        let told_to = (Orders::of(workers), registry, None);
         Watch::new(at, Version(41), told_to, words, Logger::root(Discard, o!()), 1 << 20)
     }
 
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -1,17 +1,20 @@
 //! The oakhollow sidecar on sockets. [`run`] is one sidecar from its start to its end; the program `oakhollow`
-//! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`decider`])
+//! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`dispatcher`])
 //! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`phases`]; calls are
 //! carried by [`workers`], each a thread of its own.
 pub mod accord;
-pub mod board;
 pub mod console;
-pub mod decider;
+pub mod dispatcher;
 pub mod durable_file;
+pub mod endpoint_list;
+pub mod endpoint_registry;
 pub mod eviction;
 pub mod generations;
+pub mod handover;
 pub mod host_clock;
 pub mod http1;
 pub mod lease;
+pub mod lifecycle;
 pub mod limits;
 pub mod lines;
 pub mod logging;
@@ -19,11 +22,8 @@
 pub mod metrics;
 pub mod monitor;
 pub mod oneshot;
-pub mod peers;
-pub mod phases;
 pub mod planned;
 pub mod reactor;
-pub mod roster;
 pub mod start_time;
 pub mod system_errors;
 pub mod tasks;
@@ -31,4 +31,4 @@
 pub mod uninterrupted;
 pub mod workers;
 
-pub use phases::{run, signals, Word};
+pub use lifecycle::{run, signals, Word};
--- a/sidecar/src/phases.rs
+++ b/sidecar/src/lifecycle.rs
@@ -1,13 +1,13 @@
 //! The program's life from start to exit, as named phases of one object.
 use crate::accord::{self, Accord};
-use crate::board::{lock, Board, Shared};
 use crate::console::{self, Console};
+use crate::endpoint_registry::{lock, EndpointRegistry, Shared};
+use crate::handover::{self, HandoverLinks, Linking, Predecessor};
 use crate::http1::watch::Watch;
 use crate::lease::Lease;
 use crate::limits::Bound;
 use crate::maintenance_store::MaintenanceStore;
 use crate::metrics::Metrics;
-use crate::peers::{self, Linking, Peers, Predecessor};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use crate::workers::{carry, panic_kept, Crew, Kit, Lost, Order, Orders};
@@ -127,8 +127,8 @@
     lost: Option<Lost>,
     /// The keys of the file that holds.
     shape: Shape,
-    board: Shared,
-    peers: Peers,
+    registry: Shared,
+    peers: HandoverLinks,
     /// How instances agree on settings, where they do.
     accord: Option<Accord>,
     /// Another process serves meanwhile.
@@ -148,6 +148,13 @@
 /// The words that come as signals: SIGTERM and SIGINT to stop, SIGHUP to read the file again.
 pub fn signals() -> Result<impl Stream<Item = Word>> {
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    // An error of the stream is no signal; guards against spinning on one that lasts.
+    let signals = signals.then(|signal| async {
+        if signal.is_err() {
+            Timer::after(LOOK).await;
+        }
+        signal
+    });
     Ok(signals.filter_map(Result::ok).map(|signal| match signal {
         Signal::Hup => Word::Reread,
         _ => Word::Stop,
@@ -173,7 +180,7 @@
         let clock = Clock::start();
         let store = MaintenanceStore::new(place, clock).map(Arc::new);
         let before = match &store {
-            Some(store) if passed => peers::greet(store, &log).await,
+            Some(store) if passed => handover::greet(store, &log).await,
             _ => None,
         };
         if let Some(list) = before.as_ref().and_then(|before| before.rest.list.clone()) {
@@ -316,8 +323,8 @@
             (None, None) => Marks::default(),
         };
         let taught = before.as_ref().map(|before| before.rest.taught.clone()).unwrap_or_default();
-        let (peers, takes_over) = (Peers::default(), before.is_some());
-        let board: Shared = Arc::new(Mutex::new(Board::new(&known, marks.clone())));
+        let (peers, takes_over) = (HandoverLinks::default(), before.is_some());
+        let registry: Shared = Arc::new(Mutex::new(EndpointRegistry::new(&known, marks.clone())));
         let known = Arc::new(known);
         let bounds = [Bound::new(most, workers), Bound::new(most, workers)];
         let metrics = Arc::new(Metrics::new());
@@ -350,28 +357,28 @@
         let orders = crew.orders();
         let mut agreed = None;
         if let Some((operated, start)) = agrees {
-            lock(&board).sure = false;
-            let (orders, board, log) = (orders.clone(), board.clone(), log.clone());
+            lock(&registry).sure = false;
+            let (orders, registry, log) = (orders.clone(), registry.clone(), log.clone());
             let (store, peers) = (store.clone(), peers.clone());
-            let parts = accord::Parts { operated, lease, orders, board, store, peers, clock, log };
+            let parts = accord::Parts { operated, lease, orders, registry, store, peers, clock, log };
             let (accord, agreeing) = accord::begin(&start, known, parts)?;
             tasks.run(agreeing);
             agreed = Some(accord);
         }
         if let Some(at) = start.console {
-            let (board, orders, peers) = (board.clone(), orders.clone(), peers.clone());
+            let (registry, orders, peers) = (registry.clone(), orders.clone(), peers.clone());
             let (store, accord) = (store.clone(), agreed.clone());
             let (metrics, gauges) = (metrics.clone(), crew.gauges());
             let log = log.clone();
-            let console = Console { board, orders, clock, log, store, peers, accord, metrics, gauges };
+            let console = Console { registry, orders, clock, log, store, peers, accord, metrics, gauges };
             console.listen(at, takes_over).map_err(failed)?;
         }
         if let Some(store) = store.filter(|_| passed) {
-            let (peers, board, orders) = (peers.clone(), board.clone(), orders.clone());
-            let linking = Linking { peers, board, orders, store, bounds, clock, log: log.clone() };
+            let (peers, registry, orders) = (peers.clone(), registry.clone(), orders.clone());
+            let linking = Linking { peers, registry, orders, store, bounds, clock, log: log.clone() };
             tasks.run(linking.run(before));
         }
-        let told_to = (orders.clone(), board.clone(), agreed.clone());
+        let told_to = (orders.clone(), registry.clone(), agreed.clone());
         let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
         tasks.run(watch.seeded(!start.seed).run());
         Ok(Program {
@@ -385,7 +392,7 @@
             shape: start.shape,
             moves,
             lost: None,
-            board,
+            registry,
             peers,
             accord: agreed,
             takes_over,
@@ -414,8 +421,8 @@
                     // one does.
                     Phase::Starting if self.takes_over => {
                         let knows = || {
-                            let board = lock(&self.board);
-                            board.settled && board.sure
+                            let registry = lock(&self.registry);
+                            registry.settled && registry.sure
                         };
                         while !knows() && self.since.elapsed() < SETTLES {
                             Timer::after(LOOK).await;
@@ -466,10 +473,10 @@
         match effect {
             Effect::Open => {
                 self.orders.have_done(Order::Open).await;
-                lock(&self.board).able = true;
+                lock(&self.registry).able = true;
             }
             Effect::SayNo => {
-                lock(&self.board).able = false;
+                lock(&self.registry).able = false;
                 let by = self.clock.now() + (self.grace - MARGIN);
                 self.parts = self.peers.any();
                 self.peers.part();
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -68,6 +68,8 @@
 }
 
 fn serve(args: Args) -> Result<(), String> {
+    // Before anything is read: a signal that comes meanwhile waits, and ends nothing.
+    let words = signals().map_err(|fault| format!("signals: {fault}"))?;
     let path = args.file.ok_or("RELAY_CONFIG: not set, and no file was named")?;
     let operator =
         args.operator.map(|path| Operator::from_file(&path, cores())).transpose()?.unwrap_or_default();
@@ -77,7 +79,6 @@
     if let Some(plan) = operator.plan() {
         planned::doubts(&plan).iter().for_each(|doubt| warn!(log, "the plan does not hold {}", doubt));
     }
-    let words = signals().map_err(|fault| format!("signals: {fault}"))?;
     workers::keep_panics();
     run(start, operator, read, log, words)
 }
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -1,19 +1,19 @@
 //! The threads that carry the calls. Each worker has an executor, a listener and an instance of the decisions of its own,
 //! and counts as one of the sidecars in all that is shared out among them; nothing of a call ever crosses from one to
 //! another. Phases, reloads and the watch of the list are the program's, which tells its workers by orders.
-use crate::board::Mark;
-use crate::decider::Parts;
+use crate::dispatcher::Parts;
+use crate::endpoint_list::Elsewhere;
+use crate::endpoint_registry::Mark;
 use crate::generations::{ClassId, Classes, Generations, Left, Numbers};
 use crate::http1::acceptor::Acceptor;
 use crate::http1::connections::{Connections, Ids};
 use crate::http1::pool::Pool;
-use crate::http1::{Decider, Desk, Fence, Http1, Names, Note};
+use crate::http1::{Desk, Dispatcher, Fence, Http1, Names, Note};
 use crate::lease::Lease;
 use crate::limits::{Bound, Gauge, Share};
 use crate::metrics::Metrics;
 use crate::monitor::{self, Monitor};
 use crate::reactor::{self, Async};
-use crate::roster::Elsewhere;
 use crate::start_time::Heard;
 use crate::tasks::Tasks;
 use crate::timers::Clock;
@@ -339,8 +339,8 @@
     if kit.beside {
         none_beyond(&mut place.terms);
     }
-    let decider = Decider::new(&place, seed, (&kit.known, kit.marks), parts);
-    tasks.run(decider.run(notes));
+    let dispatcher = Dispatcher::new(&place, seed, (&kit.known, kit.marks), parts);
+    tasks.run(dispatcher.run(notes));
     let names = names_of(&mut place, numbers, named);
     let mut with = if kit.beside { Shared::WithPredecessor } else { Shared::Alone };
     let callers = (Share::of(kit.callers), gauges.connections);
