No answer of another request: a connection that has not rested is waited for

Cause: a server's second answer that comes some milliseconds late was given to the next request on that connection, until one had been seen (docs/endings.md, What is left). Now at most two attempts at an address wait for the rest of the 10 ms; others open a connection.

--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -249,7 +249,7 @@
     if content.upload.as_ref().is_some_and(|upload| upload.parts.borrow().is_none()) {
         return Err(Outcome::NotSent);
     }
-    let link = match pool.idle(to) {
+    let link = match pool.rested(to).await {
         Some(link) => link,
         None => pool.connect(to, target.wanted.clone()).await.map_err(|failure| {
             if let Some(error) = &failure.error {
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -20,11 +20,14 @@
 /// How often idle connections are looked through for those that have ended or are old.
 const SWEEP: Duration = Duration::from_millis(20);
 
-/// How long a connection rests after an answer before it carries another request: a second one may come some milliseconds
-/// late. Guards against giving it to the next call. Where no server was seen to send more than an answer, one that rests is
-/// used before another is opened.
+/// How long a connection rests after an answer before it carries another request: a second answer may come some milliseconds
+/// late. Guards against giving it to the next request.
 const REST: Duration = Duration::from_millis(10);
 
+/// How many may wait at an address for a connection to have rested, where no server was seen to send more than an answer;
+/// others open one: guards against a busy process that waits at each request.
+const MOST_WAITING: usize = 2;
+
 /// One open connection; dropping it closes it.
 pub struct Link {
     stream: Async<TcpStream>,
@@ -85,21 +88,52 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct LinkId(u64);
 
-struct Idle {
+struct Parked {
     link: Rc<Link>,
     id: LinkId,
     since: Instant,
 }
 
+/// A connection that is free, and how long until it has rested.
+enum Idle {
+    Rested(Rc<Link>),
+    Resting(Rc<Link>, Duration),
+}
+
+/// One who waits for a connection to have rested, for as long as it does.
+struct Waiting<'a> {
+    pool: &'a Pool,
+    to: SocketAddr,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(pool: &'a Pool, to: SocketAddr) -> Waiting<'a> {
+        if let Some(shelf) = pool.shelves.borrow_mut().get_mut(&to) {
+            shelf.waiting += 1;
+        }
+        Waiting { pool, to }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(shelf) = self.pool.shelves.borrow_mut().get_mut(&self.to) {
+            shelf.waiting = shelf.waiting.saturating_sub(1);
+        }
+    }
+}
+
 /// The connections to one address, since it was last retired.
 struct Shelf {
-    idle: Vec<Idle>,
+    idle: Vec<Parked>,
+    /// How many wait for one of them to have rested.
+    waiting: usize,
     wanted: Rc<Cell<bool>>,
 }
 
 impl Default for Shelf {
     fn default() -> Shelf {
-        Shelf { idle: Vec::new(), wanted: Rc::new(Cell::new(true)) }
+        Shelf { idle: Vec::new(), waiting: 0, wanted: Rc::new(Cell::new(true)) }
     }
 }
 
@@ -147,29 +181,55 @@
         self.keep.set(keep(idle_close));
     }
 
-    /// A connection that was used before, if one is free.
-    pub fn idle(&self, to: SocketAddr) -> Option<Rc<Link>> {
-        self.idle_by(to, Instant::now())
+    /// A connection that was used before and has rested, if one is free or will be in a moment.
+    pub async fn rested(&self, to: SocketAddr) -> Option<Rc<Link>> {
+        loop {
+            let (link, left) = match self.idle_by(to, Instant::now())? {
+                Idle::Rested(link) => return Some(link),
+                Idle::Resting(link, left) => (link, left),
+            };
+            let waiting = Waiting::begin(self, to);
+            Timer::after(left).await;
+            drop(waiting);
+            if self.still_usable(&link) {
+                return Some(link);
+            }
+        }
     }
 
-    fn idle_by(&self, to: SocketAddr, now: Instant) -> Option<Rc<Link>> {
+    fn idle_by(&self, to: SocketAddr, now: Instant) -> Option<Idle> {
         loop {
-            let taken = {
+            let parked = {
                 let mut shelves = self.shelves.borrow_mut();
-                let idle = &mut shelves.get_mut(&to)?.idle;
-                let rested = idle.iter().rposition(|idle| idle.since + REST <= now);
-                let longest = Some(0).filter(|_| !idle.is_empty() && !self.strays.get());
-                idle.remove(rested.or(longest)?)
+                let shelf = shelves.get_mut(&to)?;
+                let rested = shelf.idle.iter().rposition(|parked| parked.since + REST <= now);
+                let may_wait = !self.strays.get() && shelf.waiting < MOST_WAITING;
+                let longest = Some(0).filter(|_| !shelf.idle.is_empty() && may_wait);
+                shelf.idle.remove(rested.or(longest)?)
             };
-            self.ages.borrow_mut().remove(&taken.id);
-            match taken.link.come() {
-                Come::Nothing => return Some(taken.link),
-                Come::Bytes => self.stray(),
-                Come::End => {}
+            self.ages.borrow_mut().remove(&parked.id);
+            if self.still_usable(&parked.link) {
+                let left = (parked.since + REST).saturating_duration_since(now);
+                return Some(match left.is_zero() {
+                    true => Idle::Rested(parked.link),
+                    false => Idle::Resting(parked.link, left),
+                });
             }
         }
     }
 
+    /// Nothing has come on it since its answer.
+    fn still_usable(&self, link: &Link) -> bool {
+        match link.come() {
+            Come::Nothing => true,
+            Come::Bytes => {
+                self.stray();
+                false
+            }
+            Come::End => false,
+        }
+    }
+
     /// A server has sent more than an answer: others may come later.
     pub fn stray(&self) {
         if !self.strays.replace(true) {
@@ -227,7 +287,7 @@
         }
         let id = self.parked.replace(LinkId(self.parked.get().0 + 1));
         if let Some(shelf) = self.shelves.borrow_mut().get_mut(&to) {
-            shelf.idle.push(Idle { link, id, since: Instant::now() });
+            shelf.idle.push(Parked { link, id, since: Instant::now() });
             self.ages.borrow_mut().insert(id, to);
         }
     }
@@ -269,7 +329,7 @@
         }
     }
 
-    fn take_oldest(&self) -> Option<Idle> {
+    fn take_oldest(&self) -> Option<Parked> {
         let (_, at) = self.ages.borrow_mut().pop_first()?;
         Some(self.shelves.borrow_mut().get_mut(&at)?.idle.remove(0))
     }
@@ -317,23 +377,30 @@
             pool.park(to, link.clone());
             (before, Instant::now())
         };
-        let same = |one: Option<Rc<Link>>, other: &Rc<Link>| one.is_some_and(|one| Rc::ptr_eq(&one, other));
+        let rested = |one: Option<Idle>, other: &Rc<Link>| match one {
+            Some(Idle::Rested(one)) => Rc::ptr_eq(&one, other),
+            _ => false,
+        };
+        let resting = |one: Option<Idle>, other: &Rc<Link>| match one {
+            Some(Idle::Resting(one, left)) => Rc::ptr_eq(&one, other) && left <= REST && !left.is_zero(),
+            _ => false,
+        };
         let (first, second) = (connect(), connect());
         let (mut server, _) = listener.accept().expect("accepted");
-        // Nothing odd was seen: one that has rested first, the one that rests longest before another is opened.
+        // Nothing odd was seen: one that has rested first, the one that rests longest is waited for.
         let (_, then) = parked(&first);
         let (before, _) = parked(&second);
-        assert!(same(pool.idle_by(to, before + REST / 2), &first));
+        assert!(resting(pool.idle_by(to, before + REST / 2), &first));
         let (_, last) = parked(&first);
-        assert!(same(pool.idle_by(to, last + REST), &first) && then < last);
+        assert!(rested(pool.idle_by(to, last + REST), &first) && then < last);
         parked(&first);
         // The second answer comes: that connection carries nothing more, and none is used before it has rested.
         server.write_all(b"HTTP/1.1 200 OK\r\n").expect("written");
         while first.come() == Come::Nothing {}
-        assert!(same(pool.idle_by(to, Instant::now() + REST), &second) && pool.strays.get());
+        assert!(rested(pool.idle_by(to, Instant::now() + REST), &second) && pool.strays.get());
         let (before, then) = parked(&second);
         assert!(
-            pool.idle_by(to, before + REST / 2).is_none() && same(pool.idle_by(to, then + REST), &second)
+            pool.idle_by(to, before + REST / 2).is_none() && rested(pool.idle_by(to, then + REST), &second)
         );
     }
 }
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -2,7 +2,7 @@
 //! The notation, beside that of `tests/scenarios.rs`:
 //!
 //! - `server NAME HOW [BODY]`: HOW is one of answers, late (after 0.3 s), chunked, interim (after a 1xx), closes
-//!   (after its answer, unsaid), echoes (the request's id), echoes-twice, until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
+//!   (after its answer, unsaid), echoes (the request's id), echoes-twice, echoes-late (twice, the second 4 ms later), until-close, half, huge, errors, busy (a 503 that proves nothing), turns-away,
 //!   loaded (BODY is its load report), breaks, garbled, noise, hints (a 1xx without end), stalls (in the middle of its answer), twice (its answer, and
 //!   once more), silent, holds (silent until it is changed, and then so), absent (nobody listens), OTHER's-address, shut-door (its connections do not come up until `admits
 //!   NAME`, which the machine tries after 1 s; from then on it answers); said again, it changes a server; `servers COUNT HOW`
@@ -254,11 +254,15 @@
             "hints" => "HTTP/1.1 102 Processing\r\n\r\n".repeat(99),
             "stalls" => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{say}", say.len() + 9),
             "twice" => format!("{whole}{whole}"),
-            "echoes" | "echoes-twice" => {
+            "echoes" | "echoes-twice" | "echoes-late" => {
                 let id = shared.lock().expect("seen").last.clone();
                 let id = id.lines().find_map(|line| line.strip_prefix("Request-Id: ")).expect("an id").to_string();
                 let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-                whole.repeat(if how == "echoes" { 1 } else { 2 })
+                if how == "echoes-late" {
+                    let _ = stream.write_all(whole.as_bytes());
+                    thread::sleep(Duration::from_millis(4));
+                }
+                whole.repeat(if how == "echoes-twice" { 2 } else { 1 })
             }
             "breaks" => return,
             "silent" => {
