--- a/guard/src/budget.rs
+++ b/guard/src/budget.rs
@@ -32,6 +32,11 @@
         self.beyond_first.len() as f64 <= budget.few + budget.share * self.accepted.len() as f64
     }
 
+    /// Attempts beyond a first one, in the last window.
+    pub fn used(&self) -> usize {
+        self.beyond_first.len()
+    }
+
     /// Forgets what was spent, and keeps what was accepted.
     pub fn begin_anew(&mut self) {
         self.beyond_first.clear();
--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -57,6 +57,11 @@
         self.requests.len()
     }
 
+    /// How many attempts beyond requests' first there were in the last window, where a budget is stated.
+    pub fn retry_budget_used(&self) -> usize {
+        self.spending.used()
+    }
+
     /// What was found since this was last asked.
     pub fn take_violations(&mut self) -> Vec<Violation> {
         std::mem::take(&mut self.violations)
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -1,7 +1,7 @@
 //! What `GET /metrics` on the console tells, in the Prometheus text format. Counters are counted where things happen, on any
 //! thread, without a lock; gauges are set when they are asked for. `docs/metrics.md` lists each with its unit.
 use oakhollow::types::{Micros, Outcome};
-use oakhollow_guard::{AnswerKind, CloseReason, Denial, Rule};
+use oakhollow_guard::{CloseReason, Denial, Rule};
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -105,10 +105,6 @@
     Connect,
     /// Reading from or writing to a server.
     Transfer,
-    /// Writing what outlives the process.
-    Write,
-    /// Binding an address or a local socket.
-    Bind,
 }
 
 impl SystemCall {
@@ -117,8 +113,6 @@
             SystemCall::Accept => "accept",
             SystemCall::Connect => "connect",
             SystemCall::Transfer => "transfer",
-            SystemCall::Write => "write",
-            SystemCall::Bind => "bind",
         }
     }
 }
@@ -322,11 +316,6 @@
     }
 }
 
-/// The name by which the outcome of a request is counted.
-pub fn answer_name(kind: AnswerKind) -> &'static str {
-    kind.name()
-}
-
 fn register<C: Collector + Clone + 'static>(registry: &Registry, collector: C) -> prometheus::Result<C> {
     registry.register(Box::new(collector.clone()))?;
     Ok(collector)
--- a/sidecar/src/monitor.rs
+++ b/sidecar/src/monitor.rs
@@ -99,6 +99,9 @@
                 allowed
             );
         }
+        if kind != AttemptKind::First {
+            self.metrics.spend(self.guard.borrow().retry_budget_used());
+        }
         allowed.inspect_err(|denial| self.metrics.deny(*denial))
     }
 
