--- a/lab/tests/soak_judge.rs
+++ b/lab/tests/soak_judge.rs
@@ -108,3 +108,20 @@
         ["ready-in-time"]
     );
 }
+
+/// What is found where the guard says that this request was answered too late.
+fn found_by_guard(events: &[(f64, Event)]) -> Vec<&'static str> {
+    let records = Records::new();
+    lock(&records.requests).push(request());
+    lock(&records.events).extend(events.iter().map(|(at, event)| (*at, PROCESS, *event)));
+    let broken = vec!["g0p0: rule broken: answer_in_time: request g0p0-1 (7): 0.000s accepted".into()];
+    let ends = Ends { broken, ..Ends::default() };
+    judge(&records, &ends).findings.iter().map(|finding| finding.promise).collect()
+}
+
+#[test]
+fn a_late_answer_by_the_guard_is_excused_where_the_process_stood_still_and_only_there() {
+    assert_eq!(found_by_guard(&[]), ["guard"]);
+    assert_eq!(found_by_guard(&[(3.0, Event::Stopped), (3.9, Event::Continued)]), ["guard"]);
+    assert_eq!(found_by_guard(&[(9.9, Event::Stopped), (10.1, Event::Continued)]), [""; 0]);
+}
--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -25,7 +25,7 @@
 const REST: Duration = Duration::from_millis(10);
 
 /// How many may wait at an address for a connection to have rested, where no server was seen to send more than an answer;
-/// others open one: guards against a busy process that waits at each request.
+/// others use theirs at once: guards against a busy process that waits, or opens a connection, at each request.
 const MOST_WAITING: usize = 2;
 
 /// One open connection; dropping it closes it.
@@ -94,9 +94,9 @@
     since: Instant,
 }
 
-/// A connection that is free, and how long until it has rested.
+/// A connection that is free, and how long until it has rested if that is waited for.
 enum Idle {
-    Rested(Rc<Link>),
+    Usable(Rc<Link>),
     Resting(Rc<Link>, Duration),
 }
 
@@ -181,11 +181,11 @@
         self.keep.set(keep(idle_close));
     }
 
-    /// A connection that was used before and has rested, if one is free or will be in a moment.
+    /// A connection that was used before, if one is free. It has rested, but where several wait for that already.
     pub async fn rested(&self, to: SocketAddr) -> Option<Rc<Link>> {
         loop {
             let (link, left) = match self.idle_by(to, Instant::now())? {
-                Idle::Rested(link) => return Some(link),
+                Idle::Usable(link) => return Some(link),
                 Idle::Resting(link, left) => (link, left),
             };
             let waiting = Waiting::begin(self, to);
@@ -199,19 +199,19 @@
 
     fn idle_by(&self, to: SocketAddr, now: Instant) -> Option<Idle> {
         loop {
-            let parked = {
+            let (parked, crowded) = {
                 let mut shelves = self.shelves.borrow_mut();
                 let shelf = shelves.get_mut(&to)?;
                 let rested = shelf.idle.iter().rposition(|parked| parked.since + REST <= now);
-                let may_wait = !self.strays.get() && shelf.waiting < MOST_WAITING;
-                let longest = Some(0).filter(|_| !shelf.idle.is_empty() && may_wait);
-                shelf.idle.remove(rested.or(longest)?)
+                let longest = Some(0).filter(|_| !shelf.idle.is_empty() && !self.strays.get());
+                let crowded = shelf.waiting >= MOST_WAITING;
+                (shelf.idle.remove(rested.or(longest)?), crowded)
             };
             self.ages.borrow_mut().remove(&parked.id);
             if self.still_usable(&parked.link) {
                 let left = (parked.since + REST).saturating_duration_since(now);
-                return Some(match left.is_zero() {
-                    true => Idle::Rested(parked.link),
+                return Some(match left.is_zero() || crowded {
+                    true => Idle::Usable(parked.link),
                     false => Idle::Resting(parked.link, left),
                 });
             }
@@ -378,7 +378,7 @@
             (before, Instant::now())
         };
         let rested = |one: Option<Idle>, other: &Rc<Link>| match one {
-            Some(Idle::Rested(one)) => Rc::ptr_eq(&one, other),
+            Some(Idle::Usable(one)) => Rc::ptr_eq(&one, other),
             _ => false,
         };
         let resting = |one: Option<Idle>, other: &Rc<Link>| match one {
@@ -391,6 +391,11 @@
         let (_, then) = parked(&first);
         let (before, _) = parked(&second);
         assert!(resting(pool.idle_by(to, before + REST / 2), &first));
+        // Who comes while as many wait as may uses it at once.
+        let waiting: Vec<Waiting> = (0..MOST_WAITING).map(|_| Waiting::begin(&pool, to)).collect();
+        assert!(rested(pool.idle_by(to, before), &second));
+        drop(waiting);
+        parked(&second);
         let (_, last) = parked(&first);
         assert!(rested(pool.idle_by(to, last + REST), &first) && then < last);
         parked(&first);
