--- a/lab/tests/soak_judge.rs
+++ b/lab/tests/soak_judge.rs
@@ -51,7 +51,7 @@
     assert!(found(request(), &[attempt()], &[]).is_empty());
     let turned_away = Attempt { deed: Deed::TurnedAway, ..attempt() };
     let refused = Ending::Answered { status: 503, own: true };
-    assert!(found(ended(refused, 10.1), &[turned_away.clone()], &[]).is_empty());
+    assert!(found(ended(refused, 10.1), std::slice::from_ref(&turned_away), &[]).is_empty());
     assert!(found(request(), &[turned_away, attempt()], &[]).is_empty());
     assert!(found(ended(Ending::Left, 10.1), &[attempt()], &[]).is_empty());
     // Killed meanwhile, or crossed with the end of a connection that rested.
