A successor waits for the console's address whether or not the process before it answers

Before: a_successor_of_one_that_stands_still_serves_though_the_console_is_taken failed by that line; after: handover's 3 pass.

--- a/lab/tests/handover.rs
+++ b/lab/tests/handover.rs
@@ -6,6 +6,7 @@
 use oakhollow_lab::processes::Sidecar;
 use oakhollow_lab::shared::{all_serve, file, Folder, Listed, Shared, Told};
 use oakhollow_lab::stand::{ask, dial};
+use rustix::process::Signal;
 use std::io::{BufRead, BufReader};
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -92,3 +93,15 @@
     std::fs::remove_dir(&rig.socket).expect("out of the way");
     assert!(rig.successor().is_some(), "nobody can take over for the rest of its life");
 }
+
+#[test]
+fn a_successor_of_one_that_stands_still_serves_though_the_console_is_taken() {
+    let _turn = turn();
+    let mut rig = Rig::start(4, |_| {});
+    rig.sidecar.signal(Signal::STOP);
+    rig.sidecar.replace().expect("started");
+    // Longer than it waits for the one before it.
+    thread::sleep(Duration::from_millis(900));
+    assert!(!rig.sidecar.ended(), "{}", rig.sidecar.log());
+    all_serve(std::slice::from_mut(&mut rig.sidecar)).expect("serves");
+}
--- a/sidecar/src/lifecycle.rs
+++ b/sidecar/src/lifecycle.rs
@@ -371,7 +371,7 @@
             let (metrics, gauges) = (metrics.clone(), crew.gauges());
             let log = log.clone();
             let console = Console { registry, orders, clock, log, store, peers, accord, metrics, gauges };
-            console.listen(at, takes_over).map_err(failed)?;
+            console.listen(at, passed).map_err(failed)?;
         }
         if let Some(store) = store.filter(|_| passed) {
             let (peers, registry, orders) = (peers.clone(), registry.clone(), orders.clone());
