--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -248,6 +248,23 @@
     pub warm_within_s: f64,
 }
 
+impl Told<'_> {
+    /// What a process that is alone before its servers is told: it has a console, and servers warm up within 3 s.
+    pub fn alone(discovery: SocketAddr) -> Told<'static> {
+        Told {
+            at: 0,
+            me: 0,
+            balancers: 1,
+            discovery,
+            console: true,
+            known: None,
+            cold_from: 0.3,
+            fall_s: 1.5,
+            warm_within_s: 3.0,
+        }
+    }
+}
+
 /// A process's file: one workload, `view`, that may be repeated.
 pub fn file(sidecar: &Sidecar, told: &Told) -> String {
     let Told { at, me, balancers, discovery, console, known, cold_from, fall_s, warm_within_s } = told;
--- a/lab/tests/faults.rs
+++ b/lab/tests/faults.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 const SERVERS: usize = 4;
+/// As [`Told::alone`] has it.
 const WARM_WITHIN: Duration = Duration::from_secs(3);
 
 /// A server that answers at once and counts what it is sent.
@@ -60,17 +61,7 @@
         let discovery = Shared::start(listed).expect("a discovery");
         let folder = Folder::new("faults");
         let mut sidecar = Sidecar::new(&program(), "n0", folder.path()).expect("a folder");
-        let told = Told {
-            at: 0,
-            me: 0,
-            balancers: 1,
-            discovery: discovery.address,
-            console: true,
-            known: None,
-            cold_from: 0.3,
-            fall_s: 1.5,
-            warm_within_s: WARM_WITHIN.as_secs_f64(),
-        };
+        let told = Told::alone(discovery.address);
         sidecar.write(&file(&sidecar, &told)).expect("written");
         sidecar.bend().expect("the library of faults");
         let mut rig = Rig { sidecar, servers, discovery, calls: 0, _folder: folder };
--- a/lab/tests/handover.rs
+++ b/lab/tests/handover.rs
@@ -29,17 +29,7 @@
         let discovery = Shared::start((0..servers).map(named).collect()).expect("a discovery");
         let folder = Folder::new("handover");
         let mut sidecar = Sidecar::new(&program(), "n0", folder.path()).expect("a folder");
-        let told = Told {
-            at: 0,
-            me: 0,
-            balancers: 1,
-            discovery: discovery.address,
-            console: true,
-            known: None,
-            cold_from: 0.3,
-            fall_s: 1.5,
-            warm_within_s: 3.0,
-        };
+        let told = Told::alone(discovery.address);
         sidecar.write(&file(&sidecar, &told)).expect("written");
         sidecar.pass_listener().expect("a socket");
         let name = format!("oakhollow-{}.sock", sidecar.listen.to_string().replace(':', "_"));
