--- a/sidecar/src/dispatcher.rs
+++ b/sidecar/src/dispatcher.rs
@@ -343,6 +343,11 @@
                 let clock = self.desk.clock;
                 let earliest = heard.complete_until.map(|until| clock.at(until));
                 let told = self.endpoints.take(&list, StartWindow { latest: clock.at(heard.at), earliest });
+                let after = heard.at.elapsed().as_millis();
+                info!(
+                    self.log,
+                    "list applied: version {}, {:?}, {} ms after it came", list.index.0, kind, after
+                );
                 self.listed(kind, told);
             }
             Note::Asked(to) => {
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -6,6 +6,7 @@
 pub mod client_connection;
 pub mod connections;
 pub mod head;
+pub mod list_call;
 pub mod load;
 pub mod messages;
 pub mod pool;
--- a/sidecar/src/http1/watch.rs
+++ b/sidecar/src/http1/watch.rs
@@ -1,6 +1,7 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes.
 use super::chunks::Chunks;
 use super::head::{Framing, Head};
+use super::list_call::{LineArrival, Progress, Stage};
 use crate::accord::Accord;
 use crate::endpoint_registry::{lock, Shared};
 use crate::start_time::Heard;
@@ -59,6 +60,8 @@
     /// When this discovery last told something, or that nothing has changed.
     up_to_date: Option<Instant>,
     chance: Chance,
+    /// How far the call under way has come.
+    progress: Progress,
 }
 
 /// Why a watch is begun, or no more.
@@ -123,6 +126,7 @@
             heard: false,
             up_to_date: None,
             chance: Chance::default(),
+            progress: Progress::begun_at(Instant::now()),
         }
     }
 
@@ -145,7 +149,7 @@
                 Turn::Asked => {}
                 // Guards against a wait before it is opened anew, in which what it misses comes to count as told.
                 Turn::Stale(why) => {
-                    info!(self.log, "watch of the list {}, opened anew", why);
+                    info!(self.log, "watch of the list {}, opened anew: {}", why, self.progress);
                     if !self.heard {
                         self.fails().await;
                     }
@@ -155,7 +159,7 @@
                     (self.discovery, self.told, self.up_to_date) = (to, Version::default(), None);
                 }
                 Turn::Ended(why) => {
-                    info!(self.log, "watch of the list ended: {}", why);
+                    info!(self.log, "watch of the list ended: {}: {}", why, self.progress);
                     // What was asked while a watch was under way has had its answer. Before the module hears: guards
                     // against losing the ask with which it answers this.
                     while asks.try_recv().is_ok() {}
@@ -208,16 +212,20 @@
 
     async fn follow(&mut self) -> std::result::Result<Infallible, Break> {
         (self.since, self.heard) = (Instant::now(), false);
+        self.progress = Progress::begun_at(self.since);
+        info!(self.log, "list asked for at {} from version {}", self.discovery, self.told.0);
         let lot = (SILENCE - LEAST_SILENCE).mul_f64(self.chance.draw());
         let mut silence = LEAST_SILENCE + lot;
         let due = self.since + silence;
         let silent = || Break::Silent(silence);
         let stream = by(due, Async::<TcpStream>::connect(self.discovery)).await?.ok_or_else(silent)?;
+        self.progress.reach(Stage::Asking);
         let ask = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.told.0, self.discovery
         );
         by(due, Uninterrupted(&stream).write_all(ask.as_bytes())).await?.ok_or_else(silent)?;
+        self.progress.reach(Stage::Head);
         let (mut bytes, mut lines, mut chunks, mut framing) =
             (Vec::new(), Vec::new(), Chunks::default(), None);
         let mut buffer = vec![0; 16 * 1024];
@@ -230,6 +238,7 @@
             let read = by(most.min(due.max(last + FLOWS)), Uninterrupted(&stream).read(&mut buffer)).await?;
             let count = read.ok_or(Break::Silent(silence))?;
             (last, came) = (Instant::now(), came + count);
+            self.progress.received(count, last);
             if count == 0 {
                 return Err("discovery closed the connection".into());
             }
@@ -240,7 +249,10 @@
                 bytes.drain(..taken);
                 match head.status().map_err(|fault| fault.why)? {
                     100..=199 => {}
-                    200 => framing = Some(head.answer_framing().map_err(|fault| fault.why)?),
+                    200 => {
+                        framing = Some(head.answer_framing().map_err(|fault| fault.why)?);
+                        self.progress.reach(Stage::FirstLine);
+                    }
                     other => return Err(format!("discovery answered {other}").into()),
                 }
             }
@@ -254,7 +266,8 @@
             }
             while let Some(end) = lines.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
-                self.tell(line.trim_ascii(), !self.heard).await?;
+                let arrival = self.progress.line_ended(Instant::now());
+                self.tell(line.trim_ascii(), !self.heard, arrival).await?;
                 (self.since, self.heard, came) = (Instant::now(), true, 0);
                 self.up_to_date = Some(self.since);
                 self.note_watch(true);
@@ -269,7 +282,9 @@
         }
     }
 
-    async fn tell(&mut self, line: &[u8], first: bool) -> std::result::Result<(), String> {
+    async fn tell(
+        &mut self, line: &[u8], first: bool, arrival: LineArrival,
+    ) -> std::result::Result<(), String> {
         let list: std::result::Result<List, String> = match line {
             // Guards against asking again and again where nothing has changed: the module waits for an answer.
             b"" if first => Ok(List { index: self.told, ..List::default() }),
@@ -293,6 +308,8 @@
             registry.settled = true;
         }
         let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
+        let entries = list.endpoints.len();
+        info!(self.log, "list heard: version {}, {:?}, {} entries, {}", list.index.0, kind, entries, arrival);
         let (index, list) = (list.index, Arc::new(list));
         let heard = Heard { at: Instant::now(), complete_until: self.up_to_date };
         let before = match &self.accord {
@@ -303,6 +320,12 @@
         if let Some(accord) = self.accord.as_ref().filter(|_| !before) {
             accord.listed(list).await;
         }
+        info!(
+            self.log,
+            "list passed on: version {}, {} ms after it came",
+            index.0,
+            heard.at.elapsed().as_millis()
+        );
         // Not before all have been told: guards against a change that nobody asks for any more if this is given up between.
         self.told = index;
         Ok(())
@@ -362,12 +385,13 @@
         let at = "127.0.0.1:1".parse().expect("an address");
         let mut watch = watch(at, vec![sender.clone()], (asks, moves));
         let line = br#"{"index":42,"snapshot":false,"endpoints":[]}"#;
+        let arrival = Progress::begun_at(Instant::now()).line_ended(Instant::now());
         // The worker's queue is full, so that telling it waits, and meanwhile the watch is moved.
         sender.try_send(Order::Look).expect("room");
-        let given_up = future::block_on(future::poll_once(watch.tell(line, true)));
+        let given_up = future::block_on(future::poll_once(watch.tell(line, true, arrival)));
         assert!(given_up.is_none() && watch.told == Version(41), "{:?}", watch.told);
         orders.try_recv().expect("the one before");
-        assert!(future::block_on(watch.tell(line, true)).is_ok() && watch.told == Version(42));
+        assert!(future::block_on(watch.tell(line, true, arrival)).is_ok() && watch.told == Version(42));
         assert!(matches!(orders.try_recv(), Ok(Order::Listed(ListKind::Changes, ..))));
     }
 }
