--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod chain;
 pub mod judge;
+pub mod large_list;
 pub mod play;
 pub mod processes;
 pub mod ramp;
