A slow call for the list gets another beside it; an unheard list is used for a bounded time

Two causes of one class, "what is not heard in time": - http1/watch.rs gave a slow call up after 4 to 5 s, or at SIGHUP, and began it from nothing (LEAST_SILENCE, Turn::Moved). A reload keeps the call that it does not change, and the version at another address; changes that end before the version asked from are followed by a call for the whole list. - list_freshness.rs: while discovery can be reached and nothing is heard, the list may be used for 6 s and the grace, less 0.3 s; then workers refuse (list_stale), until a line comes. Calls that only meet 503 or an end count as an outage for 5 s first, longer where the list is shorter than 1,000 entries; connections that do not come up end the count.

Never heard at all: all is refused from 12 s on. Sidecar and guard tests pass.

Tried and not kept: 5 s whatever the list's length.

--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -171,6 +171,9 @@
         if !look.lease_valid {
             return Err(Denial::LeaseLapsed);
         }
+        if !look.list_fresh {
+            return Err(Denial::ListStale);
+        }
         if look.client_gone || request.client_gone.is_some() {
             return Err(Denial::ClientGone);
         }
--- a/guard/src/permit.rs
+++ b/guard/src/permit.rs
@@ -34,6 +34,8 @@
     pub server_wanted: bool,
     /// The lease, if there is one, has not run out.
     pub lease_valid: bool,
+    /// The list by which the server was chosen may still be used.
+    pub list_fresh: bool,
     /// The client has closed its connection.
     pub client_gone: bool,
     /// What is left of the attempt's time.
@@ -55,18 +57,21 @@
     ServerNotWanted,
     /// The lease has run out.
     LeaseLapsed,
+    /// The list of servers has not been heard for too long.
+    ListStale,
     /// An earlier attempt may have run, or still may.
     MayHaveRun,
 }
 
 impl Denial {
     /// All denials, in the order of their declaration.
-    pub const ALL: [Denial; 6] = [
+    pub const ALL: [Denial; 7] = [
         Denial::RequestOver,
         Denial::ClientGone,
         Denial::OutOfTime,
         Denial::ServerNotWanted,
         Denial::LeaseLapsed,
+        Denial::ListStale,
         Denial::MayHaveRun,
     ];
 
@@ -78,6 +83,7 @@
             Denial::OutOfTime => "out_of_time",
             Denial::ServerNotWanted => "server_not_wanted",
             Denial::LeaseLapsed => "lease_lapsed",
+            Denial::ListStale => "list_stale",
             Denial::MayHaveRun => "may_have_run",
         }
     }
--- a/guard/tests/rules.rs
+++ b/guard/tests/rules.rs
@@ -60,7 +60,14 @@
 
     fn look(&self) -> LastLook {
         let left = DEADLINE - self.now;
-        LastLook { server_wanted: true, lease_valid: true, client_gone: false, left, told: left }
+        LastLook {
+            server_wanted: true,
+            lease_valid: true,
+            list_fresh: true,
+            client_gone: false,
+            left,
+            told: left,
+        }
     }
 
     fn may_send(&mut self, permit: &AttemptPermit) -> bool {
--- a/sidecar/src/dispatcher.rs
+++ b/sidecar/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::generations::{ClassId, Left};
 use crate::lease::Lease;
 use crate::limits::Gauge;
+use crate::list_deadline::ListDeadline;
 use crate::metrics::{AttemptKind, RefusalReason};
 use crate::monitor::Monitor;
 use crate::oneshot::{self, oneshot};
@@ -116,7 +117,7 @@
     Retuned(Box<Terms>, FnvHashMap<ClassId, Left>, Option<Sender<()>>),
     /// Whom others' lists let drain; the sender is dropped when that holds.
     Drained(Arc<Elsewhere>, Sender<()>),
-    /// The lease has begun or run out.
+    /// The lease has begun or run out, or the list may not be used any more.
     Look,
     /// What the module has learnt is asked for.
     Asked(Sender<Taught>),
@@ -205,6 +206,9 @@
     /// Load reports that could not be read.
     odd: u64,
     lease: Lease,
+    list_deadline: ListDeadline,
+    /// The list may not be used until another has come.
+    list_stale: bool,
     monitor: Rc<Monitor>,
     /// Nothing may be sent on, as the module was last told.
     held_back: bool,
@@ -225,6 +229,8 @@
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
     pub lease: Lease,
+    /// Until when the list may be used.
+    pub list_deadline: ListDeadline,
     /// What is told all that happens, and says whether an attempt may be started.
     pub monitor: Rc<Monitor>,
     /// What another process learnt in our place.
@@ -233,7 +239,7 @@
 
 impl<P: Protocol> Dispatcher<P> {
     pub fn new(place: &Place, seed: u64, known: (&List, Marks), parts: Parts<P>) -> Dispatcher<P> {
-        let Parts { protocol, desk, tasks, log, ask, lease, monitor, taught } = parts;
+        let Parts { protocol, desk, tasks, log, ask, lease, list_deadline, monitor, taught } = parts;
         let (mut actions, now, (known, marks)) = (Vec::new(), desk.clock.now(), known);
         let mut dispatcher = Dispatcher {
             sidecar: Sidecar::new(&place.terms, seed, now, &mut actions),
@@ -243,6 +249,8 @@
             ends: VecDeque::new(),
             odd: 0,
             lease,
+            list_deadline,
+            list_stale: false,
             monitor,
             held_back: false,
             left: FnvHashMap::default(),
@@ -294,13 +302,21 @@
         }
     }
 
-    /// Has the module hold everything back, or no more, as the lease has it now: to it every server drains meanwhile.
+    /// Has the module hold everything back, or no more, as the lease and the age of the list have it now: to it every server
+    /// drains meanwhile.
     fn look(&mut self) {
-        let held_back = self.lease.refuses(|| self.desk.clock.now());
-        if held_back != self.held_back {
-            self.held_back = held_back;
-            let told = self.endpoints.hold_back(held_back);
-            self.listed(ListKind::Cached, told);
+        let now = || self.desk.clock.now();
+        // Until another list has come, and not only until the deadline is set anew: that is done first.
+        self.list_stale |= self.list_deadline.has_passed(now);
+        let held_back = self.list_stale || self.lease.refuses(now);
+        if held_back == self.held_back {
+            return;
+        }
+        self.held_back = held_back;
+        let told = self.endpoints.hold_back(held_back);
+        self.listed(ListKind::Cached, told);
+        if self.list_stale {
+            self.end_waiting_attempts(|_, _, _| true);
         }
     }
 
@@ -349,6 +365,10 @@
                     "list applied: version {}, {:?}, {} ms after it came", list.index.0, kind, after
                 );
                 self.listed(kind, told);
+                if kind != ListKind::Failed {
+                    self.list_stale = false;
+                    self.look();
+                }
             }
             Note::Asked(to) => {
                 let named = |(id, judged)| (self.endpoints.name(id).to_string(), judged);
@@ -532,7 +552,9 @@
     /// Says why a call is refused, as far as that can be seen from here.
     fn refused(&self, id: CallId) {
         let Some(call) = self.calls.get(&id).filter(|call| call.verdict.is_some()) else { return };
-        let reason = if self.held_back {
+        let reason = if self.list_stale {
+            RefusalReason::ListStale
+        } else if self.held_back {
             RefusalReason::NoLease
         } else if !self.endpoints.any_ready() {
             RefusalReason::NoServer
@@ -553,14 +575,19 @@
             return;
         }
         let now = self.desk.clock.now();
+        self.end_waiting_attempts(|dispatcher, call, no| {
+            !dispatcher.allowed(call, no, call.hops[no].server, now)
+        });
+    }
+
+    /// Ends the attempts that have not begun and that a condition holds for, by their call and place in it.
+    fn end_waiting_attempts(&mut self, ends: impl Fn(&Self, &Call<P>, usize) -> bool) {
         let waits = |hop: &Hop| hop.running.is_some() && !hop.progress.begun.get();
         let forbidden: Vec<(CallId, usize)> = self
             .calls
             .iter()
             .flat_map(|(id, call)| (0..call.hops.len()).map(move |no| (*id, call, no)))
-            .filter(|(_, call, no)| {
-                waits(&call.hops[*no]) && !self.allowed(call, *no, call.hops[*no].server, now)
-            })
+            .filter(|(_, call, no)| waits(&call.hops[*no]) && ends(self, call, *no))
             .map(|(id, _, no)| (id, no))
             .collect();
         for (id, no) in forbidden {
--- a/sidecar/src/endpoint_registry.rs
+++ b/sidecar/src/endpoint_registry.rs
@@ -36,6 +36,8 @@
     pub able: bool,
     /// A majority's leases live, where instances agree on settings.
     pub sure: bool,
+    /// The list was heard recently enough to be used.
+    pub fresh: bool,
 }
 
 /// The registry as the program's threads share it.
@@ -47,7 +49,7 @@
 
 impl EndpointRegistry {
     pub fn new(known: &List, marks: Marks) -> EndpointRegistry {
-        let mut registry = EndpointRegistry { marks, sure: true, ..EndpointRegistry::default() };
+        let mut registry = EndpointRegistry { marks, sure: true, fresh: true, ..EndpointRegistry::default() };
         registry.take(known);
         registry
     }
@@ -74,6 +76,16 @@
         list
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All there are.
     pub fn list(&self) -> List {
         let endpoints = self.entries.values().cloned().collect();
@@ -124,7 +136,11 @@
     /// Whether a call would be served at once.
     pub fn serves(&self) -> bool {
         let mut usable = self.entries.values().filter(|entry| entry.ready());
-        self.able && self.sure && self.settled && usable.any(|entry| !self.marks.out.contains(&entry.name))
+        self.able
+            && self.sure
+            && self.fresh
+            && self.settled
+            && usable.any(|entry| !self.marks.out.contains(&entry.name))
     }
 }
 
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -263,7 +263,8 @@
     let told = told(left);
     let look = LastLook {
         server_wanted: target.wanted.get(),
-        lease_valid: !target.fence.shut(),
+        lease_valid: target.fence.lease_valid(),
+        list_fresh: target.fence.list_fresh(),
         client_gone: content.gone.has_come(),
         left: Micros(left.as_micros() as u64),
         told,
@@ -274,7 +275,7 @@
         // waited for: the withdrawal, which is on its way, ends this attempt.
         Err(Denial::ClientGone | Denial::RequestOver) => return future::pending().await,
         Err(Denial::OutOfTime) => return Err(Outcome::NoConnection),
-        Err(Denial::ServerNotWanted | Denial::LeaseLapsed | Denial::MayHaveRun) => {
+        Err(Denial::ServerNotWanted | Denial::LeaseLapsed | Denial::ListStale | Denial::MayHaveRun) => {
             return Err(Outcome::NotSent)
         }
     };
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -6,7 +6,6 @@
 pub mod client_connection;
 pub mod connections;
 pub mod head;
-pub mod list_call;
 pub mod load;
 pub mod messages;
 pub mod pool;
@@ -15,6 +14,7 @@
 use crate::dispatcher::{End, Progress, Protocol};
 use crate::generations::{ClassId, Numbers};
 use crate::lease::Lease;
+use crate::list_deadline::ListDeadline;
 use crate::monitor::Monitor;
 use crate::timers::Clock;
 use oakhollow_guard::{AttemptPermit, Effect};
@@ -33,16 +33,25 @@
     pub monitor: Rc<Monitor>,
 }
 
-/// Looked at before a hop's first byte: guards against a hop of a process that was stopped for longer than its lease.
+/// Looked at before a hop's first byte: guards against a hop of a process that was stopped for longer than its lease, or than its list
+/// may be used.
 #[derive(Clone)]
 pub struct Fence {
     pub lease: Lease,
+    /// Until when the list may be used.
+    pub list_deadline: ListDeadline,
     pub clock: Clock,
 }
 
 impl Fence {
-    pub fn shut(&self) -> bool {
-        self.lease.refuses(|| self.clock.now())
+    /// Whether the lease lets an attempt be sent.
+    pub fn lease_valid(&self) -> bool {
+        !self.lease.refuses(|| self.clock.now())
+    }
+
+    /// Whether the list that the attempt's endpoint was chosen by may still be used.
+    pub fn list_fresh(&self) -> bool {
+        !self.list_deadline.has_passed(|| self.clock.now())
     }
 }
 
--- a/sidecar/src/http1/list_call.rs
+++ b/sidecar/src/http1/watch/progress.rs
@@ -45,6 +45,8 @@
 /// How a whole line came.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct LineArrival {
+    /// When its first byte came: what it tells was so by then.
+    pub first_byte_at: Instant,
     /// Its bytes, those of the framing included.
     pub bytes: usize,
     /// From the beginning of the call to its first byte.
@@ -71,10 +73,26 @@
         self.line_bytes += bytes;
     }
 
+    /// When the call began.
+    pub fn begun(&self) -> Instant {
+        self.begun
+    }
+
+    /// When the call last got any byte, or began.
+    pub fn last_sign(&self) -> Instant {
+        self.last_byte.unwrap_or(self.begun)
+    }
+
+    /// Bytes since the last whole line.
+    pub fn line_bytes(&self) -> usize {
+        self.line_bytes
+    }
+
     /// A line is whole.
     pub fn line_ended(&mut self, now: Instant) -> LineArrival {
         let line_begun = self.line_begun.unwrap_or(now);
         let arrival = LineArrival {
+            first_byte_at: line_begun,
             bytes: self.line_bytes,
             first_byte_after: line_begun - self.begun,
             took: now - line_begun,
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod lifecycle;
 pub mod limits;
 pub mod lines;
+pub mod list_deadline;
+pub mod list_freshness;
 pub mod logging;
 pub mod maintenance_store;
 pub mod metrics;
--- a/sidecar/src/lifecycle.rs
+++ b/sidecar/src/lifecycle.rs
@@ -3,9 +3,10 @@
 use crate::console::{self, Console};
 use crate::endpoint_registry::{lock, EndpointRegistry, Shared};
 use crate::handover::{self, HandoverLinks, Linking, Predecessor};
-use crate::http1::watch::Watch;
+use crate::http1::watch::{self, Reload, Watch};
 use crate::lease::Lease;
 use crate::limits::Bound;
+use crate::list_deadline::ListDeadline;
 use crate::maintenance_store::MaintenanceStore;
 use crate::metrics::Metrics;
 use crate::tasks::Tasks;
@@ -122,8 +123,8 @@
     longest: Duration,
     /// How long after the word to stop the program is sure to live.
     grace: Micros,
-    /// Where the list is watched from now on.
-    moves: Sender<SocketAddr>,
+    /// What the watch of the list is told once the file was read again.
+    reloads: Sender<Reload>,
     lost: Option<Lost>,
     /// The keys of the file that holds.
     shape: Shape,
@@ -313,7 +314,8 @@
             info!(log, "the machine allows {} descriptors, under limits.sockets", descriptors);
         }
         let (ask, asks) = bounded(1);
-        let (moves, moved) = bounded(1);
+        let (deadline, drain_grace) = (ListDeadline::none(), place.drain_grace);
+        let (reload, reloads) = bounded(1);
         let longest = longest(&place);
         say_if_cut_short(&log, longest);
         let told = known.index;
@@ -340,6 +342,7 @@
             clock,
             log: log.clone(),
             lease: lease.clone(),
+            list_deadline: deadline.clone(),
             metrics: metrics.clone(),
             ask,
             ids: Arc::default(),
@@ -378,9 +381,24 @@
             let linking = Linking { peers, registry, orders, store, bounds, clock, log: log.clone() };
             tasks.run(linking.run(before));
         }
-        let told_to = (orders.clone(), registry.clone(), agreed.clone());
-        let watch = Watch::new(start.discovery, told, told_to, (asks, moved), log.clone(), most_line);
-        tasks.run(watch.seeded(!start.seed).run());
+        let watch = Watch::new(watch::Parts {
+            discovery: start.discovery,
+            known: told,
+            orders: orders.clone(),
+            registry: registry.clone(),
+            accord: agreed.clone(),
+            asks,
+            reloads,
+            deadline,
+            drain_grace,
+            clock,
+            metrics,
+            // Guards against calls that are spread as something else is that this seed draws.
+            seed: !start.seed,
+            most_line,
+            log: log.clone(),
+        });
+        tasks.run(watch.run());
         Ok(Program {
             phase: Phase::Starting,
             since: Instant::now(),
@@ -390,7 +408,7 @@
             longest: duration(longest),
             grace: grace(longest),
             shape: start.shape,
-            moves,
+            reloads: reload,
             lost: None,
             registry,
             peers,
@@ -491,7 +509,7 @@
                             return;
                         }
                     }
-                    let longest = longest(&start.place);
+                    let (longest, drain_grace) = (longest(&start.place), start.place.drain_grace);
                     // Once the end has been ordered, its time is that of the settings which held then.
                     if self.phase == Phase::Serving {
                         (self.longest, self.grace) = (duration(longest), grace(longest));
@@ -503,7 +521,7 @@
                         self.orders.have_done(|done| Order::Retuned(place, done)).await;
                     }
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
-                    let _ = self.moves.send(start.discovery).await;
+                    let _ = self.reloads.send(Reload { discovery: start.discovery, drain_grace }).await;
                 }
                 // Guards against serving by half a file: what held before holds on, whole.
                 Err(fault) => warn!(self.log, "file not taken, all stays as it was: {}", fault),
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -41,6 +41,8 @@
 pub enum RefusalReason {
     /// The instance has no lease, and may send nothing on.
     NoLease,
+    /// The list has not been heard for too long.
+    ListStale,
     /// The list names no server that may be sent to.
     NoServer,
     /// The process is ending, and no time is left.
@@ -52,8 +54,9 @@
 }
 
 impl RefusalReason {
-    const ALL: [RefusalReason; 5] = [
+    const ALL: [RefusalReason; 6] = [
         RefusalReason::NoLease,
+        RefusalReason::ListStale,
         RefusalReason::NoServer,
         RefusalReason::ShuttingDown,
         RefusalReason::Overload,
@@ -63,6 +66,7 @@
     fn name(self) -> &'static str {
         match self {
             RefusalReason::NoLease => "no_lease",
+            RefusalReason::ListStale => "list_stale",
             RefusalReason::NoServer => "no_server",
             RefusalReason::ShuttingDown => "shutting_down",
             RefusalReason::Overload => "overload",
@@ -96,6 +100,45 @@
     Outcome::NotSent,
 ];
 
+/// How a call for the list ended, or that it has told a first line.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ListCallOutcome {
+    /// It has told a line.
+    Told,
+    /// Its connection did not come up.
+    Unreachable,
+    /// It was answered with another status than 200.
+    Rejected,
+    /// It was closed or reset before it told anything.
+    Broken,
+    /// What came is not what the protocol allows.
+    Malformed,
+    /// Another call was faster, or took its place.
+    Cancelled,
+}
+
+impl ListCallOutcome {
+    const ALL: [ListCallOutcome; 6] = [
+        ListCallOutcome::Told,
+        ListCallOutcome::Unreachable,
+        ListCallOutcome::Rejected,
+        ListCallOutcome::Broken,
+        ListCallOutcome::Malformed,
+        ListCallOutcome::Cancelled,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            ListCallOutcome::Told => "told",
+            ListCallOutcome::Unreachable => "unreachable",
+            ListCallOutcome::Rejected => "rejected",
+            ListCallOutcome::Broken => "broken",
+            ListCallOutcome::Malformed => "malformed",
+            ListCallOutcome::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// System calls whose errors are counted.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum SystemCall {
@@ -152,6 +195,8 @@
     denials: Vec<IntCounter>,
     closes: Vec<IntCounter>,
     violations: Vec<IntCounter>,
+    list_calls: Vec<IntCounter>,
+    list_stale: IntCounter,
     system_errors: IntCounterVec,
     latency: Histogram,
     budget_used: IntGauge,
@@ -170,6 +215,7 @@
 
     fn build() -> prometheus::Result<Metrics> {
         let registry = Registry::new();
+        let by_list_call: Vec<&str> = ListCallOutcome::ALL.iter().map(|outcome| outcome.name()).collect();
         let by_rule: Vec<&str> = Rule::ALL.iter().map(|rule| rule.name()).collect();
         let by_close: Vec<&str> = CloseReason::ALL.iter().map(|reason| reason.name()).collect();
         let by_denial: Vec<&str> = Denial::ALL.iter().map(|denial| denial.name()).collect();
@@ -198,6 +244,20 @@
                 &by_close,
             )?,
             violations: each(&registry, "violations_total", "Broken rules", "rule", &by_rule)?,
+            list_calls: each(
+                &registry,
+                "list_calls_total",
+                "Calls to discovery for the list that told a line or ended with none",
+                "outcome",
+                &by_list_call,
+            )?,
+            list_stale: register(
+                &registry,
+                IntCounter::with_opts(named(
+                    "list_stale_total",
+                    "Times that the list was not heard for too long to be used",
+                ))?,
+            )?,
             system_errors: vec(
                 &registry,
                 "system_errors_total",
@@ -270,6 +330,16 @@
         self.violations[rule as usize].inc();
     }
 
+    /// Counts a call for the list.
+    pub fn end_list_call(&self, outcome: ListCallOutcome) {
+        self.list_calls[outcome as usize].inc();
+    }
+
+    /// Counts that the list may not be used any more.
+    pub fn list_became_stale(&self) {
+        self.list_stale.inc();
+    }
+
     /// How often a rule was broken.
     pub fn violations(&self, rule: Rule) -> u64 {
         self.violations[rule as usize].get()
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -11,6 +11,7 @@
 use crate::http1::{Desk, Dispatcher, Fence, Http1, Names, Note};
 use crate::lease::Lease;
 use crate::limits::{Bound, Gauge, Share};
+use crate::list_deadline::ListDeadline;
 use crate::metrics::Metrics;
 use crate::monitor::{self, Monitor};
 use crate::reactor::{self, Async};
@@ -49,7 +50,7 @@
     Retuned(Arc<Place>, Sender<()>),
     /// Whom others' lists let drain. Its sender is dropped when that holds.
     Drained(Arc<Elsewhere>, Sender<()>),
-    /// The lease has begun or run out.
+    /// The lease has begun or run out, or the list may not be used any more.
     Look,
     /// What is shared out with another process of this sidecar.
     Shared(Shared),
@@ -210,6 +211,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub lease: Lease,
+    /// Until when the list may be used.
+    pub list_deadline: ListDeadline,
     pub metrics: Arc<Metrics>,
     /// Asks for a subscription to the list.
     pub ask: Sender<()>,
@@ -322,7 +325,11 @@
         protocol: Rc::new(Http1 {
             pool: pool.clone(),
             tells_load: place.terms.tells_load,
-            fence: Fence { lease: kit.lease.clone(), clock: kit.clock },
+            fence: Fence {
+                lease: kit.lease.clone(),
+                list_deadline: kit.list_deadline.clone(),
+                clock: kit.clock,
+            },
             monitor: monitor.clone(),
         }),
         desk: desk.clone(),
@@ -330,6 +337,7 @@
         log: log.clone(),
         ask,
         lease: kit.lease,
+        list_deadline: kit.list_deadline,
         monitor: monitor.clone(),
         taught: kit.taught,
     };
