Red test: a large tier's retries keep a crowded discovery from answering anybody

A queue that is longer than its callers wait works for calls that have been given up; each is made again after 0.3 to 2.5 s, and it never gets shorter.

The rig's `Capacity` says how calls are turned away; at once, as before, in the restart tests.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod budget;
 pub mod chain;
+pub mod crowd;
 pub mod judge;
 pub mod large_list;
 pub mod play;
--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -42,13 +42,28 @@
     Closed,
     /// Taken and noted, and closed with no answer at the return, all at once.
     Held,
+    /// Taken and noted, and turned away after [`TURNS_AWAY_AFTER`].
+    TurnedAway,
 }
 
+/// How long a call waits at a discovery that is down and turns calls away.
+const TURNS_AWAY_AFTER: Duration = Duration::from_secs(2);
+
 /// It works through calls in turn, so many a second; whoever would wait for longer is turned away.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Capacity {
     pub a_second: f64,
     pub patience_s: f64,
+    pub turns_away: TurnsAway,
+}
+
+/// How a call is turned away that would wait for too long.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum TurnsAway {
+    /// When it comes, and at no cost.
+    AtOnce,
+    /// When it has waited for as long as any does. It is worked through all the same, for nobody.
+    Late,
 }
 
 /// What became of a call to discovery.
@@ -177,14 +192,17 @@
             let (met, wait) = match (state.down, state.capacity) {
                 (Some(_), _) => (Met::Unanswered, Duration::ZERO),
                 (None, None) => (Met::Told, Duration::ZERO),
-                (None, Some(Capacity { a_second, patience_s })) => {
+                (None, Some(Capacity { a_second, patience_s, turns_away })) => {
                     let turn = state.busy_until.map_or(came, |until| until.max(came));
                     let wait = turn - came;
-                    if wait.as_secs_f64() > patience_s {
-                        (Met::TurnedAway, Duration::ZERO)
-                    } else {
+                    let too_long = wait.as_secs_f64() > patience_s;
+                    if !too_long || turns_away == TurnsAway::Late {
                         state.busy_until = Some(turn + Duration::from_secs_f64(1.0 / a_second));
-                        (Met::Told, wait)
+                    }
+                    match (too_long, turns_away) {
+                        (false, _) => (Met::Told, wait),
+                        (true, TurnsAway::AtOnce) => (Met::TurnedAway, Duration::ZERO),
+                        (true, TurnsAway::Late) => (Met::TurnedAway, Duration::from_secs_f64(patience_s)),
                     }
                 }
             };
@@ -193,6 +211,11 @@
         };
         match down {
             None => {}
+            Some(Down::TurnedAway) => {
+                read_head(&mut stream)?;
+                thread::sleep(TURNS_AWAY_AFTER);
+                return turn_away(stream.get_mut());
+            }
             Some(Down::Held) => {
                 let held = |state: &mut State| state.down == Some(Down::Held);
                 drop(self.news.wait_while(lock(&self.state), held));
@@ -201,11 +224,10 @@
             Some(Down::Refused | Down::Closed) => return None,
         }
         read_head(&mut stream)?;
+        thread::sleep(wait);
         if met == Met::TurnedAway {
-            let answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-            return stream.get_mut().write_all(answer.as_bytes()).ok();
+            return turn_away(stream.get_mut());
         }
-        thread::sleep(wait);
         self.watch(stream.get_mut(), life)
     }
 
@@ -232,6 +254,10 @@
     }
 }
 
+fn turn_away(stream: &mut TcpStream) -> Option<()> {
+    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
+}
+
 /// What a process's file says beyond the rest, which is the same for all.
 pub struct Told<'a> {
     /// Which of the processes it is, for its chance; `me` is what it takes itself for.
--- a/lab/tests/restart.rs
+++ b/lab/tests/restart.rs
@@ -4,7 +4,7 @@
 
 use beside::program;
 use oakhollow_lab::restart::{play, Case, Report};
-use oakhollow_lab::shared::{figure, Capacity, Down, Met};
+use oakhollow_lab::shared::{figure, Capacity, Down, Met, TurnsAway};
 use turn::turn;
 
 const CASE: Case =
@@ -71,7 +71,7 @@
 /// It works through one call of each process in five seconds, and whoever would wait for longer than 0.3 s is turned away.
 #[test]
 fn without_a_list_and_with_too_many_callers_at_its_return() {
-    let capacity = Some(Capacity { a_second: 6.0, patience_s: 0.3 });
+    let capacity = Some(Capacity { a_second: 6.0, patience_s: 0.3, turns_away: TurnsAway::AtOnce });
     holds(Case { name: "no list, too many callers", known: false, down: Down::Closed, capacity, ..CASE });
 }
 
