A call turned away late is followed by a wait that grows with the tier: a crowd at discovery ends

A call that discovery turns away after 2 s has waited in its queue, and a queue longer than its callers wait works for calls that were given up; made again after 0.3 to 2.5 s each, they keep it from answering anybody (a metastable failure). Now http1/watch/pacing.rs has the next call wait by lot up to one second for each 32 instances of the tier (settings, `balancers`), at most five times what the call has waited. A call refused at once, and a small tier, wait as before; the module is untouched.

An unheard list of under 1,000 endpoints is used for 10 s more after its watch has ended, a longer one for 5 s: see list_freshness.rs.

--- a/sidecar/src/http1/watch/mod.rs
+++ b/sidecar/src/http1/watch/mod.rs
@@ -1,6 +1,7 @@
 //! The watch of the list: followed while the module has asked for it, told to the module as it comes. A call that is slow is not given
 //! up: another is made beside it, the first whole line of either counts, and the other is cancelled.
 mod call;
+pub mod pacing;
 mod progress;
 
 use crate::accord::Accord;
@@ -18,6 +19,7 @@
 use oakhollow::types::{ListKind, Micros};
 use oakhollow::Chance;
 use oakhollow_terms::{read, List, Start, Version};
+use pacing::pause_after_rejection;
 use progress::LineArrival;
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
@@ -60,6 +62,8 @@
     pub deadline: ListDeadline,
     /// How long after it was notified of a drain an instance may send, as the settings have it; 0 where they don't state it.
     pub drain_grace: Micros,
+    /// How many instances the tier has, as the settings have it.
+    pub instances: u32,
     /// By which times are told to workers.
     pub clock: Clock,
     /// Where calls are counted.
@@ -79,6 +83,8 @@
     pub discovery: SocketAddr,
     /// As [`Parts::drain_grace`].
     pub drain_grace: Micros,
+    /// As [`Parts::instances`].
+    pub instances: u32,
 }
 
 /// The watch of the list.
@@ -93,6 +99,8 @@
     last_line: Option<Instant>,
     /// When a call is made again that had to wait.
     retry_at: Option<Instant>,
+    /// No call is made before this, though the module asks.
+    not_before: Option<Instant>,
     /// When this discovery last told something, or that nothing has changed.
     up_to_date: Option<Instant>,
     freshness: ListFreshness,
@@ -122,6 +130,7 @@
             calls: Vec::with_capacity(MOST_CALLS),
             last_line: None,
             retry_at: None,
+            not_before: None,
             up_to_date: None,
             freshness: ListFreshness::started_at(parts.clock.now()),
             is_stale: false,
@@ -229,23 +238,23 @@
         // An ask meanwhile changes nothing, since each watch ends by itself: guards against giving one up, again and
         // again, that discovery has not come to yet.
         if self.calls.is_empty() && self.retry_at.is_none() {
-            self.open_call();
+            self.retry_at = Some(self.not_before.unwrap_or_else(Instant::now));
         }
     }
 
-    fn reload(&mut self, Reload { discovery, drain_grace }: Reload) {
-        self.parts.drain_grace = drain_grace;
+    fn reload(&mut self, reload: Reload) {
+        let Reload { discovery, drain_grace, instances } = reload;
+        (self.parts.drain_grace, self.parts.instances) = (drain_grace, instances);
         if discovery != self.discovery {
             // The version stays: it is the platform's, whose files name one list and, from file to file, its address.
-            (self.discovery, self.up_to_date) = (discovery, None);
+            (self.discovery, self.up_to_date, self.not_before) = (discovery, None, None);
             self.calls.clear();
             self.freshness.watch_ended(self.parts.clock.now());
             self.note_watch();
         }
-        self.retry_at = None;
         // Guards against beginning anew, from nothing, a call that the file does not change.
         if self.calls.is_empty() {
-            self.open_call();
+            self.retry_at = Some(self.not_before.unwrap_or_else(Instant::now));
         }
     }
 
@@ -253,7 +262,7 @@
         let lot = (SILENCE - LEAST_SILENCE).mul_f64(self.chance.draw());
         info!(self.parts.log, "list asked for at {} from version {}", self.discovery, self.told.0);
         let request = Request { discovery: self.discovery, from: self.told, most_line: self.parts.most_line };
-        self.retry_at = None;
+        (self.retry_at, self.not_before) = (None, None);
         self.calls.push(ListCall::begin(request, LEAST_SILENCE + lot));
     }
 
@@ -343,7 +352,8 @@
             let most = if call.has_told { SILENCE } else { SILENCE + FLOWS };
             let wait = most.saturating_sub(waited).mul_f64(self.chance.draw());
             info!(self.parts.log, "watch of the list {}, opened anew: {}", failure, progress);
-            self.retry_at = Some(Instant::now() + wait);
+            let at = Instant::now() + wait;
+            self.retry_at = Some(self.not_before.map_or(at, |not_before| not_before.max(at)));
             if !call.has_told {
                 self.fails().await;
             }
@@ -361,6 +371,11 @@
     /// What the end of a call says of discovery.
     fn weigh(&mut self, call: &ListCall, failure: &CallFailure) {
         match failure {
+            CallFailure::Rejected(_) => {
+                let waited = call.progress().begun().elapsed();
+                let pause = pause_after_rejection(waited, self.parts.instances, self.chance.draw());
+                self.not_before = Some(Instant::now() + pause);
+            }
             CallFailure::Unreachable(_) => self.freshness.unreachable(self.parts.clock.now()),
             _ if call.has_told => self.freshness.watch_ended(self.parts.clock.now()),
             _ => {}
@@ -479,6 +494,7 @@
             reloads,
             deadline: ListDeadline::none(),
             drain_grace: Micros(0),
+            instances: 1,
             clock: Clock::start(),
             metrics: Arc::default(),
             seed: 1,
--- a/sidecar/src/lifecycle.rs
+++ b/sidecar/src/lifecycle.rs
@@ -315,6 +315,7 @@
         }
         let (ask, asks) = bounded(1);
         let (deadline, drain_grace) = (ListDeadline::none(), place.drain_grace);
+        let instances = place.terms.sidecars;
         let (reload, reloads) = bounded(1);
         let longest = longest(&place);
         say_if_cut_short(&log, longest);
@@ -391,6 +392,7 @@
             reloads,
             deadline,
             drain_grace,
+            instances,
             clock,
             metrics,
             // Guards against calls that are spread as something else is that this seed draws.
@@ -510,6 +512,7 @@
                         }
                     }
                     let (longest, drain_grace) = (longest(&start.place), start.place.drain_grace);
+                    let instances = start.place.terms.sidecars;
                     // Once the end has been ordered, its time is that of the settings which held then.
                     if self.phase == Phase::Serving {
                         (self.longest, self.grace) = (duration(longest), grace(longest));
@@ -521,7 +524,10 @@
                         self.orders.have_done(|done| Order::Retuned(place, done)).await;
                     }
                     info!(self.log, "file read again, the list is watched at {}", start.discovery);
-                    let _ = self.reloads.send(Reload { discovery: start.discovery, drain_grace }).await;
+                    let _ = self
+                        .reloads
+                        .send(Reload { discovery: start.discovery, drain_grace, instances })
+                        .await;
                 }
                 // Guards against serving by half a file: what held before holds on, whole.
                 Err(fault) => warn!(self.log, "file not taken, all stays as it was: {}", fault),
--- a/sidecar/src/list_freshness.rs
+++ b/sidecar/src/list_freshness.rs
@@ -12,8 +12,10 @@
 /// an instance go without asking.
 const OUTAGE: Micros = Micros(2 * oakhollow_terms::Start::MOST_BETWEEN_ASKS.0);
 /// A list of so many endpoints is long. What a fleet's calls cost a discovery grows with the lines of its answers: the shorter the list,
-/// the longer calls are turned away because it is down, and not because it has too many callers.
+/// the likelier calls are turned away because it is down, and not because it has too many callers.
 const LONG_LIST: f64 = 1_000.0;
+/// How many times as long they count so where the list is short.
+const MOST_TIMES: f64 = 2.0;
 /// A process may be held up between the last look at the list and the first byte of an attempt, and another reads its clock.
 const MARGIN: Micros = Micros::millis(300);
 /// A connection that takes longer to come up was kept from discovery by the network.
@@ -58,7 +60,7 @@
         if now - begun > CONNECTS_WITHIN {
             self.up_to_date = self.up_to_date.max(now);
         }
-        let outage = OUTAGE.times((LONG_LIST / endpoints.max(1) as f64).max(1.0));
+        let outage = OUTAGE.times((LONG_LIST / endpoints.max(1) as f64).clamp(1.0, MOST_TIMES));
         let since = if self.may_be_down { self.up_to_date + outage } else { self.up_to_date };
         self.reachable_since.get_or_insert(since);
     }
--- a/sidecar/tests/metrics.rs
+++ b/sidecar/tests/metrics.rs
@@ -1,7 +1,9 @@
 //! What `GET /metrics` tells: every counter from the start, and what was counted.
 use oakhollow::types::{Micros, Outcome};
 use oakhollow_guard::{CloseReason, Denial, Rule};
-use oakhollow_sidecar::metrics::{AttemptKind, Gauges, Metrics, RefusalReason, ServerCounts, SystemCall};
+use oakhollow_sidecar::metrics::{
+    AttemptKind, Gauges, ListCallOutcome, Metrics, RefusalReason, ServerCounts, SystemCall,
+};
 
 #[test]
 fn every_rule_and_reason_has_a_line_from_the_start_and_counts() {
@@ -22,7 +24,11 @@
     metrics.violate(Rule::RetryBudget);
     metrics.close(CloseReason::Evicted);
     metrics.refuse(RefusalReason::NoLease);
+    metrics.refuse(RefusalReason::ListStale);
     metrics.deny(Denial::OutOfTime);
+    metrics.deny(Denial::ListStale);
+    metrics.end_list_call(ListCallOutcome::Rejected);
+    metrics.list_became_stale();
     metrics.end_attempt(AttemptKind::Hedge, Outcome::Broken);
     metrics.fail(SystemCall::Accept, &std::io::Error::from_raw_os_error(24));
     metrics.requests("view", "served").inc();
@@ -39,7 +45,12 @@
         "oakhollow_violations_total{rule=\"retry_budget\"} 1",
         "oakhollow_connections_closed_total{reason=\"evicted\"} 1",
         "oakhollow_refusals_total{reason=\"no_lease\"} 1",
+        "oakhollow_refusals_total{reason=\"list_stale\"} 1",
         "oakhollow_attempt_denials_total{reason=\"out_of_time\"} 1",
+        "oakhollow_attempt_denials_total{reason=\"list_stale\"} 1",
+        "oakhollow_list_calls_total{outcome=\"rejected\"} 1",
+        "oakhollow_list_calls_total{outcome=\"told\"} 0",
+        "oakhollow_list_stale_total 1",
         "oakhollow_attempts_total{kind=\"hedge\",outcome=\"reset\"} 1",
         "oakhollow_system_errors_total{call=\"accept\",errno=\"24\"} 1",
         "oakhollow_requests_total{class=\"view\",outcome=\"served\"} 1",
