--- a/lab/src/soak/conduct.rs
+++ b/lab/src/soak/conduct.rs
@@ -42,7 +42,7 @@
     let group = &fleet.groups[entry.target.group];
     let process = &group.processes[entry.target.process];
     match entry.trouble {
-        Trouble::Terminate | Trouble::Kill => restart(process, entry),
+        Trouble::Terminate | Trouble::Kill | Trouble::SignalSeries => restart(process, entry),
         Trouble::StopShort => stop(process, Duration::from_millis(20 + entry.chance % 130)),
         Trouble::StopLong => stop(process, Duration::from_millis(200 + entry.chance % 800)),
         Trouble::HangupTwice | Trouble::HangupBroken | Trouble::HangupMoved => hang_up(group, process, entry),
@@ -50,6 +50,7 @@
         Trouble::DiscoveryDown => discovery(group, Mode::Down, entry.length),
         Trouble::DiscoverySilent => discovery(group, Mode::Silent, entry.length),
         Trouble::DiscoverySlow => discovery(group, Mode::Slow, entry.length),
+        Trouble::DiscoveryCrowded => discovery(group, Mode::Crowded, entry.length),
         Trouble::DiscoveryCut => group.discovery.cut(),
         Trouble::DiscoveryLower => group.discovery.begin_anew(),
         Trouble::ServerDrains => drain(group, entry),
@@ -93,6 +94,7 @@
     let Some(_hold) = Hold::take(process) else { return };
     match entry.trouble {
         Trouble::Terminate => process.terminate(),
+        Trouble::SignalSeries => signal_series(process, entry),
         _ => process.kill(),
     }
     thread::sleep(Duration::from_millis(entry.chance % 200));
@@ -101,6 +103,23 @@
     }
 }
 
+/// Reloads in a row, and then its end, asked for twice.
+fn signal_series(process: &Process, entry: &Entry) {
+    process.wait_for_handlers();
+    let gap = Duration::from_millis(entry.chance % 40);
+    for _ in 0..3 {
+        process.signal(Signal::HUP);
+        thread::sleep(gap);
+    }
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(gap + Duration::from_millis(100));
+            process.signal(Signal::TERM);
+        });
+        process.terminate();
+    });
+}
+
 fn stop(process: &Process, length: Duration) {
     let Some(id) = lock(&process.sidecar).id() else { return };
     process.note(Event::Stopped);
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -19,6 +19,8 @@
     Silent,
     /// Told the list after a while.
     Slow,
+    /// Turned away after a while; watches have ended.
+    Crowded,
 }
 
 /// How a server stands.
@@ -34,6 +36,8 @@
 
 /// An empty line comes that often where nothing changes.
 const BEAT: Duration = Duration::from_secs(1);
+/// How long a call waits until it is turned away.
+const CROWDED: Duration = Duration::from_millis(700);
 /// How long a slow one takes.
 const SLOW: Duration = Duration::from_millis(900);
 
@@ -100,7 +104,7 @@
     pub fn set_mode(&self, mode: Mode) {
         self.change(|state| {
             state.mode = mode;
-            state.life += u64::from(mode == Mode::Down);
+            state.life += u64::from(matches!(mode, Mode::Down | Mode::Crowded));
         });
     }
 
@@ -143,6 +147,11 @@
             let silent = |state: &mut State| state.mode == Mode::Silent;
             drop(self.shared.1.wait_while(lock(&self.shared.0), silent));
         }
+        if mode == Mode::Crowded {
+            thread::sleep(CROWDED);
+            let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            return stream.get_mut().write_all(answer).ok();
+        }
         if mode == Mode::Slow {
             thread::sleep(SLOW);
         }
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -21,8 +21,11 @@
 
 /// Servers of each group.
 const SERVERS: usize = 4;
-/// How long a process may take to end by itself.
-const ENDS_WITHIN: Duration = Duration::from_secs(6);
+/// How long after it was asked to end a process is killed: the longest deadline of its settings, and 0.7 s.
+const GRACE: Duration = Duration::from_millis(LONGEST_DEADLINE_MS + 700);
+const LONGEST_DEADLINE_MS: u64 = 1_000;
+/// What its log says once it has heard that it is to end.
+const HEARD: &str = ": Told after ";
 /// How long the kernel and the loader may take until the program runs.
 const LOADS: Duration = Duration::from_millis(60);
 const LOOK: Duration = Duration::from_millis(5);
@@ -127,12 +130,18 @@
         lock(&self.sidecar).kill();
     }
 
-    /// Asks it to end and waits until it has; kills it if it does not.
+    /// How often its processes have said that they heard they are to end.
+    fn times_heard(&self) -> usize {
+        lock(&self.sidecar).log().matches(HEARD).count()
+    }
+
+    /// Asks it to end and kills it as early as may be after that, if it has not ended. One that has not even heard is a find.
     pub fn terminate(&self) {
+        let heard_before = self.times_heard();
         self.records.note(self.id, Event::Terminated);
         self.signal(Signal::TERM);
         let begun = Instant::now();
-        while begun.elapsed() < ENDS_WITHIN {
+        while begun.elapsed() < GRACE {
             let ended = lock(&self.sidecar).exit_code();
             if let Some(code) = ended {
                 self.records.note(self.id, Event::Ended(code));
@@ -140,6 +149,10 @@
             }
             thread::sleep(LOOK);
         }
+        if self.times_heard() > heard_before {
+            self.records.note(self.id, Event::KilledAfterGrace);
+            return lock(&self.sidecar).kill();
+        }
         self.records.note(self.id, Event::Ended(None));
         let log = lock(&self.sidecar).log();
         let last: Vec<&str> = log.lines().rev().take(LAST_LINES).collect();
@@ -239,7 +252,8 @@
     let discovery = if setup == Setup::Pushed { "pushed" } else { "on_request" };
     let class = |name: &str, semantics: &str| {
         format!(
-            r#"{{"name":"{name}","semantics":{semantics},"quoted_time_s":0.5,"abandon_time_s":1,"payoff":1}}"#
+            r#"{{"name":"{name}","semantics":{semantics},"quoted_time_s":0.5,"abandon_time_s":{},"payoff":1}}"#,
+            LONGEST_DEADLINE_MS as f64 / 1_000.0
         )
     };
     let save = r#""idempotency_key","group":"cell","memory_span_s":2"#;
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -61,6 +61,8 @@
     doubled: Vec<(f64, f64)>,
     /// Moments at which it ended.
     ends: Vec<f64>,
+    /// Of these, those at which it was killed when its grace was over.
+    grace_ends: Vec<f64>,
     /// Spans in which a server was out by hand, as was acknowledged.
     out: Vec<(usize, f64, f64)>,
     /// Spans in which its watch had been told that a server takes nothing new.
@@ -109,6 +111,12 @@
                     away.get_or_insert(at - CROSSES_END);
                     life.ends.push(at);
                 }
+                Event::KilledAfterGrace => {
+                    terminated = None;
+                    away.get_or_insert(at);
+                    life.ends.push(at);
+                    life.grace_ends.push(at);
+                }
                 Event::Ended(code) => {
                     if terminated.take().is_none() || *code != Some(0) {
                         life.find("ends-in-order", process, format!("ended with {code:?} at {at:.3} s"));
@@ -208,9 +216,11 @@
     let Some(sent) = request.sent else { return };
     verdict.requests += 1;
     let deadline = sent + request.patience;
-    let (away, broken) =
-        (overlaps(&life.away, sent, request.ended), overlaps(&life.broken, sent, request.ended));
     let held_up = stood(&life.stopped, sent - 0.05, request.ended) > HELD_UP;
+    // What the end of its grace finds unanswered is lost, if it did not stand still meanwhile.
+    let overdue = life.grace_ends.iter().any(|end| (sent..request.ended).contains(end)) && !held_up;
+    let away = overlaps(&life.away, sent, request.ended) && !overdue;
+    let broken = overlaps(&life.broken, sent, request.ended);
     let mut find = |promise, seen: String| {
         let seen = format!(
             "{} {} sent at {sent:.3} s, {:?} at {:.3} s: {seen}",
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -21,7 +21,7 @@
 use report::Report;
 use std::path::Path;
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use timetable::Timetable;
 use trouble::Trouble;
@@ -31,6 +31,11 @@
 /// How long what is open may take to end once the timetable is over.
 const SETTLES: Duration = Duration::from_millis(3_000);
 
+/// One play in so many has a crowd from its beginning to its end: one process of each group is held by so many idle clients, more
+/// than it takes in.
+const CROWD_ONE_IN: u64 = 3;
+const CROWD: usize = 520;
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -55,7 +60,9 @@
     let pulse = Pulse::start();
     let begun = Instant::now();
     let callers = fleet.start_clients(plan.seed);
+    let crowd = start_crowd(&fleet, plan);
     conduct::carry_out(&mut fleet, &timetable, begun);
+    crowd.into_iter().for_each(|held| _ = held.join());
     callers.stop();
     thread::sleep(SETTLES);
     let worst_pulse = pulse.worst();
@@ -64,6 +71,14 @@
     Ok(Report::new(plan, timetable, verdict, ends, worst_pulse, &records))
 }
 
+fn start_crowd(fleet: &Fleet, plan: &Plan) -> Vec<JoinHandle<()>> {
+    let crowded = plan.seed.is_multiple_of(CROWD_ONE_IN);
+    let first_of_each = fleet.groups.iter().map(|group| group.processes[0].listen);
+    let length = plan.length;
+    let hold = |to| thread::spawn(move || clients::flood(to, CROWD, length));
+    first_of_each.filter(|_| crowded).map(hold).collect()
+}
+
 /// Leaves out of a plan, one after the other, each kind without which something is still found, and says the command that
 /// plays the rest.
 pub fn shrink(program: &Path, plan: &Plan) -> String {
--- a/lab/src/soak/records.rs
+++ b/lab/src/soak/records.rs
@@ -123,6 +123,8 @@
     Terminated,
     /// Killed by the rig.
     Killed,
+    /// Killed by the rig as early as it may be after it was asked to end: what it had read was to be answered by then.
+    KilledAfterGrace,
     /// It ended: with that code, if it had one.
     Ended(Option<i32>),
     /// It stands still from now on.
--- a/lab/src/soak/trouble.rs
+++ b/lab/src/soak/trouble.rs
@@ -25,6 +25,8 @@
 troubles! {
     /// A process is asked to end, and started again.
     Terminate = "terminate";
+    /// SIGHUP three times, then a process is asked to end twice, and started again.
+    SignalSeries = "signal-series";
     /// A process is killed, and started again.
     Kill = "kill";
     /// A process stands still for up to 0.15 s.
@@ -47,6 +49,8 @@
     DiscoverySilent = "discovery-silent";
     /// Discovery answers each call after a while.
     DiscoverySlow = "discovery-slow";
+    /// Discovery has too many callers: its watches end, and each call is turned away when it has waited.
+    DiscoveryCrowded = "discovery-crowded";
     /// Watches end in the middle of a line.
     DiscoveryCut = "discovery-cut";
     /// Discovery starts again, and numbers its versions from the first.
--- a/lab/tests/soak_judge.rs
+++ b/lab/tests/soak_judge.rs
@@ -125,3 +125,17 @@
     assert_eq!(found_by_guard(&[(3.0, Event::Stopped), (3.9, Event::Continued)]), ["guard"]);
     assert_eq!(found_by_guard(&[(9.9, Event::Stopped), (10.1, Event::Continued)]), [""; 0]);
 }
+
+#[test]
+fn what_the_end_of_the_grace_finds_unanswered_is_lost_unless_it_was_never_read() {
+    let killed = [(9.0, Event::Terminated), (10.3, Event::KilledAfterGrace), (10.6, Event::Started)];
+    assert_eq!(found(ended(Ending::Closed, 10.3001), &[attempt()], &killed), ["answered"]);
+    assert!(found(Request { reused: true, ..ended(Ending::Closed, 10.3001) }, &[], &killed).is_empty());
+    // Killed sooner, and outright.
+    let outright = [(10.3, Event::Killed), (10.6, Event::Started)];
+    assert!(found(ended(Ending::Closed, 10.3001), &[attempt()], &outright).is_empty());
+    // It stood still meanwhile, and could not answer.
+    let stopped = [(10.05, Event::Stopped), (10.25, Event::Continued)];
+    let stopped = [stopped.as_slice(), &killed[1..]].concat();
+    assert!(found(ended(Ending::Closed, 10.3001), &[attempt()], &stopped).is_empty());
+}
