--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -10,6 +10,9 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+/// What builds the library of faults, for a release build.
+const BUILDS_LIBRARY: &str = "cargo build --release -p oakhollow-faults --examples";
+
 /// One process of the program, with a folder of its own.
 pub struct Sidecar {
     pub name: String,
@@ -71,7 +74,11 @@
 
     /// From now on the library of faults is loaded into its processes.
     pub fn bend(&mut self) -> std::io::Result<()> {
-        let library = library(&self.program).ok_or(std::io::ErrorKind::NotFound)?;
+        let library = library(&self.program).ok_or_else(|| {
+            let beside = self.program.display();
+            let text = format!("no library of faults beside {beside}: {BUILDS_LIBRARY} builds it");
+            std::io::Error::new(std::io::ErrorKind::NotFound, text)
+        })?;
         self.faults = Some((Faults::new(&self.folder)?, library));
         Ok(())
     }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -1,6 +1,6 @@
 //! The oakhollow sidecar on sockets. [`run`] is one sidecar from its start to its end; the program `oakhollow`
 //! only reads its file and calls it. The decisions are those of the crate `oakhollow`: one task ([`dispatcher`])
-//! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`phases`]; calls are
+//! owns them, and the protocol ([`http1`]) reaches it through a queue. The program's life is in [`lifecycle`]; calls are
 //! carried by [`workers`], each a thread of its own.
 pub mod accord;
 pub mod console;
@@ -19,6 +19,7 @@
 pub mod lines;
 pub mod list_deadline;
 pub mod list_freshness;
+pub mod listeners;
 pub mod logging;
 pub mod maintenance_store;
 pub mod metrics;
