--- a/sidecar/src/lifecycle.rs
+++ b/sidecar/src/lifecycle.rs
@@ -67,7 +67,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Sign {
+enum Event {
     Bound,
     Told,
     /// The file is to be read again.
@@ -81,7 +81,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Effect {
+enum Action {
     Open,
     SayNo,
     Reread,
@@ -90,18 +90,18 @@
 }
 
 /// What is not listed here changes nothing.
-const LIFE: &[(Phase, Sign, Phase, Effect)] = &[
-    (Phase::Starting, Sign::Bound, Phase::Serving, Effect::Open),
-    (Phase::Serving, Sign::Told, Phase::Leaving, Effect::SayNo),
-    (Phase::Serving, Sign::Changed, Phase::Serving, Effect::Reread),
-    (Phase::Leaving, Sign::Changed, Phase::Leaving, Effect::Reread),
-    (Phase::Leaving, Sign::Spent, Phase::Finishing, Effect::Shut),
-    (Phase::Finishing, Sign::Empty, Phase::Over, Effect::Nothing),
-    (Phase::Finishing, Sign::Overdue, Phase::Over, Effect::Nothing),
+const LIFE: &[(Phase, Event, Phase, Action)] = &[
+    (Phase::Starting, Event::Bound, Phase::Serving, Action::Open),
+    (Phase::Serving, Event::Told, Phase::Leaving, Action::SayNo),
+    (Phase::Serving, Event::Changed, Phase::Serving, Action::Reread),
+    (Phase::Leaving, Event::Changed, Phase::Leaving, Action::Reread),
+    (Phase::Leaving, Event::Spent, Phase::Finishing, Action::Shut),
+    (Phase::Finishing, Event::Empty, Phase::Over, Action::Nothing),
+    (Phase::Finishing, Event::Overdue, Phase::Over, Action::Nothing),
     // Guards against a program that is half alive: whoever watches over it can only mend one that has ended.
-    (Phase::Serving, Sign::Lost, Phase::Over, Effect::Nothing),
-    (Phase::Leaving, Sign::Lost, Phase::Over, Effect::Nothing),
-    (Phase::Finishing, Sign::Lost, Phase::Over, Effect::Nothing),
+    (Phase::Serving, Event::Lost, Phase::Over, Action::Nothing),
+    (Phase::Leaving, Event::Lost, Phase::Over, Action::Nothing),
+    (Phase::Finishing, Event::Lost, Phase::Over, Action::Nothing),
 ];
 
 /// One sidecar from its start to its end.
@@ -357,8 +357,8 @@
         while self.phase != Phase::Over {
             let word = async {
                 match words.next().await {
-                    Some(Word::Reread) => Sign::Changed,
-                    Some(Word::Stop) | None => Sign::Told,
+                    Some(Word::Reread) => Event::Changed,
+                    Some(Word::Stop) | None => Event::Told,
                 }
             };
             let usual = async {
@@ -373,24 +373,24 @@
                         while !knows() && self.since.elapsed() < SETTLES {
                             Timer::after(LOOK).await;
                         }
-                        Sign::Bound
+                        Event::Bound
                     }
-                    Phase::Starting => Sign::Bound,
+                    Phase::Starting => Event::Bound,
                     Phase::Serving => word.await,
                     Phase::Leaving => {
                         let spent = async {
                             let part = if self.parts { STAYS_BESIDE } else { STAYS };
                             Timer::at(self.since + NOTICE.max(duration(self.grace.times(part)))).await;
-                            Sign::Spent
+                            Event::Spent
                         };
                         future::or(spent, word).await
                     }
                     Phase::Finishing | Phase::Over => loop {
                         if self.crew.connections() == 0 {
-                            break Sign::Empty;
+                            break Event::Empty;
                         }
                         if self.since.elapsed() > self.longest {
-                            break Sign::Overdue;
+                            break Event::Overdue;
                         }
                         Timer::after(LOOK).await;
                     },
@@ -401,35 +401,35 @@
                 Lost(format!("the program's own thread: {}", panic_kept()))
             };
             let died = async { Err(future::or(doomed, self.crew.lost()).await) };
-            let sign = match future::or(died, async { Ok(usual.await) }).await {
-                Ok(sign) => sign,
+            let event = match future::or(died, async { Ok(usual.await) }).await {
+                Ok(event) => event,
                 Err(lost) => {
                     self.lost = Some(lost);
-                    Sign::Lost
+                    Event::Lost
                 }
             };
-            self.step(sign, &reread).await;
+            self.step(event, &reread).await;
         }
         self.lost.take().map_or(Ok(()), |Lost(why)| Err(why))
     }
 
-    async fn step(&mut self, sign: Sign, reread: &impl Fn(&Shape) -> std::result::Result<Start, String>) {
-        let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == sign);
-        let Some(&(_, _, phase, effect)) = row else { return };
-        match effect {
-            Effect::Open => {
+    async fn step(&mut self, event: Event, reread: &impl Fn(&Shape) -> std::result::Result<Start, String>) {
+        let row = LIFE.iter().find(|(phase, given, ..)| *phase == self.phase && *given == event);
+        let Some(&(_, _, phase, action)) = row else { return };
+        match action {
+            Action::Open => {
                 self.orders.have_done(Order::Open).await;
                 lock(&self.registry).able = true;
             }
-            Effect::SayNo => {
+            Action::SayNo => {
                 lock(&self.registry).able = false;
                 let by = self.clock.now() + (self.grace - MARGIN);
                 self.parts = self.peers.any();
                 self.peers.part();
                 self.orders.tell(if self.parts { Order::Part(by) } else { Order::SayNo(by) }).await
             }
-            Effect::Shut => self.orders.have_done(Order::Shut).await,
-            Effect::Reread => match reread(&self.shape) {
+            Action::Shut => self.orders.have_done(Order::Shut).await,
+            Action::Reread => match reread(&self.shape) {
                 Ok(start) => {
                     if let Some(accord) = &self.accord {
                         if let Err(fault) = accord.written(start.clone()).await {
@@ -458,7 +458,7 @@
                 // Guards against serving by half a file: what held before holds on, whole.
                 Err(fault) => warn!(self.log, "file not taken, all stays as it was: {}", fault),
             },
-            Effect::Nothing => {}
+            Action::Nothing => {}
         }
         if phase == self.phase {
             return;
@@ -467,7 +467,7 @@
         let after = self.since.elapsed().as_millis();
         info!(
             self.log,
-            "{:?}: {:?} after {} ms, {} calls held, {} connections", phase, sign, after, held, open
+            "{:?}: {:?} after {} ms, {} calls held, {} connections", phase, event, after, held, open
         );
         (self.phase, self.since) = (phase, Instant::now());
     }
