--- /dev/null
+++ b/lab/tests/waited_unread.rs
@@ -0,0 +1,60 @@
+//! A request that waits in the kernel's queue until a process reads it has less time left than it says.
+mod beside;
+
+use beside::program;
+use oakhollow_lab::processes::Sidecar;
+use oakhollow_lab::shared::{file, lock, view, Folder, Listed, Shared, Told};
+use oakhollow_lab::stand::{dial, each, header, read_head};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a request waits before there is a process.
+const WAITS: Duration = Duration::from_millis(500);
+/// By how much a server may be told more than what is left.
+const SLACK: Duration = Duration::from_millis(150);
+/// As [`view`] words it.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// A server that notes what it was told, and when.
+fn server(told: Arc<Mutex<Option<(Instant, Duration)>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    each(listener, move |stream| {
+        let mut stream = BufReader::new(stream);
+        while let Some(head) = read_head(&mut stream) {
+            let left = header(&head, "Request-Timeout-Ms").and_then(|left| left.parse().ok());
+            *lock(&told) = left.map(|left| (Instant::now(), Duration::from_millis(left)));
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            if stream.get_mut().write_all(answer).is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
+#[test]
+fn a_server_is_told_what_is_left_of_a_request_that_waited_unread() {
+    let told = Arc::default();
+    let listed = Listed { name: "s0".into(), address: server(Arc::clone(&told)), since_ms: 0 };
+    let discovery = Shared::start(vec![listed.clone()]).expect("a discovery");
+    let folder = Folder::new("waited-unread");
+    let mut sidecar = Sidecar::new(&program(), "n0", folder.path()).expect("a folder");
+    let known = [listed];
+    let settings = Told { known: Some(&known), ..Told::alone(discovery.address) };
+    sidecar.write(&file(&sidecar, &settings)).expect("written");
+    sidecar.pass_listener().expect("a listener");
+    let mut client = dial(sidecar.listen).expect("taken in by the kernel");
+    client.get_mut().write_all(view("one").as_bytes()).expect("sent");
+    let sent = Instant::now();
+    thread::sleep(WAITS);
+    sidecar.start().expect("started");
+    let answer = read_head(&mut client).expect("answered");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let (at, told) = lock(&told).expect("a request");
+    let left = TIMEOUT.saturating_sub(at - sent);
+    assert!(told <= left + SLACK, "told {told:?} of {left:?}");
+}
