The rig turns calls away in one place; tests of a stale list's denial and of lower versions

The same 503 stood three times in the lab (stand.rs has it now), and a check of the Host header in large_list served nothing. No program code changed.

--- a/guard/tests/rules.rs
+++ b/guard/tests/rules.rs
@@ -248,6 +248,7 @@
     let forbidden = [
         (LastLook { server_wanted: false, ..look }, Denial::ServerNotWanted),
         (LastLook { lease_valid: false, ..look }, Denial::LeaseLapsed),
+        (LastLook { list_fresh: false, ..look }, Denial::ListStale),
         (LastLook { client_gone: true, ..look }, Denial::ClientGone),
         (LastLook { left: Micros(0), ..look }, Denial::OutOfTime),
     ];
--- a/lab/src/large_list/discovery.rs
+++ b/lab/src/large_list/discovery.rs
@@ -2,7 +2,7 @@
 use super::catalogue::Catalogue;
 use super::endpoints::EndpointNo;
 use crate::shared::lock;
-use crate::stand::{each, header, read_head};
+use crate::stand::{each, read_head, turn_away};
 use rustix::net::sockopt;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -137,7 +137,6 @@
         let mut stream = BufReader::new(stream);
         let head = read_head(&mut stream)?;
         let from = head.split("index=").nth(1)?.split(' ').next()?.parse().ok()?;
-        header(&head, "Host")?;
         let (conduct, life) = {
             let mut state = lock(&self.shared.0);
             state.calls.push(Call { at: Instant::now(), from });
@@ -147,9 +146,7 @@
         match conduct {
             Conduct::TurnsAway(after) => {
                 thread::sleep(after);
-                let answer =
-                    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-                stream.write_all(answer).ok()
+                turn_away(&mut stream)
             }
             Conduct::Answers(pace) => self.watch(&mut stream, pace, life),
         }
--- a/lab/src/shared.rs
+++ b/lab/src/shared.rs
@@ -1,7 +1,7 @@
 //! What plays with dozens of processes need: one discovery for all of them that may be down or have too many callers, plain
 //! HTTP, and a pulse that tells how late the rig itself runs.
 use crate::processes::{free, Sidecar};
-use crate::stand::{ask, dial, entry, read_head};
+use crate::stand::{ask, dial, entry, read_head, turn_away};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -254,10 +254,6 @@
     }
 }
 
-fn turn_away(stream: &mut TcpStream) -> Option<()> {
-    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
-}
-
 /// What a process's file says beyond the rest, which is the same for all.
 pub struct Told<'a> {
     /// Which of the processes it is, for its chance; `me` is what it takes itself for.
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -1,7 +1,7 @@
 //! One discovery of a group: an address for each of its processes, so that it knows whom it tells, and faults of its own.
 use super::records::{Event, ProcessId, Records};
 use crate::shared::{lock, unix_ms};
-use crate::stand::{each, entry, read_head};
+use crate::stand::{each, entry, read_head, turn_away};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -149,8 +149,7 @@
         }
         if mode == Mode::Crowded {
             thread::sleep(CROWDED);
-            let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-            return stream.get_mut().write_all(answer).ok();
+            return turn_away(stream.get_mut());
         }
         if mode == Mode::Slow {
             thread::sleep(SLOW);
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -36,6 +36,11 @@
     Some(head)
 }
 
+/// The answer of a service that is down, or has too many callers.
+pub fn turn_away(stream: &mut TcpStream) -> Option<()> {
+    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
+}
+
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
         let (key, value) = line.split_once(':')?;
--- a/sidecar/src/http1/watch/mod.rs
+++ b/sidecar/src/http1/watch/mod.rs
@@ -546,4 +546,20 @@
         assert!(future::block_on(watch.tell(line, true, arrival)).is_ok() && watch.told == Version(42));
         assert!(matches!(orders.try_recv(), Ok(Order::Listed(ListKind::Changes, ..))));
     }
+
+    #[test]
+    fn changes_that_end_before_the_version_asked_from_are_followed_by_a_call_for_the_whole_list() {
+        let (sender, orders) = bounded(1);
+        let (asks, reloads) = (bounded(1).1, bounded(1).1);
+        let at = "127.0.0.1:1".parse().expect("an address");
+        let mut watch = watch(at, vec![sender], asks, reloads);
+        let arrival = progress::Progress::begun_at(Instant::now()).line_ended(Instant::now());
+        let lower = br#"{"index":40,"snapshot":false,"endpoints":[]}"#;
+        assert!(future::block_on(watch.tell(lower, true, arrival)).is_err() && watch.told == Version(0));
+        assert!(orders.try_recv().is_err());
+        // A whole list holds whatever its number.
+        let whole = br#"{"index":40,"snapshot":true,"endpoints":[]}"#;
+        assert!(future::block_on(watch.tell(whole, true, arrival)).is_ok() && watch.told == Version(40));
+        assert!(matches!(orders.try_recv(), Ok(Order::Listed(ListKind::Whole, ..))));
+    }
 }
