Soak: a finding shows the signals, pauses and log lines that led to it

A finding named a request and its process, and nothing else: whether the process was stopped when it was told to end could only be guessed from the timetable. Each finding now prints the events of its process (signals with the time of sending, pauses, starts, kills) and its log lines of the 5 s before it, on the clock of the records.

--- a/lab/src/soak/checker.rs
+++ b/lab/src/soak/checker.rs
@@ -32,6 +32,8 @@
     pub rule: &'static str,
     /// The process that broke it.
     pub process: ProcessId,
+    /// When it was broken, in seconds since the records began, if that is known.
+    pub at: Option<f64>,
     /// What the records show.
     pub details: String,
 }
@@ -111,10 +113,12 @@
                         history.add_finding(
                             "ready-in-time",
                             process,
+                            time,
                             format!("ready {took:.1} s after its start"),
                         );
                     }
                 }
+                Event::SignalSent(_) => {}
                 Event::TerminationRequested => termination_requested = Some(time),
                 Event::Killed => {
                     down.get_or_insert(time - EXIT_RACE_S);
@@ -131,6 +135,7 @@
                         history.add_finding(
                             "ends-in-order",
                             process,
+                            time,
                             format!("ended with {code:?} at {time:.3} s"),
                         );
                     }
@@ -172,8 +177,8 @@
         history
     }
 
-    fn add_finding(&mut self, rule: &'static str, process: ProcessId, details: String) {
-        self.findings.push(Finding { rule, process, details });
+    fn add_finding(&mut self, rule: &'static str, process: ProcessId, at: f64, details: String) {
+        self.findings.push(Finding { rule, process, at: Some(at), details });
     }
 }
 
@@ -226,6 +231,7 @@
         verdict.findings.push(Finding {
             rule: "guard",
             process: ProcessId { group, number },
+            at: None,
             details: line.clone(),
         });
     }
@@ -258,7 +264,8 @@
             request.outcome,
             request.ended_at
         );
-        verdict.findings.push(Finding { rule, process: request.process, details });
+        let at = Some(request.ended_at);
+        verdict.findings.push(Finding { rule, process: request.process, at, details });
     };
     let executions = attempts.iter().filter(|attempt| attempt.outcome == AttemptOutcome::Executed).count();
     if request.class == RequestClass::Pay && executions > 1 {
@@ -346,7 +353,8 @@
             attempt.first_byte_at,
             attempt.first_byte_at - since
         );
-        verdict.findings.push(Finding { rule, process: attempt.process, details });
+        let at = Some(attempt.first_byte_at);
+        verdict.findings.push(Finding { rule, process: attempt.process, at, details });
     };
     let excluded_since = |spans: &[(usize, f64, f64)]| {
         spans.iter().find_map(|(server, since, until)| {
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use super::records::{Event, ProcessId, Records};
 use super::servers::Server;
 use super::timetable::FleetSize;
+use super::trace::Logs;
 use super::Plan;
 use crate::fakes::{connect, send_request};
 use crate::harness::{lock, READY_REQUEST};
@@ -95,6 +96,8 @@
 pub struct ShutdownReport {
     /// Log lines that report a broken rule, a panic or a worker that ended.
     pub log_errors: Vec<String>,
+    /// The logs of all processes.
+    pub logs: Logs,
     /// How often each injected fault took effect.
     pub fault_counts: BTreeMap<String, u64>,
 }
@@ -123,6 +126,7 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
+        self.record_event(Event::SignalSent(signal));
         lock(&self.sidecar).signal(signal);
     }
 
@@ -378,7 +382,7 @@
 
     /// Terminates all processes, and reads their logs and fault counters.
     pub fn shut_down(self) -> ShutdownReport {
-        let mut shutdown = ShutdownReport::default();
+        let (mut shutdown, mut logs) = (ShutdownReport::default(), BTreeMap::new());
         thread::scope(|scope| {
             for process in self.processes() {
                 scope.spawn(move || process.terminate());
@@ -386,9 +390,11 @@
         });
         for process in self.processes() {
             let sidecar = lock(&process.sidecar);
-            for line in sidecar.log_text().lines().filter(|line| reports_failure(line)) {
+            let log = sidecar.log_text();
+            for line in log.lines().filter(|line| reports_failure(line)) {
                 shutdown.log_errors.push(format!("{}: {line}", sidecar.name));
             }
+            logs.insert(process.id, log);
             if let Some(faults) = sidecar.faults() {
                 for kind in FaultKind::ALL {
                     *shutdown.fault_counts.entry(format!("{kind:?}")).or_default() +=
@@ -397,6 +403,7 @@
                 *shutdown.fault_counts.entry("SteppedClock".into()).or_default() += faults.clock_readings();
             }
         }
+        shutdown.logs = Logs::new(logs, &self.records);
         shutdown
     }
 }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod servers;
 pub mod timetable;
+pub mod trace;
 
 use crate::harness::{DelayMonitor, TempDir};
 use disruption::Disruption;
--- a/lab/src/soak/records.rs
+++ b/lab/src/soak/records.rs
@@ -1,5 +1,6 @@
 //! The records of clients, servers, discovery and the harness, with times from one clock.
 use crate::harness::lock;
+use rustix::process::Signal;
 use std::fmt::{Debug, Formatter, Result};
 use std::sync::Mutex;
 use std::time::Instant;
@@ -122,6 +123,8 @@
     Started,
     /// It reported that it was ready.
     Ready,
+    /// The harness sent this signal.
+    SignalSent(Signal),
     /// The harness sent SIGTERM.
     TerminationRequested,
     /// The harness killed it.
--- a/lab/src/soak/report.rs
+++ b/lab/src/soak/report.rs
@@ -2,8 +2,9 @@
 use super::checker::Verdict;
 use super::disruption::Disruption;
 use super::fleet::ShutdownReport;
-use super::records::Records;
+use super::records::{ProcessId, Records};
 use super::timetable::Timetable;
+use super::trace::trace;
 use super::Plan;
 use crate::harness::lock;
 use std::collections::BTreeMap;
@@ -29,6 +30,8 @@
     /// Attempts that servers recorded.
     pub attempts: usize,
     processes: usize,
+    /// What led to each of the verdict's findings, in their order.
+    traces: Vec<String>,
 }
 
 impl Report {
@@ -38,6 +41,8 @@
         records: &Records,
     ) -> Report {
         let attempts = lock(&records.attempts).len();
+        let findings = verdict.findings.iter();
+        let traces = findings.map(|finding| trace(finding, records, &shutdown.logs)).collect();
         Report {
             seed: plan.seed,
             timetable,
@@ -46,6 +51,7 @@
             harness_delay_s,
             attempts,
             processes: plan.processes,
+            traces,
         }
     }
 
@@ -105,17 +111,15 @@
             self.shutdown.fault_counts.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
         writeln!(out, "  faults arrived: {}", fault_counts.join(", "))?;
         let mut by_rule: BTreeMap<&str, Vec<_>> = BTreeMap::new();
-        for finding in findings {
-            by_rule.entry(finding.rule).or_default().push(finding);
+        for (finding, trace) in findings.iter().zip(&self.traces) {
+            by_rule.entry(finding.rule).or_default().push((finding, trace));
         }
         for (rule, findings) in by_rule {
             writeln!(out, "  {rule}: {} times", findings.len())?;
-            for finding in findings.iter().take(MAX_PRINTED_PER_RULE) {
-                writeln!(
-                    out,
-                    "    g{}p{} {}",
-                    finding.process.group, finding.process.number, finding.details
-                )?;
+            for (finding, trace) in findings.iter().take(MAX_PRINTED_PER_RULE) {
+                let ProcessId { group, number } = finding.process;
+                writeln!(out, "    g{group}p{number} {}", finding.details)?;
+                write!(out, "{trace}")?;
             }
         }
         Ok(())
