Shutdown: an attempt's server is told at most the time until the answer is due

What callers saw: nothing. A server could be told more time than the sidecar itself had: an attempt that waited for its connection when SIGTERM came kept its request's own deadline, though from then on every answer is due 0.15 s before the kill. The work it began for the rest was lost. Cause: start_attempt fixes the attempt's deadline; SetAnswerDeadline shortened the request's deadline and not that of attempts on their way. A streamed body's time was never capped by it. Why this works: the fence, looked at before the first byte, holds the worker's answer deadline, and the time left is cut to it there. Before the signal it costs one comparison.

OAKHOLLOW_SCENARIO=PART plays only the scenario files with PART in their names, to reproduce one.

--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -275,7 +275,7 @@
         })?,
     };
     // Computed after connecting, which takes part of the time.
-    let time_left = request.time_left(deadline, Instant::now());
+    let time_left = target.fence.time_left(request.time_left(deadline, Instant::now()));
     let announced_timeout = announced_timeout(time_left);
     let conditions = SendConditions {
         server_available: target.active.get(),
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -1,6 +1,6 @@
 //! What all client connections of a worker share: how many there may be, which have no open request and may be
 //! closed, the ids of open requests, and whether the process still takes requests.
-use super::{DispatcherHandle, RequestSettings};
+use super::{AnswerDeadline, DispatcherHandle, RequestSettings};
 use crate::eviction::{self, IdleConnection};
 use crate::limits::{Gauge, LimitShare, Slot};
 use crate::monitor::Monitor;
@@ -140,13 +140,13 @@
     closing: Cell<bool>,
     /// Each answer closes its connection, so that the client's next request goes to the successor process.
     closing_after_answers: Cell<bool>,
-    answer_deadline: Cell<Micros>,
+    answer_deadline: AnswerDeadline,
 }
 
 impl Connections {
     pub fn new(
         dispatcher: Rc<DispatcherHandle>, request_settings: RequestSettings, monitor: Rc<Monitor>,
-        limit: (Rc<LimitShare>, Gauge), request_ids: Arc<OpenRequestIds>,
+        limit: (Rc<LimitShare>, Gauge), request_ids: Arc<OpenRequestIds>, answer_deadline: AnswerDeadline,
     ) -> Rc<Connections> {
         let (limit, gauge) = limit;
         Rc::new(Connections {
@@ -164,7 +164,7 @@
             serving: Cell::new(false),
             closing: Cell::new(false),
             closing_after_answers: Cell::new(false),
-            answer_deadline: Cell::new(Micros::NEVER),
+            answer_deadline,
         })
     }
 
@@ -225,11 +225,7 @@
         !self.closing.get() && !self.slot_awaited.get() && !self.closing_after_answers.get()
     }
 
-    /// Sets the time by which every request received from now on must be answered.
-    pub fn set_answer_deadline(&self, deadline: Micros) {
-        self.answer_deadline.set(deadline);
-    }
-
+    /// The time by which every request must be answered.
     pub fn answer_deadline(&self) -> Micros {
         self.answer_deadline.get()
     }
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -15,14 +15,16 @@
 use crate::lease::Lease;
 use crate::list_deadline::ListDeadline;
 use crate::monitor::Monitor;
-use crate::timers::Clock;
+use crate::timers::{duration, Clock};
 use crate::workload_ids::{ClassId, WorkloadIds};
+use oakhollow::types::Micros;
 use oakhollow_config::WorkloadSettings;
 use oakhollow_guard::{AttemptPermit, RepeatSafety};
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Makes attempts over pooled connections to endpoints.
 pub struct Http1 {
@@ -40,9 +42,32 @@
     pub lease: Lease,
     /// Until when the list may be used.
     pub list_deadline: ListDeadline,
+    /// When every request must be answered.
+    pub answer_deadline: AnswerDeadline,
     pub clock: Clock,
 }
 
+/// The time by which every request of a worker must be answered because the process shuts down; never until then.
+#[derive(Clone)]
+pub struct AnswerDeadline(Rc<Cell<Micros>>);
+
+impl AnswerDeadline {
+    /// No deadline yet.
+    pub fn none() -> AnswerDeadline {
+        AnswerDeadline(Rc::new(Cell::new(Micros::NEVER)))
+    }
+
+    /// Sets the deadline, also for requests that are open.
+    pub fn set(&self, deadline: Micros) {
+        self.0.set(deadline);
+    }
+
+    /// The deadline.
+    pub fn get(&self) -> Micros {
+        self.0.get()
+    }
+}
+
 impl Fence {
     /// Whether the lease lets an attempt be sent.
     pub fn lease_valid(&self) -> bool {
@@ -53,6 +78,15 @@
     pub fn list_fresh(&self) -> bool {
         !self.list_deadline.has_passed(|| self.clock.now())
     }
+
+    /// How long an attempt may take that begins now and has this much time left by its request's own deadline: that may
+    /// have been set before the process was told to end.
+    pub fn time_left(&self, by_request: Duration) -> Duration {
+        match self.answer_deadline.get() {
+            Micros::NEVER => by_request,
+            deadline => by_request.min(duration(deadline - self.clock.now())),
+        }
+    }
 }
 
 /// The settings by which requests are read. All vectors with an entry for each workload have the same order.
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -7,7 +7,9 @@
 use crate::http1::acceptor::Acceptor;
 use crate::http1::connections::{Connections, OpenRequestIds};
 use crate::http1::pool::Pool;
-use crate::http1::{Dispatcher, DispatcherHandle, DispatcherMessage, Fence, Http1, RequestSettings};
+use crate::http1::{
+    AnswerDeadline, Dispatcher, DispatcherHandle, DispatcherMessage, Fence, Http1, RequestSettings,
+};
 use crate::lease::Lease;
 use crate::limits::{Gauge, LimitShare, SharedLimit};
 use crate::list_deadline::ListDeadline;
@@ -352,6 +354,7 @@
         (settings.connect_timeout, settings.server_idle_timeout),
         log.clone(),
     );
+    let answer_deadline = AnswerDeadline::none();
     // There is one watch for all workers: the first worker subscribes, and all receive the list.
     let subscribe = if number == 0 { setup.subscribe } else { bounded(1).0 };
     let parts = Parts {
@@ -361,6 +364,7 @@
             fence: Fence {
                 lease: setup.lease.clone(),
                 list_deadline: setup.list_deadline.clone(),
+                answer_deadline: answer_deadline.clone(),
                 clock: setup.clock,
             },
             monitor: monitor.clone(),
@@ -391,6 +395,7 @@
         monitor.clone(),
         client_connections,
         setup.ids,
+        answer_deadline.clone(),
     );
     let acceptor = Acceptor::new(connections.clone(), tasks.clone(), log);
     let mut listener = Some(Rc::new(Async::from_listener(listener)?));
@@ -456,13 +461,13 @@
                         .await;
                 }
                 connections.close_after_answers();
-                connections.set_answer_deadline(deadline);
+                answer_deadline.set(deadline);
                 dispatcher.send(DispatcherMessage::SetAnswerDeadline(deadline)).await;
             }
             WorkerCommand::ReportNotReady(deadline) => {
                 connections.set_serving(false);
                 // The deadline also holds for requests that are already open: the process may be killed soon after it.
-                connections.set_answer_deadline(deadline);
+                answer_deadline.set(deadline);
                 dispatcher.send(DispatcherMessage::SetAnswerDeadline(deadline)).await;
             }
             WorkerCommand::StopAccepting(done) => {
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -1,6 +1,8 @@
 //! Runs the files in `sidecar/tests/scenarios` against the program itself, with test servers and a test discovery on
 //! loopback.
 //!
+//! `OAKHOLLOW_SCENARIO=PART cargo test -p oakhollow-sidecar --test sockets` runs only the files with PART in their names.
+//!
 //! # Notation
 //!
 //! `;` separates the commands of a line, and `#` starts a comment. Times are written as `300ms` or `2s`. Words in
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -13,6 +13,10 @@
     (number * if unit == "ms" { 1e3 } else { 1e6 }) as u64
 }
 
+/// The environment variable that selects scenarios, to reproduce a failure: only files whose name contains its value
+/// are run.
+const ONLY_VARIABLE: &str = "OAKHOLLOW_SCENARIO";
+
 /// Runs the files of the folder, `at_once` of them in parallel. `begin` makes the state of a scenario and
 /// `execute` runs a command. A failure ends only its own file; all failures are reported at the end.
 pub fn run_scenarios<P>(
@@ -20,6 +24,9 @@
 ) {
     let files = std::fs::read_dir(folder).expect("the folder").map(|file| file.expect("a file").path());
     let mut files: Vec<_> = files.collect();
+    if let Ok(only) = std::env::var(ONLY_VARIABLE) {
+        files.retain(|file| file.to_string_lossy().contains(&only));
+    }
     files.sort();
     assert!(!files.is_empty());
     let (start, next) = (Instant::now(), AtomicUsize::new(0));
