Shutdown: the grace period counts from when the stop signal may have been sent

What callers saw: requests sent 5 to 80 ms before the kill were closed without an answer, on open connections of a process that had been stopped (SIGSTOP) while it got SIGTERM. Cause: the process counted its grace period from when it noticed the signal; the platform counts from when it was sent. The same holds for a frozen machine or one that gives no processor time. Why this works: a thread records every 50 ms that it runs. A stop signal noticed right after a gap counts as sent at the gap's beginning, which is the earliest it can have been; the last answer is due by that. Where there was no gap, nothing changes. Clients that come meanwhile are still taken in for 0.6 s after the signal was noticed, as far as the answers allow. A gap of 0.2 s or more is logged: 'the process did not run for N ms'. Tests: lab/tests/stopped_while_told_to_end.rs, red before (4 of 6 clients lost their request); sidecar/tests/shutdown_times.rs and stall_detector.rs.

--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod oneshot;
 pub mod plan_report;
 pub mod reactor;
+pub mod stall_detector;
 pub mod start_time;
 pub mod system_errors;
 pub mod tasks;
--- a/sidecar/src/lifecycle/mod.rs
+++ b/sidecar/src/lifecycle/mod.rs
@@ -1,16 +1,17 @@
 //! The lifecycle of the process, from start to exit: carries out what the table of phases says.
 mod phases;
-mod shutdown;
+pub mod shutdown;
 mod start;
 
 use self::phases::{transition, Action, Event, Phase};
-use self::shutdown::{grace_period, longest_request_time};
+use self::shutdown::{grace_period, longest_request_time, Shutdown};
 use crate::agreement::AgreementHandle;
 use crate::endpoint_registry::{lock, SharedRegistry};
 use crate::handover::{self, HandoverLinks};
 use crate::http1::watch::Reload;
 use crate::listeners::{bind, passed_listeners};
 use crate::maintenance_store::MaintenanceStore;
+use crate::stall_detector::StallDetector;
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use crate::workers::{take_last_panic, CommandBroadcaster, WorkerCommand, WorkerFailure, WorkerPool};
@@ -46,6 +47,10 @@
     longest_request: Duration,
     /// How long the process may live after the stop signal.
     grace: Micros,
+    /// The times of the shutdown, once the stop signal has come.
+    shutdown: Option<Shutdown>,
+    /// Tells how long ago the stop signal may have been sent.
+    stall_detector: StallDetector,
     /// Tells the watch of the list about a reloaded configuration.
     reloads: Sender<Reload>,
     worker_failure: Option<WorkerFailure>,
@@ -156,8 +161,9 @@
                     Phase::Serving => command.await,
                     Phase::Leaving => {
                         let serving_time_over = async {
-                            let serving_time = shutdown::serving_time(self.grace, self.has_successor);
-                            Timer::at(self.phase_since + serving_time).await;
+                            if let Some(shutdown) = &self.shutdown {
+                                Timer::at(shutdown.serving_ends_at(self.has_successor)).await;
+                            }
                             Event::ServingTimeOver
                         };
                         future::or(serving_time_over, command).await
@@ -202,7 +208,11 @@
             }
             Action::StartLeaving => {
                 lock(&self.registry).accepting = false;
-                let deadline = self.clock.now() + shutdown::last_answer_time(self.grace);
+                let noticed_at = Instant::now();
+                let signal_sent_at = self.stall_detector.earliest_occurrence(noticed_at);
+                let shutdown = Shutdown::new(signal_sent_at, noticed_at, self.grace);
+                self.shutdown = Some(shutdown);
+                let deadline = self.clock.micros_at(shutdown.last_answer_at());
                 self.has_successor = self.handover_links.any();
                 self.handover_links.announce_stop();
                 self.commands
--- a/sidecar/src/lifecycle/shutdown.rs
+++ b/sidecar/src/lifecycle/shutdown.rs
@@ -3,7 +3,7 @@
 use oakhollow::types::Micros;
 use oakhollow_config::Settings;
 use slog::{info, Logger};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long new connections are accepted after the stop signal: whatever routes clients here takes a moment to notice
 /// that `/ready` has changed.
@@ -13,7 +13,10 @@
 const MAX_GRACE: Micros = Micros::millis(3_000);
 const EXTRA_GRACE: Micros = Micros::millis(700);
 /// How long before the end of the grace period, when the process may be killed, the last answer is due.
-const LAST_ANSWER_MARGIN: Micros = Micros::millis(150);
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// How long before the last answer is due the last clients are taken in: a new connection may be that long without its
+/// request.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// The share of the grace period for which clients are still served: alone, and while a successor accepts the new
 /// ones.
 const SERVING_SHARE: f64 = 0.5;
@@ -31,25 +34,45 @@
 
 /// Logs that a restart cuts requests short, if they may take longer than the grace period.
 pub fn log_if_requests_are_cut_short(log: &Logger, longest_request: Micros) {
-    let last_answer = last_answer_time(grace_period(longest_request));
-    if longest_request > last_answer {
-        let (longest_request, last_answer) = (longest_request.0 / 1000, last_answer.0 / 1000);
+    let (longest, last_answer) =
+        (duration(longest_request), duration(grace_period(longest_request)) - LAST_ANSWER_MARGIN);
+    if longest > last_answer {
         info!(
             log,
             "requests may take {} ms: one open at a restart is answered at most {} ms after the stop signal",
-            longest_request,
-            last_answer
+            longest.as_millis(),
+            last_answer.as_millis()
         );
     }
 }
 
-/// How long after the stop signal clients are still served, by the grace period.
-pub fn serving_time(grace: Micros, has_successor: bool) -> Duration {
-    let share = if has_successor { SERVING_SHARE_WITH_SUCCESSOR } else { SERVING_SHARE };
-    UNREADY_NOTICE.max(duration(grace.times(share)))
+/// The times of a shutdown.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Shutdown {
+    /// The earliest time at which the stop signal may have been sent, from which the platform counts the grace period.
+    signal_sent_at: Instant,
+    /// When the process noticed the stop signal, and reported that it is not ready.
+    noticed_at: Instant,
+    grace: Duration,
 }
 
-/// How long after the stop signal the last answer is due, by the grace period.
-pub fn last_answer_time(grace: Micros) -> Micros {
-    grace - LAST_ANSWER_MARGIN
+impl Shutdown {
+    /// A shutdown by a signal that was noticed at `noticed_at`, and sent at `signal_sent_at` at the earliest.
+    pub fn new(signal_sent_at: Instant, noticed_at: Instant, grace: Micros) -> Shutdown {
+        Shutdown { signal_sent_at, noticed_at, grace: duration(grace) }
+    }
+
+    /// When the last answer is due.
+    pub fn last_answer_at(&self) -> Instant {
+        self.signal_sent_at + self.grace - LAST_ANSWER_MARGIN
+    }
+
+    /// Until when clients are served.
+    pub fn serving_ends_at(&self, has_successor: bool) -> Instant {
+        let share = if has_successor { SERVING_SHARE_WITH_SUCCESSOR } else { SERVING_SHARE };
+        let planned = self.signal_sent_at + UNREADY_NOTICE.max(self.grace.mul_f64(share));
+        // A signal that was noticed late leaves less than the usual time to those who route clients here.
+        let noticed_by_clients = self.noticed_at + UNREADY_NOTICE;
+        planned.max(noticed_by_clients.min(self.last_answer_at() - LAST_REQUEST_TIME))
+    }
 }
--- a/sidecar/src/lifecycle/start.rs
+++ b/sidecar/src/lifecycle/start.rs
@@ -13,6 +13,7 @@
 use crate::listeners::descriptor_limit;
 use crate::maintenance_store::MaintenanceStore;
 use crate::metrics::Metrics;
+use crate::stall_detector::StallDetector;
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use crate::workers::{run_worker, WorkerPool, WorkerSetup};
@@ -203,6 +204,8 @@
             clock,
             longest_request: duration(longest_request),
             grace: grace_period(longest_request),
+            shutdown: None,
+            stall_detector: StallDetector::start(&tasks, log.clone()),
             keys: config.keys,
             reloads: reload_sender,
             worker_failure: None,
