Pool: a connection that was idle for too long is not reused after a stop

What callers saw: nothing yet; a request on a connection that its server has closed as idle, or forgotten, ends as a reset, and one that is not repeatable fails. Found by reading for the class of 'counted from when it is noticed'. Why this works: the age is compared when a connection is taken.

--- a/sidecar/src/http1/pool.rs
+++ b/sidecar/src/http1/pool.rs
@@ -217,7 +217,10 @@
                 (address_pool.idle.remove(ready.or(oldest)?), enough_waiters)
             };
             self.idle_by_age.borrow_mut().remove(&idle.id);
-            if self.still_usable(&idle.connection) {
+            // The sweep has not closed it yet if this thread did not run for a while.
+            let idle_too_long =
+                now.saturating_duration_since(idle.since) >= duration(self.max_idle_time.get());
+            if !idle_too_long && self.still_usable(&idle.connection) {
                 let delay = (idle.since + REUSE_DELAY).saturating_duration_since(now);
                 return Some(match delay.is_zero() || enough_waiters {
                     true => Candidate::Usable(idle.connection),
