The time of a request counts from when its last byte came, also where it waited unread

What callers saw: a request that waited in the accept queue, or while the process did not run, was counted from when it was read. Its server was told up to that much too much, and the answer came after its client had gone. Cause: read_request took the time of reading for the time of arrival; so did a request read ahead behind an earlier one, and the end of a long body that waits until an attempt has its connection. Why this works: TCP_INFO tells how long ago the last bytes came, also before the accept.

--- a/lab/src/soak/checker.rs
+++ b/lab/src/soak/checker.rs
@@ -328,13 +328,10 @@
             .announced_timeout_s
             .is_some_and(|announced| announced > remaining_s + TIMEOUT_SLACK_S + HARNESS_SLACK_S)
         {
-            let excused = paused_for(&history.paused, sent_at, attempt.first_byte_at) > SIGNIFICANT_PAUSE_S;
-            if !excused {
-                add_finding(
-                    "told-time-left",
-                    format!("told {:?} s of {remaining_s:.3} s", attempt.announced_timeout_s),
-                );
-            }
+            add_finding(
+                "told-time-left",
+                format!("told {:?} s of {remaining_s:.3} s", attempt.announced_timeout_s),
+            );
         }
     }
 }
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -17,7 +17,7 @@
 use std::future::{poll_fn, Future};
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 /// The header with the time that is left for the request, in milliseconds.
@@ -41,13 +41,28 @@
     stream: Option<BodyStream>,
 }
 
-/// When the last byte of a streamed request arrived; none before that.
-type LastByteAt = Rc<Cell<Option<Instant>>>;
+/// How much of a streamed request's body has come.
+struct BodyProgress {
+    /// When its last byte came; none before that.
+    last_byte_at: Cell<Option<Instant>>,
+    /// How many bytes have not been read; none if the request does not state the length of its body.
+    unread: Cell<Option<u64>>,
+    /// The client's connection, until it is closed.
+    client: Weak<Async<TcpStream>>,
+}
+
+impl BodyProgress {
+    /// When the last byte came. It may wait unread in the client's connection, behind bytes that no attempt has taken.
+    fn last_byte_at(&self) -> Option<Instant> {
+        let waits_unread = || self.client.upgrade()?.unread_bytes_came_at(self.unread.get()?);
+        self.last_byte_at.get().or_else(waits_unread)
+    }
+}
 
 /// The rest of a streamed request body: the client's task reads it while an attempt passes it on.
 struct BodyStream {
     parts: RefCell<Option<Receiver<Vec<u8>>>>,
-    last_byte_at: LastByteAt,
+    progress: Rc<BodyProgress>,
     chunked: bool,
     /// How long the answer may take after the last byte of the request.
     answer_timeout: Micros,
@@ -56,21 +71,23 @@
 /// The end of a `BodyStream` that the client's task writes to.
 pub struct BodyStreamWriter {
     parts: Option<Sender<Vec<u8>>>,
-    last_byte_at: LastByteAt,
+    progress: Rc<BodyProgress>,
 }
 
 impl BodyStreamWriter {
     /// Waits until the attempt can take another part. Returns false if no attempt reads the body any more.
     pub async fn write(&self, part: Vec<u8>) -> bool {
+        let unread = self.progress.unread.get().map(|unread| unread.saturating_sub(part.len() as u64));
+        self.progress.unread.set(unread);
         match &self.parts {
             Some(parts) => parts.send(part).await.is_ok(),
             None => false,
         }
     }
 
-    /// Marks the body as complete.
-    pub fn finish(&mut self) {
-        self.last_byte_at.set(Some(Instant::now()));
+    /// Marks the body as complete, with its last byte come at that time.
+    pub fn finish(&mut self, last_byte_at: Instant) {
+        self.progress.last_byte_at.set(Some(last_byte_at));
         self.parts = None;
     }
 }
@@ -89,21 +106,28 @@
     /// A request of which only the first part of the body has been read; the rest is written to what is returned
     /// with it.
     pub fn streamed(
-        head: &Head, buffered: Vec<u8>, rest: &BodyReader, answer_timeout: Micros, client_end: PeerEnd,
+        head: &Head, buffered: Vec<u8>, rest: &BodyReader, answer_timeout: Micros,
+        client: &Rc<Async<TcpStream>>,
     ) -> Result<(OutgoingRequest, BodyStreamWriter), HttpError> {
         let (mut bytes, _) = OutgoingRequest::forwarded_head(head)?;
         match rest.length() {
             Some(length) => bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
             None => bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
         }
-        let (chunked, last_byte_at) = (rest.length().is_none(), LastByteAt::default());
+        let chunked = rest.length().is_none();
+        let progress = Rc::new(BodyProgress {
+            last_byte_at: Cell::new(None),
+            unread: Cell::new(rest.length().map(|length| length.saturating_sub(buffered.len()) as u64)),
+            client: Rc::downgrade(client),
+        });
         let body = if chunked { encode_chunk(&buffered) } else { buffered };
         let (sender, parts) = bounded(1);
         let parts = RefCell::new(Some(parts));
-        let stream = Some(BodyStream { parts, last_byte_at: last_byte_at.clone(), chunked, answer_timeout });
+        let stream = Some(BodyStream { parts, progress: progress.clone(), chunked, answer_timeout });
+        let client_end = client.peer_end();
         Ok((
             OutgoingRequest { head: bytes, body, client_end, stream },
-            BodyStreamWriter { parts: Some(sender), last_byte_at },
+            BodyStreamWriter { parts: Some(sender), progress },
         ))
     }
 
@@ -120,7 +144,8 @@
         match &self.stream {
             None => deadline.saturating_duration_since(now),
             Some(stream) => {
-                let elapsed = stream.last_byte_at.get().map(|at| now.saturating_duration_since(at));
+                let last_byte_at = stream.progress.last_byte_at();
+                let elapsed = last_byte_at.map(|at| now.saturating_duration_since(at));
                 duration(stream.answer_timeout).saturating_sub(elapsed.unwrap_or_default())
             }
         }
@@ -340,7 +365,7 @@
         let part = if stream.chunked { encode_chunk(&part) } else { part };
         connection.write_more(&part).await.map_err(failed)?;
     }
-    if stream.last_byte_at.get().is_none() {
+    if stream.progress.last_byte_at.get().is_none() {
         return Err(Outcome::NoConnection);
     }
     if stream.chunked {
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -1,5 +1,6 @@
 //! One client's connection: reads its requests and gives each exactly one answer.
 use super::answers::Answer;
+use super::arrivals::Arrivals;
 use super::attempt::{self, BodyStreamWriter, EndpointAnswer, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
 use super::connections::{Closed, ConnectionGuard, Connections};
 use super::head::{Framing, Head, HttpError, MAX_BODY_BYTES};
@@ -36,8 +37,10 @@
 pub struct ClientConnection<'a> {
     guard: &'a ConnectionGuard,
     shared: &'a Connections,
-    stream: Async<TcpStream>,
+    stream: Rc<Async<TcpStream>>,
     parser: MessageParser,
+    /// When the bytes in the parser came.
+    arrivals: Arrivals,
     /// No request has been answered on this connection yet.
     is_new: bool,
     /// Fires when the time for a request is over.
@@ -90,8 +93,9 @@
         ClientConnection {
             guard,
             shared: &guard.shared,
-            stream,
+            stream: Rc::new(stream),
             parser: MessageParser::new(MessageKind::Request),
+            arrivals: Arrivals::default(),
             is_new: true,
             read_timer: Timer::never(),
         }
@@ -192,7 +196,8 @@
                 None
             };
             match future::or(read, timed_out_or_closing).await {
-                Some(Some(_)) => {
+                Some(Some(count)) => {
+                    self.arrivals.record(count, self.stream.last_bytes_came_at());
                     if let Some(idle) = &idle {
                         idle.bytes_received();
                     }
@@ -243,7 +248,8 @@
         if is_readiness_check(&request) {
             return Ok(Some((Answer::ready(self.shared.ready()), None)));
         }
-        let (params, _, _, identity) = self.read_request(&request.head)?;
+        let came_at = self.last_byte_came_at();
+        let (params, _, _, identity) = self.read_request(&request.head, came_at)?;
         // Guards against two different open requests with the same id: endpoints could not tell them apart.
         let shared = self.shared;
         let _registered_id = shared
@@ -258,12 +264,13 @@
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let answered = async { (&outcome).await };
-        let (stream, parser) = (&self.stream, &mut self.parser);
+        let (stream, parser, arrivals) = (&self.stream, &mut self.parser, &mut self.arrivals);
         // Reads ahead, so that the next request does not wait unread in the kernel's buffer.
         let read_ahead = async {
-            while parser.pending_bytes() <= MAX_READ_AHEAD_BYTES
-                && read(stream, parser.buffer()).await.is_some()
-            {}
+            while parser.pending_bytes() <= MAX_READ_AHEAD_BYTES {
+                let Some(count) = read(stream, parser.buffer()).await else { break };
+                arrivals.record(count, stream.last_bytes_came_at());
+            }
             future::pending().await
         };
         let outcome: Option<RequestOutcome<_>> =
@@ -282,7 +289,9 @@
         &mut self, request: PartialMessage,
     ) -> Result<Option<(RequestAnswer, bool)>, HttpError> {
         let PartialMessage { head, buffered, mut rest } = request;
-        let (mut params, client_timeout, streamed_workload, mut identity) = self.read_request(&head)?;
+        let came_at = self.last_byte_came_at();
+        let (mut params, client_timeout, streamed_workload, mut identity) =
+            self.read_request(&head, came_at)?;
         let (shared, received) = (self.shared, buffered.len());
         // A streamed body cannot be sent twice, whatever its workload allows, and its time counts from its last byte.
         (params.workload, identity.repeat_safety) = (streamed_workload, RepeatSafety::Unsafe);
@@ -293,7 +302,7 @@
             .register_request_id(&identity.id)
             .ok_or(HttpError { status: 409, message: "this Request-Id is open" })?;
         let (outgoing, writer) =
-            OutgoingRequest::streamed(&head, buffered, &rest, client_timeout, self.stream.peer_end())?;
+            OutgoingRequest::streamed(&head, buffered, &rest, client_timeout, &self.stream)?;
         if self.stream.has_ended() {
             return Ok(None);
         }
@@ -306,6 +315,7 @@
         let complete = rest.is_complete();
         if complete {
             self.parser.push(rest.surplus());
+            self.arrivals.record(rest.surplus().len(), self.stream.last_bytes_came_at());
         }
         match outcome {
             Ok(Some(outcome)) => Ok(Some((request_answer(outcome, open), complete))),
@@ -366,12 +376,18 @@
         Err(reason)
     }
 
-    /// Reads a request's headers. Returns what the dispatcher needs, the client's timeout, the workload id to use if
+    /// When the last byte came of the message that the parser has just returned.
+    fn last_byte_came_at(&mut self) -> Instant {
+        self.arrivals.last_byte_came_at(self.parser.unparsed_bytes()).unwrap_or_else(Instant::now)
+    }
+
+    /// Reads the headers of a request that came at that time. Returns what the dispatcher needs, the client's timeout, the workload id to use if
     /// the body is streamed, and what identifies the request.
     fn read_request(
-        &self, head: &Head,
+        &self, head: &Head, came_at: Instant,
     ) -> Result<(RequestParams, Micros, WorkloadId, RequestIdentity), HttpError> {
-        let (settings, received_at) = (self.shared.request_settings(), self.shared.dispatcher.clock.now());
+        let (settings, came_at) =
+            (self.shared.request_settings(), self.shared.dispatcher.clock.micros_at(came_at));
         let (method, target, _) = head.request_line()?;
         let error = |status, message| HttpError { status, message };
         if !matches!(method, "GET" | "POST") {
@@ -412,7 +428,7 @@
             max_attempts: settings.max_attempts,
             tenant: TenantId(tenant.and_then(tenant_index).unwrap_or(0)),
             client_retry: head.single("Client-Retry")? == Some("1"),
-            deadline: (received_at + client_timeout).min(self.shared.answer_deadline()),
+            deadline: (came_at + client_timeout).min(self.shared.answer_deadline()),
             affinity_key: if settings.uses_affinity_keys {
                 affinity_key(head.single("Request-Info")?)
             } else {
@@ -505,7 +521,7 @@
             None => return Err(HttpError { status: 408, message: "the request came too slowly" }),
         }
     }
-    writer.finish();
+    writer.finish(stream.last_bytes_came_at());
     while rest.surplus().len() <= MAX_READ_AHEAD_BYTES && read(stream, rest.buffer()).await.is_some() {}
     future::pending().await
 }
--- a/sidecar/src/http1/messages.rs
+++ b/sidecar/src/http1/messages.rs
@@ -156,6 +156,11 @@
         &mut self.bytes
     }
 
+    /// How many bytes have been received that no message has taken up yet.
+    pub fn unparsed_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// How many bytes have been received that belong to no message taken out yet. Not zero once a message has begun.
     pub fn pending_bytes(&self) -> usize {
         self.bytes.len() + self.current.as_ref().map_or(0, |message| message.body.len() + 1)
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's protocol, HTTP/1.1 over plain TCP. Nothing outside this module depends on it.
 pub mod acceptor;
 pub mod answers;
+pub mod arrivals;
 pub mod attempt;
 pub mod chunks;
 pub mod client_connection;
--- a/sidecar/src/reactor/poll.rs
+++ b/sidecar/src/reactor/poll.rs
@@ -106,6 +106,7 @@
             writes: Direction::new(writable),
             unconfirmed: Cell::new(false),
             queued: Cell::new(false),
+            unread_since: Cell::new(None),
             ended: Cell::new(false),
             end_waker: Cell::default(),
         });
@@ -179,7 +180,8 @@
         let timeout = timeout
             .map(|length| Timespec { tv_sec: length.as_secs() as _, tv_nsec: length.subsec_nanos() as _ });
         let mut events = [const { std::mem::MaybeUninit::uninit() }; EVENT_BATCH];
-        self.polled_at.set(Instant::now());
+        // Events that this poll reports have happened since the previous one began.
+        let since = self.polled_at.replace(Instant::now());
         let waited = epoll::wait(&self.epoll, &mut events, timeout.as_ref());
         // Tasks woken from here on are polled next: guards against writing to this thread's own eventfd.
         self.thread_waker.asleep.store(false, Ordering::SeqCst);
@@ -198,7 +200,7 @@
             // Guards against waking a socket that took the slot of one that is closed by now.
             let source = self.sources.borrow().get(data as u32 as usize).cloned();
             if let Some(source) = source.filter(|source| source.number == data >> 32) {
-                source.on_event(flags);
+                source.on_event(flags, since);
             }
         }
         Ok(count)
--- a/sidecar/src/reactor/readiness.rs
+++ b/sidecar/src/reactor/readiness.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io::{ErrorKind, Result};
 use std::task::{Context, Poll, Waker};
+use std::time::Instant;
 
 /// The readiness of one socket.
 pub(super) struct Source {
@@ -14,6 +15,8 @@
     pub(super) unconfirmed: Cell<bool>,
     /// Whether it is queued to be read again for that reason.
     pub(super) queued: Cell<bool>,
+    /// Bytes that are unread came after this time; none if they may have come before the socket was registered.
+    pub(super) unread_since: Cell<Option<Instant>>,
     /// The peer has shut down its side, or the connection is broken: from now on reads return at once.
     pub(super) ended: Cell<bool>,
     /// The task that waits for the end, which need not have read everything before it.
@@ -73,13 +76,16 @@
         }
     }
 
-    /// Applies an event of the kernel.
-    pub(super) fn on_event(&self, flags: EventFlags) {
+    /// Applies an event of the kernel, which happened after `since`.
+    pub(super) fn on_event(&self, flags: EventFlags, since: Instant) {
         if flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             self.set_ended();
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             self.unconfirmed.set(false);
+            if !self.reads.ready.get() && self.unread_since.get().is_some() {
+                self.unread_since.set(Some(since));
+            }
             self.reads.set_ready();
         }
         if flags.intersects(EventFlags::OUT | EventFlags::HUP | EventFlags::ERR) {
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -1,6 +1,7 @@
 //! The sockets of a thread.
-use super::poll::Reactor;
+use super::poll::{Reactor, MAX_EVENT_AGE};
 use super::readiness::Source;
+use super::tcp_info;
 use futures_lite::{AsyncRead, AsyncWrite};
 use rustix::event::epoll;
 use rustix::fd::AsFd;
@@ -13,6 +14,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 thread_local! {
     static READ_BUFFER: RefCell<Box<[u8]>> = RefCell::new(vec![0; 16 * 1024].into());
@@ -122,6 +124,29 @@
         .await
     }
 
+    /// When the bytes came that were read last, as far as the kernel tells. It is asked only if they may have waited
+    /// unread for longer than [`MAX_EVENT_AGE`]: before the connection was accepted, while nothing was read from it, or
+    /// while this thread did not run.
+    pub fn last_bytes_came_at(&self) -> Instant {
+        let now = Instant::now();
+        let unread_since = self.source.unread_since.replace(Some(now));
+        if unread_since.is_some_and(|since| now.saturating_duration_since(since) <= MAX_EVENT_AGE) {
+            return now;
+        }
+        let waited = tcp_info::time_since_last_bytes(&self.inner).unwrap_or_default();
+        let came_at = now.checked_sub(waited).unwrap_or(now);
+        unread_since.map_or(came_at, |since| came_at.max(since))
+    }
+
+    /// When the last bytes came, read or not, if there are at least so many unread ones.
+    pub fn unread_bytes_came_at(&self, least: u64) -> Option<Instant> {
+        let unread = rustix::io::ioctl_fionread(&self.inner).ok()?;
+        if unread < least {
+            return None;
+        }
+        Instant::now().checked_sub(tcp_info::time_since_last_bytes(&self.inner)?)
+    }
+
     /// Whether the peer has shut down its side, or the connection is broken, as far as the reactor knows. Bytes
     /// that came before may still be unread.
     pub fn has_ended(&self) -> bool {
