Clients: an answered connection gives its slot to those who wait

What callers saw: with all connections taken, requests waited 2 to 6 s (9.4 s once) to be read. Cause: each last answer was followed by up to 0.5 s in which the connection lingered and held its slot, unless its client closed at once.

--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -26,6 +26,8 @@
 /// How long a client may stay silent before its connection is closed: after its last answer, and during shutdown before
 /// the first byte of its first request.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a connection that lingers after its last answer is checked for whether new connections need its slot.
+const SLOT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long bytes that a client sends after its last answer are read and dropped.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The slowest rate at which a client may send a body. The platform promises 64 kB/s.
@@ -439,7 +441,8 @@
     }
 
     /// Shuts down this side of the connection, and waits a short time for the client to shut down its own: closing with
-    /// unread bytes would reset the connection, and the client could lose its answer.
+    /// unread bytes would reset the connection, and the client could lose its answer. While new connections wait for a
+    /// slot, it only waits until the client's machine has the whole answer.
     async fn close_gracefully(&self) {
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
@@ -458,7 +461,15 @@
             }
         };
         let timeout = async { _ = Timer::after(CLOSE_TIMEOUT).await };
-        future::or(drained, timeout).await;
+        let slot_needed = async {
+            loop {
+                Timer::after(SLOT_CHECK_INTERVAL).await;
+                if self.shared.slot_awaited() && self.stream.is_drained() {
+                    return;
+                }
+            }
+        };
+        future::or(drained, future::or(timeout, slot_needed)).await;
     }
 
     /// Returns false if the client has gone or accepts no bytes.
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -266,6 +266,11 @@
         (0..idle_count).take_while(|_| self.limit.exceeds_half()).for_each(|_| self.evict_idle());
     }
 
+    /// Whether new connections wait for a slot.
+    pub fn slot_awaited(&self) -> bool {
+        self.slot_awaited.get()
+    }
+
     /// Wakes the acceptor if it waits for a slot.
     fn notify_waiting(&self) {
         if self.slot_awaited.get() {
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -147,6 +147,11 @@
         Instant::now().checked_sub(tcp_info::time_since_last_bytes(&self.inner)?)
     }
 
+    /// Whether the peer's machine has all that was written, and nothing is unread here.
+    pub fn is_drained(&self) -> bool {
+        !self.is_readable() && tcp_info::all_acknowledged(&self.inner)
+    }
+
     /// Whether the peer has shut down its side, or the connection is broken, as far as the reactor knows. Bytes
     /// that came before may still be unread.
     pub fn has_ended(&self) -> bool {
