The age of unread bytes survives a partial read

Cause: the first read, which asked the kernel, was taken to have emptied the socket. The new reactor test is red before (round 0, part 1: 100 ms after they came). Why this works: the time is moved on only by an event on a socket that was seen empty.

--- a/sidecar/src/reactor/poll.rs
+++ b/sidecar/src/reactor/poll.rs
@@ -107,6 +107,7 @@
             unconfirmed: Cell::new(false),
             queued: Cell::new(false),
             unread_since: Cell::new(None),
+            had_bytes: Cell::new(false),
             ended: Cell::new(false),
             end_waker: Cell::default(),
         });
--- a/sidecar/src/reactor/readiness.rs
+++ b/sidecar/src/reactor/readiness.rs
@@ -15,8 +15,11 @@
     pub(super) unconfirmed: Cell<bool>,
     /// Whether it is queued to be read again for that reason.
     pub(super) queued: Cell<bool>,
-    /// Bytes that are unread came after this time; none if they may have come before the socket was registered.
+    /// Bytes that are unread, or were read since the socket was last seen empty, came after this time; none if they may
+    /// have come before the socket was registered.
     pub(super) unread_since: Cell<Option<Instant>>,
+    /// Whether bytes have been reported since the socket was registered.
+    pub(super) had_bytes: Cell<bool>,
     /// The peer has shut down its side, or the connection is broken: from now on reads return at once.
     pub(super) ended: Cell<bool>,
     /// The task that waits for the end, which need not have read everything before it.
@@ -83,7 +86,7 @@
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             self.unconfirmed.set(false);
-            if !self.reads.ready.get() && self.unread_since.get().is_some() {
+            if !self.reads.ready.get() && self.had_bytes.replace(true) {
                 self.unread_since.set(Some(since));
             }
             self.reads.set_ready();
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -128,8 +128,7 @@
     /// unread for longer than [`MAX_EVENT_AGE`]: before the connection was accepted, while nothing was read from it, or
     /// while this thread did not run.
     pub fn last_bytes_came_at(&self) -> Instant {
-        let now = Instant::now();
-        let unread_since = self.source.unread_since.replace(Some(now));
+        let (now, unread_since) = (Instant::now(), self.source.unread_since.get());
         if unread_since.is_some_and(|since| now.saturating_duration_since(since) <= MAX_EVENT_AGE) {
             return now;
         }
--- a/sidecar/src/reactor/tests.rs
+++ b/sidecar/src/reactor/tests.rs
@@ -135,3 +135,27 @@
     let error = block_on(Async::<TcpStream>::connect(unused)).expect("a reactor").err();
     assert_eq!(error.expect("nobody listens").kind(), ErrorKind::ConnectionRefused);
 }
+
+/// Guards against bytes that waited in the kernel and count as having just come because others were read before them.
+#[test]
+fn bytes_that_waited_unread_keep_their_age_also_after_a_partial_read() {
+    const WAIT: Duration = Duration::from_millis(100);
+    /// The kernel counts in steps of a few milliseconds.
+    const RESOLUTION: Duration = Duration::from_millis(20);
+    let (socket, mut peer) = pair();
+    block_on(async {
+        // The first round finds a new socket, the second one that has been read from.
+        for round in 0..2 {
+            peer.write_all(b"12345678").expect("written");
+            let written_at = Instant::now();
+            std::thread::sleep(WAIT);
+            for part in 0..2 {
+                (&socket).read(&mut [0; 4]).await.expect("read");
+                let late = socket.last_bytes_came_at().saturating_duration_since(written_at);
+                assert!(late <= RESOLUTION, "round {round}, part {part}: {late:?} after they came");
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    })
+    .expect("a reactor");
+}
