--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -131,7 +131,10 @@
 //!   or `stop`.
 #[path = "../../tests/runner/mod.rs"]
 mod runner;
+#[path = "../../tests/scheduling_waits/mod.rs"]
+mod scheduling_waits;
 
+use scheduling_waits::scheduling_waits;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -176,18 +179,6 @@
 /// How long the program may take to apply a list.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 
-/// How long each thread of a process has waited for a processor so far, as the kernel counts it.
-fn scheduling_waits(pid: u32) -> BTreeMap<PathBuf, Duration> {
-    let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).expect("a running process");
-    let waits = tasks.filter_map(|task| {
-        let path = task.ok()?.path();
-        // Three fields: time running, time waiting for a processor (both in nanoseconds), and time slices.
-        let schedstat = std::fs::read_to_string(path.join("schedstat")).ok()?;
-        Some((path, Duration::from_nanos(schedstat.split(' ').nth(1)?.parse().ok()?)))
-    });
-    waits.collect()
-}
-
 fn any_loopback_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
