Drains: an attempt after a stop waits until what discovery sent meanwhile is handled

What callers saw: a process that had been stopped, and was told meanwhile that a server drains, sent it the requests that waited: 4 of 4 connections, 1.2 s after the change was written. Cause: the main thread reads the watch and the workers answer clients; after a stop both wake at once, and a worker decides by the list as it was. Why this works: the main thread records its progress every 50 ms, and after a gap of 0.2 s or more only once it has had 10 ms for what came. An attempt looks at that before its first byte, and waits for up to 50 ms if the record is older than 0.2 s; then the fence sees the address retired and another server is chosen. Otherwise it costs one atomic load an attempt.

--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -299,6 +299,7 @@
             failure.outcome
         })?,
     };
+    target.fence.wait_for_main_thread().await;
     // Computed after connecting, which takes part of the time.
     let time_left = target.fence.time_left(request.time_left(deadline, Instant::now()));
     let announced_timeout = announced_timeout(time_left);
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -16,6 +16,8 @@
 use crate::lease::Lease;
 use crate::list_deadline::ListDeadline;
 use crate::monitor::Monitor;
+use crate::reactor::Timer;
+use crate::stall_detector::Progress;
 use crate::timers::{duration, Clock};
 use crate::workload_ids::{ClassId, WorkloadIds};
 use oakhollow::types::Micros;
@@ -45,9 +47,16 @@
     pub list_deadline: ListDeadline,
     /// When every request must be answered.
     pub answer_deadline: AnswerDeadline,
+    /// Whether the main thread, which receives the list, is up to date.
+    pub main_thread: Progress,
     pub clock: Clock,
 }
 
+/// How long an attempt waits at most for the main thread to catch up.
+const MAX_CATCH_UP_WAIT: Duration = Duration::from_millis(50);
+/// How often it looks meanwhile.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// The time by which every request of a worker must be answered because the process shuts down; never until then.
 #[derive(Clone)]
 pub struct AnswerDeadline(Rc<Cell<Micros>>);
@@ -75,6 +84,16 @@
         !self.lease.forbids_sending(|| self.clock.now())
     }
 
+    /// Waits until the main thread has passed on what discovery sent while the process did not run: guards against an
+    /// attempt to an endpoint that began to drain meanwhile.
+    pub async fn wait_for_main_thread(&self) {
+        let mut waited = Duration::ZERO;
+        while waited < MAX_CATCH_UP_WAIT && !self.main_thread.is_current(self.clock.now()) {
+            Timer::after(CATCH_UP_POLL_INTERVAL).await;
+            waited += CATCH_UP_POLL_INTERVAL;
+        }
+    }
+
     /// Whether the list that the attempt's endpoint was chosen by may still be used.
     pub fn list_fresh(&self) -> bool {
         !self.list_deadline.has_passed(|| self.clock.now())
--- a/sidecar/src/lifecycle/start.rs
+++ b/sidecar/src/lifecycle/start.rs
@@ -13,7 +13,7 @@
 use crate::listeners::descriptor_limit;
 use crate::maintenance_store::MaintenanceStore;
 use crate::metrics::Metrics;
-use crate::stall_detector::StallDetector;
+use crate::stall_detector::{Progress, StallDetector};
 use crate::tasks::Tasks;
 use crate::timers::{duration, Clock};
 use crate::workers::{run_worker, WorkerPool, WorkerSetup};
@@ -106,6 +106,7 @@
         let connection_limits =
             [SharedLimit::new(max_connections, workers), SharedLimit::new(max_connections, workers)];
         let metrics = Arc::new(Metrics::new());
+        let main_thread = Progress::not_watched();
         let setup = WorkerSetup {
             settings,
             seed: config.seed,
@@ -119,6 +120,7 @@
             log: log.clone(),
             lease: lease.clone(),
             list_deadline: deadline.clone(),
+            main_thread: main_thread.clone(),
             metrics: metrics.clone(),
             subscribe,
             ids: Arc::default(),
@@ -205,7 +207,7 @@
             longest_request: duration(longest_request),
             grace: grace_period(longest_request),
             shutdown: None,
-            stall_detector: StallDetector::start(&tasks, log.clone()),
+            stall_detector: StallDetector::start(&tasks, main_thread, clock, log.clone()),
             keys: config.keys,
             reloads: reload_sender,
             worker_failure: None,
--- a/sidecar/src/stall_detector.rs
+++ b/sidecar/src/stall_detector.rs
@@ -1,10 +1,14 @@
 //! Notices when this thread did not run for a while: the process was stopped, its machine was frozen, or it got no
 //! processor time. What the thread notices right after such a stall may have happened at any time during it.
 use crate::tasks::Tasks;
+use crate::timers::Clock;
 use async_io::Timer;
+use oakhollow::types::Micros;
 use slog::{warn, Logger};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How often the thread records that it runs.
@@ -17,6 +21,11 @@
 /// Stalls of at least this length are logged.
 const LOGGED_STALL: Duration = Duration::from_millis(200);
 
+/// After a stall, how long the thread has to handle what came meanwhile before it says that it is up to date again.
+const CATCH_UP_TIME: Duration = Duration::from_millis(10);
+/// The thread counts as up to date for this long after it last said so.
+const CURRENT_FOR: Micros = Micros::millis(200);
+
 /// A time during which the thread did not run.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Stall {
@@ -61,19 +70,41 @@
     }
 }
 
+/// Tells other threads whether the watched thread is up to date: whether it runs, and has had the time to handle what
+/// came while it did not.
+#[derive(Clone)]
+pub struct Progress(Arc<AtomicU64>);
+
+impl Progress {
+    /// The progress of a thread that is not watched yet, which counts as up to date.
+    pub fn not_watched() -> Progress {
+        Progress(Arc::new(AtomicU64::new(Micros::NEVER.0)))
+    }
+
+    /// Records that the thread is up to date at this time.
+    pub fn record(&self, now: Micros) {
+        self.0.store(now.0, Ordering::Release);
+    }
+
+    /// Whether the thread is up to date at this time.
+    pub fn is_current(&self, now: Micros) -> bool {
+        now - Micros(self.0.load(Ordering::Acquire)) <= CURRENT_FOR
+    }
+}
+
 /// Watches the thread that it was started on.
 #[derive(Clone)]
 pub struct StallDetector(Rc<Cell<Beats>>);
 
 impl StallDetector {
-    /// Starts to watch the thread that runs `tasks`.
-    pub fn start(tasks: &Tasks, log: Logger) -> StallDetector {
+    /// Starts to watch the thread that runs `tasks`, and to record its progress.
+    pub fn start(tasks: &Tasks, progress: Progress, clock: Clock, log: Logger) -> StallDetector {
         let detector = StallDetector(Rc::new(Cell::new(Beats::start(Instant::now()))));
-        tasks.spawn_detached(detector.clone().run(log));
+        tasks.spawn_detached(detector.clone().run(progress, clock, log));
         detector
     }
 
-    async fn run(self, log: Logger) {
+    async fn run(self, progress: Progress, clock: Clock, log: Logger) {
         loop {
             Timer::after(BEAT_INTERVAL).await;
             let mut beats = self.0.get();
@@ -82,7 +113,9 @@
             let stalled = stall.map_or(Duration::ZERO, |stall| stall.until - stall.from);
             if stalled >= LOGGED_STALL {
                 warn!(log, "the process did not run for {} ms", stalled.as_millis());
+                Timer::after(CATCH_UP_TIME).await;
             }
+            progress.record(clock.now());
         }
     }
 
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::monitor::{self, Monitor};
 use crate::reactor::{self, Async};
+use crate::stall_detector::Progress;
 use crate::start_time::ListArrival;
 use crate::tasks::Tasks;
 use crate::timers::Clock;
@@ -231,6 +232,8 @@
     pub lease: Lease,
     /// The time until which the list may be used.
     pub list_deadline: ListDeadline,
+    /// Whether the main thread is up to date.
+    pub main_thread: Progress,
     pub metrics: Arc<Metrics>,
     /// Requests a subscription to the list.
     pub subscribe: Sender<()>,
@@ -365,6 +368,7 @@
                 lease: setup.lease.clone(),
                 list_deadline: setup.list_deadline.clone(),
                 answer_deadline: answer_deadline.clone(),
+                main_thread: setup.main_thread,
                 clock: setup.clock,
             },
             monitor: monitor.clone(),
