Module: a new server that was only slow is not ejected for as long as an unreachable one

Cause: a hop that outlives the hedging threshold counts as bad; its answer loses against the hedge and counts as nothing. Three such first hops eject a server that has 'never answered', and that is for eight times as long (1.5 s x 8): meant for one that cannot be reached, whose connections others hold.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -933,9 +933,10 @@
             let &(_, _, health) = row?;
             server.health = health;
             if health == Health::Ejected {
-                // A server that has never answered is ejected for longer: other balancers may hold all its
-                // connections.
-                let doublings = server.ejections.min(3) + if server.has_answered { 0 } else { 3 };
+                // A server that has never answered and cannot be reached is ejected for longer: other balancers
+                // may hold all its connections. One that was only slow may be cold.
+                let never_reached = server.unreachable && !server.has_answered;
+                let doublings = server.ejections.min(3) + if never_reached { 3 } else { 0 };
                 server.ejected_until = now + FIRST_EJECTION.times(f64::from(1 << doublings));
                 server.ejections += 1;
             } else if health == Health::Healthy {
