Watch: a small tier asks again without backoff after a late rejection

Cause: 2 s in discovery's queue for each, and the module's backoff between them: the fourth request came 10.3 s after the watch had ended. Evidence: the new test in lab/tests/large_lists.rs, before: requests at 0.5, 3.4, 6.9 and 10.3 s, 16 of 1,410 requests went to removed endpoints, up to 2.3 s late. Why this works: the queue paces the instance, and a tier whose longest pause is at most 0.5 s (16 instances) cannot overload discovery by itself.

--- a/lab/src/large_list/discovery.rs
+++ b/lab/src/large_list/discovery.rs
@@ -30,6 +30,9 @@
     Serve(Pace),
     /// With a 503 after this time, as a discovery that is down or overloaded.
     Reject(Duration),
+    /// So many requests with a 503 after this time, as an overloaded discovery, and those after them with the list at
+    /// once.
+    RejectFirst(usize, Duration),
 }
 
 /// A line that was written completely.
@@ -143,11 +146,18 @@
         let (response_mode, epoch) = {
             let mut state = lock(&self.shared.0);
             state.requests.push(ListRequest { received_at: Instant::now(), after_version });
-            (state.response_mode, state.epoch)
+            let response_mode = state.response_mode;
+            if let ResponseMode::RejectFirst(count, delay) = response_mode {
+                state.response_mode = match count {
+                    0 | 1 => ResponseMode::Serve(Pace::default()),
+                    _ => ResponseMode::RejectFirst(count - 1, delay),
+                };
+            }
+            (response_mode, state.epoch)
         };
         let mut stream = stream.into_inner();
         match response_mode {
-            ResponseMode::Reject(delay) => {
+            ResponseMode::Reject(delay) | ResponseMode::RejectFirst(_, delay) => {
                 thread::sleep(delay);
                 reject(&mut stream)
             }
--- a/lab/tests/large_lists.rs
+++ b/lab/tests/large_lists.rs
@@ -84,6 +84,14 @@
     check_cases(&[Case { reloads, ..case("SIGHUP five times", bytes_per_second(150_000.0)) }]);
 }
 
+/// Guards against a change that is not heard in time because the waits between three failed requests in a row, each of
+/// which an overloaded discovery rejects after 2 s, take too much of the 6 s.
+#[test]
+fn a_change_is_heard_in_time_after_three_rejected_requests() {
+    let response_mode = ResponseMode::RejectFirst(3, seconds(2.0));
+    check_cases(&[Case { response_mode, ..case("three requests rejected after 2 s", Pace::default()) }]);
+}
+
 /// Discovery is down for 8 s and overloaded from then on.
 #[test]
 fn a_list_that_is_never_refreshed_is_not_used_forever() {
--- a/sidecar/src/http1/watch/mod.rs
+++ b/sidecar/src/http1/watch/mod.rs
@@ -20,7 +20,7 @@
 use oakhollow::types::{ListKind, Micros};
 use oakhollow::SeededRng;
 use oakhollow_config::{read_json, DiscoveryList, ListIndex, SidecarConfig};
-use pacing::pause_after_rejection;
+use pacing::{pause_after_rejection, skips_backoff};
 use progress::LineArrival;
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
@@ -357,6 +357,11 @@
         }
         let waited = self.waiting_since(&request).elapsed();
         self.publish_state();
+        if matches!(failure, ListRequestFailure::Rejected(_)) && skips_backoff(waited, self.parts.instances) {
+            info!(self.parts.log, "list request rejected, requested again: {}: {}", failure, progress);
+            self.retry_at = Some(self.not_before.unwrap_or_else(Instant::now));
+            return self.report_unavailable().await;
+        }
         if waited >= SKIP_BACKOFF_AFTER {
             // After a random part of the time that is left: guards against requests of all instances at once when
             // discovery, after leaving their requests unanswered and resetting them, is available again.
