--- a/lab/src/soak/checker.rs
+++ b/lab/src/soak/checker.rs
@@ -20,6 +20,9 @@
 const PROPAGATION_S: f64 = 0.2;
 /// A process that was stopped for longer than this may miss its deadlines, in seconds.
 const SIGNIFICANT_PAUSE_S: f64 = 0.15;
+/// The longest that an answer may take from the arrival of its request until the guard counts it as late, in seconds:
+/// the longest timeout of a client, and the slack.
+const LONGEST_WAIT_S: f64 = 0.9 + ANSWER_SLACK_S;
 /// How long a process may take from its start until it is ready, in seconds.
 const READY_LIMIT_S: f64 = 10.0;
 /// A new connection that is closed within this time of its process's exit was never accepted, in seconds.
@@ -213,28 +216,30 @@
         check_attempt(attempt, history, &mut verdict);
     }
     let requests = lock(&records.requests);
+    let line_time =
+        |line: &str| line.split_once(' ').and_then(|(_, line)| shutdown.logs.time_of(line, records.now()));
     let excused = |line: &str| {
-        let request = late_request_id(line).and_then(|id| requests.iter().find(|request| request.id == id));
-        request.is_some_and(|request| {
-            let history = histories.get(&request.process).unwrap_or(&unknown_process);
-            let until =
-                request.ended_at.max(request.sent_at.unwrap_or(0.0) + request.timeout_s + ANSWER_SLACK_S);
-            paused_for(
-                &history.paused,
-                request.sent_at.unwrap_or(request.ended_at) - 0.05,
-                until + HARNESS_SLACK_S,
-            ) > SIGNIFICANT_PAUSE_S
-        })
+        let Some(id) = late_request_id(line) else { return false };
+        let Some(request) = requests.iter().find(|request| request.id == id) else {
+            // A pipelined request, which no client records.
+            let (process, at) = (process_of(line), line_time(line));
+            let history = process.and_then(|process| histories.get(&process));
+            return history.zip(at).is_some_and(|(history, at)| {
+                paused_for(&history.paused, at - LONGEST_WAIT_S, at) > SIGNIFICANT_PAUSE_S
+            });
+        };
+        let history = histories.get(&request.process).unwrap_or(&unknown_process);
+        let until = request.ended_at.max(request.sent_at.unwrap_or(0.0) + request.timeout_s + ANSWER_SLACK_S);
+        paused_for(
+            &history.paused,
+            request.sent_at.unwrap_or(request.ended_at) - 0.05,
+            until + HARNESS_SLACK_S,
+        ) > SIGNIFICANT_PAUSE_S
     };
     verdict.excused += shutdown.log_errors.iter().filter(|line| excused(line)).count();
     for line in shutdown.log_errors.iter().filter(|line| !excused(line)) {
-        let (group, number) = (usize::MAX, usize::MAX);
-        verdict.findings.push(Finding {
-            rule: "guard",
-            process: ProcessId { group, number },
-            at: None,
-            details: line.clone(),
-        });
+        let process = process_of(line).unwrap_or(ProcessId { group: usize::MAX, number: usize::MAX });
+        verdict.findings.push(Finding { rule: "guard", process, at: line_time(line), details: line.clone() });
     }
     verdict
 }
@@ -246,6 +251,12 @@
     line.split_once("answer_in_time: request ")?.1.split(' ').next()
 }
 
+/// The process whose name a log line of [`ShutdownReport`] begins with.
+fn process_of(line: &str) -> Option<ProcessId> {
+    let (group, number) = line.split_once(':')?.0.strip_prefix('g')?.split_once('p')?;
+    Some(ProcessId { group: group.parse().ok()?, number: number.parse().ok()? })
+}
+
 fn check_request(request: &Request, attempts: &[&Attempt], history: &ProcessHistory, verdict: &mut Verdict) {
     let Some(sent_at) = request.sent_at else { return };
     verdict.requests += 1;
--- a/lab/src/soak/injector.rs
+++ b/lab/src/soak/injector.rs
@@ -94,7 +94,10 @@
             process.record_event(Event::ConnectionFaults(false));
         }
         Disruption::FailedAccepts => {
-            inject_system_faults(process, &[FaultKind::FailedAccept], ALWAYS / 3, entry.duration)
+            process.set_fault(FaultKind::FailedAccept, ALWAYS / 3);
+            // Clients that connect anew for each request, so that there are accepts to fail.
+            run_misbehaving_clients(fleet, process, entry, ClientBehaviour::Leaves);
+            process.set_fault(FaultKind::FailedAccept, 0);
         }
         Disruption::DiskFull => fail_disk(process, &[FaultKind::FullDisk], ALWAYS, entry),
         Disruption::DiskFails => {
--- a/lab/src/soak/trace.rs
+++ b/lab/src/soak/trace.rs
@@ -31,8 +31,9 @@
         Logs { by_process, records_began_s: unix_s - records.now() }
     }
 
-    /// When a line was logged, in seconds since the records began. None if it does not begin with a time.
-    fn time_of(&self, line: &str, near: f64) -> Option<f64> {
+    /// When a line was logged, in seconds since the records began, if that is within half an hour of `near`. None if it
+    /// does not begin with a time.
+    pub fn time_of(&self, line: &str, near: f64) -> Option<f64> {
         let clock = line.split(' ').nth(2)?;
         let mut fields = clock.split(':').skip(1);
         let (minutes, seconds): (f64, f64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
