Watch: a line that is read together with the end of its watch is not lost

What callers saw: requests to a server 0.35 to 0.7 s after discovery had written that it drains. Cause: ListRequest::next returned the end of the transfer while lines that it had read before waited in its queue, and the request was dropped with them. Why this works: the end is kept until the queue is empty.

--- a/sidecar/src/http1/watch/list_request.rs
+++ b/sidecar/src/http1/watch/list_request.rs
@@ -95,6 +95,8 @@
 pub struct ListRequest {
     events: Receiver<ListEvent>,
     work: Pin<Box<dyn Future<Output = ListRequestFailure>>>,
+    /// Why the transfer has ended, until that is reported.
+    failure: Option<ListRequestFailure>,
     progress: Rc<Cell<Progress>>,
     /// How long it may go without a whole line before another request is sent beside it.
     pub hedge_delay: Duration,
@@ -114,20 +116,40 @@
                 Ok(never) => match never {},
             }
         };
-        ListRequest { events, work: Box::pin(work), progress, hedge_delay, has_delivered: false }
+        ListRequest {
+            events,
+            work: Box::pin(work),
+            failure: None,
+            progress,
+            hedge_delay,
+            has_delivered: false,
+        }
     }
 
-    /// The next event, or the end of the request. No event is lost if the future is dropped before it is ready.
+    /// The next event, or the end of the request after all its events. No event is lost if the future is dropped before
+    /// it is ready.
     pub async fn next(&mut self) -> Result<ListEvent, ListRequestFailure> {
-        let events = self.events.clone();
-        let received = async {
-            match events.recv().await {
-                Ok(event) => Ok(event),
-                // The sender is dropped when the transfer ends, and its failure is returned below.
-                Err(_) => future::pending().await,
+        loop {
+            // The transfer may read a line and its own end in one go.
+            if let Ok(event) = self.events.try_recv() {
+                return Ok(event);
             }
-        };
-        future::or(received, async { Err((&mut self.work).await) }).await
+            if let Some(failure) = self.failure.take() {
+                return Err(failure);
+            }
+            let events = self.events.clone();
+            let received = async {
+                match events.recv().await {
+                    Ok(event) => Ok(event),
+                    // The sender is dropped when the transfer ends, and its failure is returned below.
+                    Err(_) => future::pending().await,
+                }
+            };
+            match future::or(received, async { Err((&mut self.work).await) }).await {
+                Ok(event) => return Ok(event),
+                Err(failure) => self.failure = Some(failure),
+            }
+        }
     }
 
     /// How far the request has got.
