Accept: after an idle connection has given way, the next accept follows at once

What callers saw: with the process's descriptors used up, a request behind a hundred idle connections waited 5 s to be accepted, and was answered after its client's 3 s had passed. Cause: each failed accept closed one idle connection and paused for 50 ms all the same. Why this works: one idle connection gone is one descriptor free. Without an idle one the pause stays, so that nothing spins; the scenario, unchanged, checks that too.

--- a/sidecar/src/http1/acceptor.rs
+++ b/sidecar/src/http1/acceptor.rs
@@ -15,6 +15,8 @@
 
 /// The longest pause after an accept that failed for a shortage of resources.
 const MAX_PAUSE: Duration = Duration::from_millis(50);
+/// How long an idle connection takes at most to close that was chosen to give way, on a thread with little to do.
+const EVICTION_TIME: Duration = Duration::from_millis(1);
 /// The first pause after a shortage; each further one in a row is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 /// After this many shortages in a row, an idle connection is closed even if the shortage is at the host.
@@ -111,10 +113,11 @@
             AcceptFailure::Host if failures.shortages < EVICT_AFTER_SHORTAGES => {
                 Timer::after(FIRST_PAUSE * 2_u32.pow(failures.shortages - 1)).await;
             }
-            AcceptFailure::Host | AcceptFailure::Descriptors => {
-                self.connections.evict_idle();
-                Timer::after(MAX_PAUSE).await;
+            // Those that wait to be accepted are owed their answers in time, however many idle connections go before.
+            AcceptFailure::Host | AcceptFailure::Descriptors if self.connections.evict_idle() => {
+                Timer::after(EVICTION_TIME).await;
             }
+            AcceptFailure::Host | AcceptFailure::Descriptors => _ = Timer::after(MAX_PAUSE).await,
         }
     }
 
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -246,8 +246,8 @@
     }
 
     /// Closes one idle connection. Guards against idle connections that keep new clients out, and against one source,
-    /// or many silent ones, that takes the slots which other clients need.
-    pub fn evict_idle(&self) {
+    /// or many silent ones, that takes the slots which other clients need. Returns false if none is idle.
+    pub fn evict_idle(&self) -> bool {
         let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
         let candidate = |entry: &IdleEntry| IdleConnection {
             answered_before: entry.answered_before,
@@ -256,14 +256,14 @@
             same_source: sources.get(&entry.source).copied().unwrap_or(0),
         };
         let evicted = eviction::next_to_evict(idle.iter().map(|(id, entry)| (*id, candidate(entry))));
-        drop(evicted.and_then(|id| idle.remove(&id)));
+        evicted.and_then(|id| idle.remove(&id)).is_some()
     }
 
     /// Closes idle connections while this worker holds more than it may because another process of this sidecar has
     /// half of the limit.
     pub fn close_excess_idle(&self) {
         let idle_count = self.idle.borrow().len();
-        (0..idle_count).take_while(|_| self.limit.exceeds_half()).for_each(|_| self.evict_idle());
+        (0..idle_count).take_while(|_| self.limit.exceeds_half()).for_each(|_| _ = self.evict_idle());
     }
 
     /// Whether new connections wait for a slot.
