Accept: idle clients are closed only when another client waits to be accepted

What callers saw: with all connections taken, the one idle for longest was closed at once, although nobody waited; answers said Connection: close meanwhile. Cause: the acceptor took the next connection's slot before there was one, and made room for it. Why this works: where no slot is free, room is made only once the listener is readable. Test: idle-clients-kept.txt failed before (expect b0 200, the first of twenty connections is closed) and passes. Failed try: asking the listener before every accept broke descriptor-limit-lowered.txt (503 for 200): an accept without a free descriptor is what keeps one free for servers; it stays as it was there.

--- a/sidecar/src/http1/acceptor.rs
+++ b/sidecar/src/http1/acceptor.rs
@@ -60,7 +60,7 @@
     pub async fn accept_all(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
         let mut failures = Failures::default();
         loop {
-            let slot = self.wait_for_slot().await;
+            let slot = self.wait_for_slot(&listener).await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     if std::mem::take(&mut failures).all > 0 {
@@ -91,8 +91,14 @@
         }
     }
 
-    /// Waits until one more connection may be open. Closes idle connections to make that possible.
-    async fn wait_for_slot(&self) -> Slot {
+    /// Waits until one more connection may be open. Closes idle connections to make that possible, but only if a client
+    /// waits to be accepted.
+    async fn wait_for_slot(&self, listener: &Async<TcpListener>) -> Slot {
+        if let Some(slot) = self.connections.free_slot() {
+            return slot;
+        }
+        // If the listener can't be polled, the accept that follows tells why.
+        let _ = listener.readable().await;
         loop {
             if let Some(slot) = self.connections.try_slot() {
                 return slot;
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -180,10 +180,15 @@
         self.limit.held()
     }
 
+    /// Takes a slot for one more connection, if there is any.
+    pub fn free_slot(&self) -> Option<Slot> {
+        self.limit.try_acquire()
+    }
+
     /// Takes a slot for one more connection. If there is none, closes one idle connection, and until the next
     /// successful call each answer closes its connection.
     pub fn try_slot(&self) -> Option<Slot> {
-        let slot = self.limit.try_acquire();
+        let slot = self.free_slot();
         self.slot_awaited.set(slot.is_none());
         if slot.is_none() {
             self.evict_idle();
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -3,13 +3,13 @@
 use super::readiness::Source;
 use super::tcp_info;
 use futures_lite::{AsyncRead, AsyncWrite};
-use rustix::event::epoll;
+use rustix::event::{epoll, poll, PollFd, PollFlags, Timespec};
 use rustix::fd::AsFd;
 use rustix::io::Errno;
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::RefCell;
 use std::future::poll_fn;
-use std::io::{Read, Result, Write};
+use std::io::{ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -74,6 +74,11 @@
         Async::registered(listener, false, true)
     }
 
+    /// Waits until a connection can be accepted. Another process that listens on the same socket may still be faster.
+    pub async fn readable(&self) -> Result<()> {
+        poll_fn(|context| self.source.reads.poll(context, || connection_waits(&self.inner))).await
+    }
+
     /// Waits for the next connection.
     pub async fn accept(&self) -> Result<(Async<TcpStream>, SocketAddr)> {
         let (stream, peer) =
@@ -82,6 +87,15 @@
     }
 }
 
+/// An error, [`ErrorKind::WouldBlock`], unless a connection can be accepted at once.
+fn connection_waits(listener: &TcpListener) -> Result<()> {
+    let mut descriptors = [PollFd::new(listener, PollFlags::IN)];
+    match poll(&mut descriptors, Some(&Timespec::default()))? {
+        0 => Err(ErrorKind::WouldBlock.into()),
+        _ => Ok(()),
+    }
+}
+
 impl Async<TcpStream> {
     /// Registers a connected stream.
     pub fn from_stream(stream: TcpStream) -> Result<Async<TcpStream>> {
