Clients: first bytes of a new connection wake the acceptor that waits for a slot

What callers saw: with all connections taken by clients that had stalled within a request, a new client waited for seconds to be accepted and was refused: 503 after 7.6 s behind 300 of them. Cause: a new connection that has sent nothing protects stalled ones from eviction. Its first bytes end that, but nobody told the acceptor: it looked again after 50 ms, and two gave way in each such pause. Why this works: the acceptor looks again as soon as the protection ends; the order of eviction is the same.

--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -321,6 +321,8 @@
         if let Some(entry) = self.shared.idle.borrow_mut().get_mut(&self.id) {
             (entry.request_started, entry.since) = (true, Instant::now());
         }
+        // A new connection that was silent until now may have protected others from eviction.
+        self.shared.notify_waiting();
     }
 
     /// Waits until the connection should be closed.
