Module: late hops of a cold server do not count against it

Cause: three hops later than the hedging threshold ejected it for 1.5 s, and the one hop that ends an ejection was late again: 3 s more. A late hop loses against its hedge, and a loser's connection is closed, so each of its hops begins on a new connection and is late again. Evidence: five cases under the bound, kept with their debug logs, beside twelve busy loops: 'server Aside' within 0.4 s of 'back by hand' after three or four hops, none failed; 'server Trial' 1.5 s later, 'server Aside' 4 to 6 ms after. Not the clock: of eight ejections two were without a step. Why this works: a cold server's calls are few by its slow start, and hedged; failures count as before, and late hops do once it is warm. The threshold and the ejection of warm servers are unchanged. Tests: late-hops-of-cold-server.txt failed before (never server Aside). Beside the same load ejections in 8 of 126 cases of the second test and 1 of 126 of the first before, 0 and 0 after. Left: a warm server whose new connections are later than the threshold fails each trial the same way.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -543,7 +543,7 @@
         let (server, workload) = (hop.server, WorkloadId(call.workload));
         if !std::mem::replace(&mut hop.past_threshold, true) {
             self.congestion.workload(workload).timeliness.add(false);
-            if self.slow_workload != Some(workload) {
+            if self.slow_workload != Some(workload) && !self.is_cold(server) {
                 self.record_outcome(server, false, out);
             }
         }
@@ -787,6 +787,11 @@
         }
     }
 
+    /// Whether the server has started so recently that slow answers are expected of it.
+    fn is_cold(&self, id: ServerId) -> bool {
+        self.fleet.get(id).is_some_and(|server| self.config.cold_share(server, self.now).is_some())
+    }
+
     /// Updates all statistics with a hop that ended before its call.
     fn record_hop(
         &mut self, id: ServerId, workload: WorkloadId, result: &HopResult, past_threshold: bool,
