Reactor: one enum for what is known of when unread bytes came

Two cells, a flag and an optional time, told one state in three values; they are one enum with its step in one place.

--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -383,8 +383,8 @@
         self.arrivals.last_byte_came_at(self.parser.unparsed_bytes()).unwrap_or_else(Instant::now)
     }
 
-    /// Reads the headers of a request that came at that time. Returns what the dispatcher needs, the client's timeout, the workload id to use if
-    /// the body is streamed, and what identifies the request.
+    /// Reads the headers of a request that came at that time. Returns what the dispatcher needs, the client's timeout,
+    /// the workload id to use if the body is streamed, and what identifies the request.
     fn read_request(
         &self, head: &Head, came_at: Instant,
     ) -> Result<(RequestParams, Micros, WorkloadId, RequestIdentity), HttpError> {
--- a/sidecar/src/reactor/poll.rs
+++ b/sidecar/src/reactor/poll.rs
@@ -106,8 +106,7 @@
             writes: Direction::new(writable),
             unconfirmed: Cell::new(false),
             queued: Cell::new(false),
-            unread_since: Cell::new(None),
-            had_bytes: Cell::new(false),
+            arrival: Cell::default(),
             ended: Cell::new(false),
             end_waker: Cell::default(),
         });
--- a/sidecar/src/reactor/readiness.rs
+++ b/sidecar/src/reactor/readiness.rs
@@ -15,17 +15,44 @@
     pub(super) unconfirmed: Cell<bool>,
     /// Whether it is queued to be read again for that reason.
     pub(super) queued: Cell<bool>,
-    /// Bytes that are unread, or were read since the socket was last seen empty, came after this time; none if they may
-    /// have come before the socket was registered.
-    pub(super) unread_since: Cell<Option<Instant>>,
-    /// Whether bytes have been reported since the socket was registered.
-    pub(super) had_bytes: Cell<bool>,
+    /// When the bytes came that are unread, or were read since the socket was last seen empty.
+    pub(super) arrival: Cell<Arrival>,
     /// The peer has shut down its side, or the connection is broken: from now on reads return at once.
     pub(super) ended: Cell<bool>,
     /// The task that waits for the end, which need not have read everything before it.
     pub(super) end_waker: Cell<Option<Waker>>,
 }
 
+/// What the events of a socket tell of when its bytes came.
+#[derive(Clone, Copy, Default)]
+pub(super) enum Arrival {
+    /// No bytes have been reported yet.
+    #[default]
+    NotReported,
+    /// They may have come before the socket was registered.
+    Unknown,
+    /// They came after this time.
+    After(Instant),
+}
+
+impl Arrival {
+    /// What is known after an event, which happened after `since` and reports bytes of a socket that was empty.
+    fn next(self, since: Instant) -> Arrival {
+        match self {
+            Arrival::NotReported => Arrival::Unknown,
+            Arrival::Unknown | Arrival::After(_) => Arrival::After(since),
+        }
+    }
+
+    /// The time after which the bytes came, if it is known.
+    pub(super) fn earliest(self) -> Option<Instant> {
+        match self {
+            Arrival::After(since) => Some(since),
+            Arrival::NotReported | Arrival::Unknown => None,
+        }
+    }
+}
+
 /// The state of reading or of writing: whether it may be tried, and the task that waits for it.
 pub(super) struct Direction {
     pub(super) ready: Cell<bool>,
@@ -86,8 +113,8 @@
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             self.unconfirmed.set(false);
-            if !self.reads.ready.get() && self.had_bytes.replace(true) {
-                self.unread_since.set(Some(since));
+            if !self.reads.ready.get() {
+                self.arrival.set(self.arrival.get().next(since));
             }
             self.reads.set_ready();
         }
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -142,7 +142,7 @@
     /// unread for longer than [`MAX_EVENT_AGE`]: before the connection was accepted, while nothing was read from it, or
     /// while this thread did not run.
     pub fn last_bytes_came_at(&self) -> Instant {
-        let (now, unread_since) = (Instant::now(), self.source.unread_since.get());
+        let (now, unread_since) = (Instant::now(), self.source.arrival.get().earliest());
         if unread_since.is_some_and(|since| now.saturating_duration_since(since) <= MAX_EVENT_AGE) {
             return now;
         }
