Soak: a signal waits until the process that runs by then can handle it

Not a fault of the program. Cause: the rig waited for the signal handlers of the process it knew of, and wrote the configuration file; meanwhile another entry ended that process and started the next, which got SIGHUP before its program ran. Evidence: with the trace's span made 30 s on a scratch copy, 'Started' at 4.871 s and 'SignalSent HUP' at 4.872 s, then no log line; a signal without a handler ends a process by the kernel's rule, and the rig's own wait for handlers says so. Why this works: the start is noted, and the handlers are waited for, under the lock under which signals are sent.

--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -17,7 +17,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -105,29 +105,51 @@
 impl Process {
     /// Starts the process.
     pub fn start(self: &Arc<Self>) -> std::io::Result<()> {
-        let process = self.clone();
-        run_on_spawner_thread(move || lock(&process.sidecar).start())?;
-        *lock(&self.started) = Instant::now();
+        self.start_by(Sidecar::start)?;
         self.records.record_event(self.id, Event::Started);
         Ok(())
     }
 
     /// Starts a second process beside the first.
     pub fn start_second(self: &Arc<Self>) -> std::io::Result<()> {
+        self.start_by(Sidecar::start_second)
+    }
+
+    /// Starts a process, and notes the time before any other thread can send it a signal.
+    fn start_by(self: &Arc<Self>, start: fn(&mut Sidecar) -> std::io::Result<()>) -> std::io::Result<()> {
         let process = self.clone();
-        run_on_spawner_thread(move || lock(&process.sidecar).start_second())
+        run_on_spawner_thread(move || {
+            let mut sidecar = lock(&process.sidecar);
+            start(&mut sidecar)?;
+            *lock(&process.started) = Instant::now();
+            Ok(())
+        })
     }
 
     /// Waits until the process can handle signals: one that comes before its program runs kills it.
     pub fn wait_for_handlers(&self) {
-        let since = *lock(&self.started);
-        thread::sleep((since + PROGRAM_LOAD_TIME).saturating_duration_since(Instant::now()));
+        drop(self.lock_with_handlers());
     }
 
-    /// Sends a signal.
+    /// Sends a signal as soon as the process can handle it.
     pub fn signal(&self, signal: Signal) {
+        let sidecar = self.lock_with_handlers();
         self.record_event(Event::SignalSent(signal));
-        lock(&self.sidecar).signal(signal);
+        sidecar.signal(signal);
+    }
+
+    /// Locks the process once it can handle signals. While it is locked, none is started in its place.
+    fn lock_with_handlers(&self) -> MutexGuard<'_, Sidecar> {
+        loop {
+            let sidecar = lock(&self.sidecar);
+            let handles_at = *lock(&self.started) + PROGRAM_LOAD_TIME;
+            let wait = handles_at.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                return sidecar;
+            }
+            drop(sidecar);
+            thread::sleep(wait);
+        }
     }
 
     /// Sends SIGKILL.
