Upload: the streaming of long bodies has a module of its own

Nothing is changed but who can see what: BodyStream has methods for what attempt.rs did with its fields.

--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -3,21 +3,20 @@
 use super::load;
 use super::messages::{BodyReader, Incoming, Message, MessageKind, MessageParser, PartialMessage};
 use super::pool::{EndpointConnection, Pool};
+use super::upload::{BodyStream, BodyStreamWriter};
 use super::Fence;
 use crate::dispatcher::{AttemptEnd, AttemptProgress, LoadReport};
 use crate::metrics::SystemCall;
 use crate::monitor::Monitor;
 use crate::reactor::{Async, PeerEnd, Timer};
-use crate::timers::duration;
-use async_channel::{bounded, Receiver, Sender};
 use futures_lite::{future, AsyncWrite};
 use oakhollow::types::{Micros, Outcome};
 use oakhollow_guard::{AttemptPermit, Denial, SendConditions};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// The header with the time that is left for the request, in milliseconds.
@@ -41,57 +40,6 @@
     stream: Option<BodyStream>,
 }
 
-/// How much of a streamed request's body has come.
-struct BodyProgress {
-    /// When its last byte came; none before that.
-    last_byte_at: Cell<Option<Instant>>,
-    /// How many bytes have not been read; none if the request does not state the length of its body.
-    unread: Cell<Option<u64>>,
-    /// The client's connection, until it is closed.
-    client: Weak<Async<TcpStream>>,
-}
-
-impl BodyProgress {
-    /// When the last byte came. It may wait unread in the client's connection, behind bytes that no attempt has taken.
-    fn last_byte_at(&self) -> Option<Instant> {
-        let waits_unread = || self.client.upgrade()?.unread_bytes_came_at(self.unread.get()?);
-        self.last_byte_at.get().or_else(waits_unread)
-    }
-}
-
-/// The rest of a streamed request body: the client's task reads it while an attempt passes it on.
-struct BodyStream {
-    parts: RefCell<Option<Receiver<Vec<u8>>>>,
-    progress: Rc<BodyProgress>,
-    chunked: bool,
-    /// How long the answer may take after the last byte of the request.
-    answer_timeout: Micros,
-}
-
-/// The end of a `BodyStream` that the client's task writes to.
-pub struct BodyStreamWriter {
-    parts: Option<Sender<Vec<u8>>>,
-    progress: Rc<BodyProgress>,
-}
-
-impl BodyStreamWriter {
-    /// Waits until the attempt can take another part. Returns false if no attempt reads the body any more.
-    pub async fn write(&self, part: Vec<u8>) -> bool {
-        let unread = self.progress.unread.get().map(|unread| unread.saturating_sub(part.len() as u64));
-        self.progress.unread.set(unread);
-        match &self.parts {
-            Some(parts) => parts.send(part).await.is_ok(),
-            None => false,
-        }
-    }
-
-    /// Marks the body as complete, with its last byte come at that time.
-    pub fn finish(&mut self, last_byte_at: Instant) {
-        self.progress.last_byte_at.set(Some(last_byte_at));
-        self.parts = None;
-    }
-}
-
 impl OutgoingRequest {
     /// A request whose body is buffered whole.
     pub fn buffered(request: Message, client_end: PeerEnd) -> Result<OutgoingRequest, HttpError> {
@@ -115,20 +63,11 @@
             None => bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
         }
         let chunked = rest.length().is_none();
-        let progress = Rc::new(BodyProgress {
-            last_byte_at: Cell::new(None),
-            unread: Cell::new(rest.length().map(|length| length.saturating_sub(buffered.len()) as u64)),
-            client: Rc::downgrade(client),
-        });
+        let unread = rest.length().map(|length| length.saturating_sub(buffered.len()) as u64);
         let body = if chunked { encode_chunk(&buffered) } else { buffered };
-        let (sender, parts) = bounded(1);
-        let parts = RefCell::new(Some(parts));
-        let stream = Some(BodyStream { parts, progress: progress.clone(), chunked, answer_timeout });
+        let (stream, writer) = BodyStream::new(unread, answer_timeout, client);
         let client_end = client.peer_end();
-        Ok((
-            OutgoingRequest { head: bytes, body, client_end, stream },
-            BodyStreamWriter { parts: Some(sender), progress },
-        ))
+        Ok((OutgoingRequest { head: bytes, body, client_end, stream: Some(stream) }, writer))
     }
 
     /// The request line and the headers that are passed on, and the method.
@@ -143,11 +82,7 @@
     fn time_left(&self, deadline: Instant, now: Instant) -> Duration {
         match &self.stream {
             None => deadline.saturating_duration_since(now),
-            Some(stream) => {
-                let last_byte_at = stream.progress.last_byte_at();
-                let elapsed = last_byte_at.map(|at| now.saturating_duration_since(at));
-                duration(stream.answer_timeout).saturating_sub(elapsed.unwrap_or_default())
-            }
+            Some(stream) => stream.time_left(now),
         }
     }
 
@@ -287,7 +222,7 @@
 ) -> Result<EndpointAnswer, Outcome> {
     let address = target.address;
     // An earlier attempt has taken the streamed body, which is not kept for another one.
-    if request.stream.as_ref().is_some_and(|stream| stream.parts.borrow().is_none()) {
+    if request.stream.as_ref().is_some_and(|stream| stream.is_taken()) {
         return Err(Outcome::NotSent);
     }
     let connection = match pool.take_idle(address).await {
@@ -331,11 +266,11 @@
     connection.write_first(permit, &request.to_bytes(announced_timeout)).await.map_err(write_failed)?;
     let mut answer_timer = None;
     if let Some(stream) = &request.stream {
-        let sent = async { send_rest(stream, &connection).await.map(|()| None) };
+        let sent = async { stream.send_rest(&connection).await.map(|()| None) };
         let early_answer = async { read_answer(&connection, &mut parser, future::pending()).await.map(Some) };
         // If the endpoint answers before it has the whole request, the rest of the request is not sent.
         match future::or(sent, early_answer).await {
-            Ok(None) => answer_timer = Some(Timer::after(duration(stream.answer_timeout))),
+            Ok(None) => answer_timer = Some(Timer::after(stream.answer_timeout())),
             Ok(Some(incoming)) => return Ok(endpoint_answer(incoming, pool, address, connection, false)),
             Err(_) => return Err(Outcome::NoConnection),
         }
@@ -358,23 +293,6 @@
     Ok(endpoint_answer(incoming, pool, address, connection, keep_alive))
 }
 
-/// Passes on the rest of a streamed request as the client sends it.
-async fn send_rest(stream: &BodyStream, connection: &EndpointConnection) -> Result<(), Outcome> {
-    let parts = stream.parts.borrow_mut().take().ok_or(Outcome::NotSent)?;
-    let failed = |_| Outcome::NoConnection;
-    while let Ok(part) = parts.recv().await {
-        let part = if stream.chunked { encode_chunk(&part) } else { part };
-        connection.write_more(&part).await.map_err(failed)?;
-    }
-    if stream.progress.last_byte_at.get().is_none() {
-        return Err(Outcome::NoConnection);
-    }
-    if stream.chunked {
-        connection.write_more(LAST_CHUNK).await.map_err(failed)?;
-    }
-    Ok(())
-}
-
 fn endpoint_answer(
     incoming: Incoming, pool: &Rc<Pool>, address: SocketAddr, connection: Rc<EndpointConnection>,
     reusable: bool,
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -1,10 +1,11 @@
 //! One client's connection: reads its requests and gives each exactly one answer.
 use super::answers::Answer;
 use super::arrivals::Arrivals;
-use super::attempt::{self, BodyStreamWriter, EndpointAnswer, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
+use super::attempt::{self, EndpointAnswer, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
 use super::connections::{Closed, ConnectionGuard, Connections};
 use super::head::{Framing, Head, HttpError, MAX_BODY_BYTES};
-use super::messages::{BodyReader, Incoming, Message, MessageKind, MessageParser, PartialMessage};
+use super::messages::{Incoming, Message, MessageKind, MessageParser, PartialMessage};
+use super::upload::{body_time, stream_body, MAX_READ_AHEAD_BYTES, REQUEST_READ_TIMEOUT};
 use super::DispatcherMessage;
 use crate::dispatcher::{RequestOutcome, RequestParams};
 use crate::monitor::{Accepted, OpenRequest};
@@ -18,9 +19,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a client may take to send a whole request: from connecting, or from the first byte of a later request.
-/// A body adds the time that it takes at [`MIN_BODY_BYTES_PER_S`].
-const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a connection is kept open between requests.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a client may stay silent before its connection is closed: after its last answer, and during shutdown before
@@ -30,10 +28,6 @@
 const SLOT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long bytes that a client sends after its last answer are read and dropped.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
-/// The slowest rate at which a client may send a body. The platform promises 64 kB/s.
-const MIN_BODY_BYTES_PER_S: f64 = 48_000.0;
-/// How many bytes that a client sends ahead are read while its request is open.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// A client's connection and the state of reading from it.
 pub struct ClientConnection<'a> {
@@ -488,12 +482,6 @@
     (outcome.into(), Some((open, kind)))
 }
 
-/// How long a client may take to send this many bytes of a body: a third longer than at the rate that the platform
-/// promises.
-fn body_time(bytes: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / MIN_BODY_BYTES_PER_S)
-}
-
 /// Waits until the client leaves, then returns none. Notices it wherever the request waits, even behind unread bytes:
 /// guards against an attempt for a client that has gone.
 async fn client_gone<T>(stream: &Async<TcpStream>) -> Option<T> {
@@ -501,44 +489,8 @@
     None
 }
 
-/// Reads the rest of a request's body and passes it to the attempt, then reads ahead a little of what follows it.
-async fn stream_body<T>(
-    stream: &Async<TcpStream>, rest: &mut BodyReader, mut writer: BodyStreamWriter, mut received: usize,
-) -> Result<Option<T>, HttpError> {
-    // The time spent waiting for the client, without the time in which the attempt accepted no more bytes.
-    let mut waited = Duration::ZERO;
-    loop {
-        let mut part = Vec::new();
-        rest.decode_into(&mut part)?;
-        received += part.len();
-        if !part.is_empty() && !writer.write(part).await {
-            // No attempt reads the body any more: the outcome of the request is on its way.
-            return future::pending().await;
-        }
-        if rest.is_complete() {
-            break;
-        }
-        let read_started = Instant::now();
-        let time_left = (REQUEST_READ_TIMEOUT + body_time(received)).saturating_sub(waited);
-        let read = async { Some(read(stream, rest.buffer()).await) };
-        let timeout = async {
-            Timer::after(time_left).await;
-            None
-        };
-        match future::or(read, timeout).await {
-            Some(Some(_)) => waited += read_started.elapsed(),
-            // The client has gone, which `client_gone` reports.
-            Some(None) => return future::pending().await,
-            None => return Err(HttpError { status: 408, message: "the request came too slowly" }),
-        }
-    }
-    writer.finish(stream.last_bytes_came_at());
-    while rest.surplus().len() <= MAX_READ_AHEAD_BYTES && read(stream, rest.buffer()).await.is_some() {}
-    future::pending().await
-}
-
 /// Reads the available bytes and appends them to `buffer`. None at the end of the connection or on an error.
-async fn read(stream: &Async<TcpStream>, buffer: &mut Vec<u8>) -> Option<usize> {
+pub(super) async fn read(stream: &Async<TcpStream>, buffer: &mut Vec<u8>) -> Option<usize> {
     stream.read_buf(buffer).await.ok().filter(|count| *count > 0)
 }
 
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod messages;
 pub mod pool;
+pub mod upload;
 pub mod watch;
 
 use crate::dispatcher::{AttemptEnd, AttemptProgress, Protocol};
