Clients that stall within a long body give way to new ones

Cause: once 64 KiB of a body have come, its connection counted as one with an open request, which eviction did not see. It kept its place for 2.5 s and a second for each 48 kB, and everybody else waited in the accept queue.

Mend: a connection whose client is silent within a long body stands in the same order of eviction, and is answered 408. Silence counts from when bytes came, also where they waited to be accepted, and not while the client may have to wait for space. Whoever sends on after pauses of its own gives way only where all others do so too.

Failed forms: silence from the arrival of the first bytes alone (most of the crowd reset); a new connection that could be evicted before its first read (whole requests shut); closing only once the answer is acknowledged (44 ms a client).

Open: such uploads still hold places in the decision module; sound requests are then refused in time instead of served.

--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -2,12 +2,13 @@
 use super::answers::Answer;
 use super::arrivals::Arrivals;
 use super::attempt::{self, EndpointAnswer, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
-use super::connections::{Closed, ConnectionGuard, Connections};
+use super::connections::{CloseRequest, Closed, ConnectionGuard, Connections};
 use super::head::{Framing, Head, HttpError, MAX_BODY_BYTES};
 use super::messages::{Incoming, Message, MessageKind, MessageParser, PartialMessage};
-use super::upload::{body_time, stream_body, MAX_READ_AHEAD_BYTES, REQUEST_READ_TIMEOUT};
+use super::upload::{body_time, UploadingClient, MAX_READ_AHEAD_BYTES, REQUEST_READ_TIMEOUT, TOO_SLOW};
 use super::DispatcherMessage;
 use crate::dispatcher::{RequestOutcome, RequestParams};
+use crate::eviction::SendingProgress;
 use crate::monitor::{Accepted, OpenRequest};
 use crate::reactor::{Async, Timer};
 use futures_lite::future;
@@ -24,8 +25,10 @@
 /// How long a client may stay silent before its connection is closed: after its last answer, and during shutdown before
 /// the first byte of its first request.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// How often a connection that lingers after its last answer is checked for whether new connections need its slot.
+/// How often a connection that lingers after its last answer is checked for whether new connections need its slot, and
+/// once they do, for whether it may be closed.
 const SLOT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+const DRAINED_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// How long bytes that a client sends after its last answer are read and dropped.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -37,8 +40,12 @@
     parser: MessageParser,
     /// When the bytes in the parser came.
     arrivals: Arrivals,
+    /// How the client has sent the current request so far.
+    progress: SendingProgress,
     /// No request has been answered on this connection yet.
     is_new: bool,
+    /// It was chosen to be closed for a new connection while its client was silent.
+    evicted: bool,
     /// Fires when the time for a request is over.
     read_timer: Timer,
 }
@@ -51,6 +58,14 @@
     Closed(CloseReason),
 }
 
+/// What ends a wait for bytes of a request.
+enum Received {
+    /// So many bytes came; none at the end of the connection.
+    Bytes(Option<usize>),
+    TimedOut,
+    CloseRequest(CloseRequest),
+}
+
 /// An answer that is to be written.
 struct PendingAnswer {
     answer: Answer,
@@ -86,13 +101,18 @@
 impl ClientConnection<'_> {
     /// A connection that was just accepted.
     pub fn new(guard: &ConnectionGuard, stream: Async<TcpStream>) -> ClientConnection<'_> {
+        let now = Instant::now();
+        let stalled_since = if stream.has_unread_bytes() { None } else { stream.stalled_since() };
+        let progress = SendingProgress::new(stalled_since.unwrap_or(now), now);
         ClientConnection {
             guard,
             shared: &guard.shared,
             stream: Rc::new(stream),
             parser: MessageParser::new(MessageKind::Request),
             arrivals: Arrivals::default(),
+            progress,
             is_new: true,
+            evicted: false,
             read_timer: Timer::never(),
         }
     }
@@ -157,7 +177,10 @@
         // Bytes of the body that have extended the deadline.
         let mut credited_body_bytes = 0;
         let shared = self.shared;
-        let mut idle = Some(shared.enter_idle(self.guard.source, !self.is_new));
+        if !self.is_new {
+            self.progress = SendingProgress::new(start, start);
+        }
+        let mut idle = shared.enter_idle(self.guard.source, !self.is_new, self.progress);
         loop {
             match self.parser.next_message() {
                 Ok(Some(Incoming::Complete(message))) => return NextRequest::Complete(message),
@@ -172,31 +195,26 @@
                 }
             }
             let request_begun = self.parser.pending_bytes() > 0;
-            let read = async { Some(read(&self.stream, self.parser.buffer()).await) };
+            if request_begun != self.progress.request_started {
+                self.progress.request_started = request_begun;
+                idle.bytes_received(self.progress);
+            }
+            let read = async { Received::Bytes(read(&self.stream, self.parser.buffer()).await) };
             let timed_out_or_closing = async {
                 self.read_timer.set_at(deadline);
                 let timeout = async {
                     (&mut self.read_timer).await;
-                    false
+                    Received::TimedOut
                 };
-                let close_requested = async {
-                    match &idle {
-                        Some(idle) => idle.close_requested().await,
-                        None => future::pending().await,
-                    }
-                    true
-                };
-                if future::or(timeout, close_requested).await {
-                    idle = None;
-                }
-                None
+                let close_requested = async { Received::CloseRequest(idle.close_requested().await) };
+                future::or(timeout, close_requested).await
             };
             match future::or(read, timed_out_or_closing).await {
-                Some(Some(count)) => {
-                    self.arrivals.record(count, self.stream.last_bytes_came_at());
-                    if let Some(idle) = &idle {
-                        idle.bytes_received();
-                    }
+                Received::Bytes(Some(count)) => {
+                    let came_at = self.stream.last_bytes_came_at();
+                    self.arrivals.record(count, came_at);
+                    self.progress.bytes_read(came_at, Instant::now());
+                    idle.bytes_received(self.progress);
                     if !request_begun {
                         // A new connection's time counts from its start, so that a client gains none by staying silent.
                         deadline = if self.is_new { deadline } else { Instant::now() + REQUEST_READ_TIMEOUT };
@@ -206,36 +224,38 @@
                     (deadline, credited_body_bytes) =
                         (deadline + body_time(new_body_bytes), credited_body_bytes + new_body_bytes);
                 }
-                Some(None) => return NextRequest::Closed(CloseReason::ClientClosed),
+                Received::Bytes(None) => return NextRequest::Closed(CloseReason::ClientClosed),
+                // A request may have come that this thread has not been told of yet.
+                Received::CloseRequest(CloseRequest::Evicted) if self.stream.has_unread_bytes() => {
+                    self.progress.reading_resumed(None, Instant::now());
+                    idle = shared.enter_sending(self.guard.source, !self.is_new, self.progress);
+                }
+                Received::CloseRequest(CloseRequest::Evicted) => {
+                    return NextRequest::Closed(CloseReason::Evicted)
+                }
                 // Shutdown waits for a request that has begun, and for a short time for the first request of a
-                // connection accepted just before.
-                None if idle.is_none()
-                    && shared.closing()
-                    && deadline > Instant::now()
-                    && (request_begun || self.is_new) =>
-                {
+                // connection accepted just before, unless other clients need the slot.
+                Received::CloseRequest(CloseRequest::ShuttingDown) if request_begun || self.is_new => {
                     if !request_begun {
                         deadline = deadline.min(Instant::now() + LINGER_TIMEOUT);
                     }
+                    idle = shared.enter_sending(self.guard.source, !self.is_new, self.progress);
                 }
-                None if idle.is_some() && request_begun => {
-                    return NextRequest::Malformed(HttpError {
-                        status: 408,
-                        message: "the request came too slowly",
-                    })
+                Received::CloseRequest(CloseRequest::ShuttingDown) => {
+                    return NextRequest::Closed(CloseReason::ShuttingDown)
                 }
-                None => return NextRequest::Closed(self.close_reason(idle.is_none())),
+                Received::TimedOut if request_begun => return NextRequest::Malformed(TOO_SLOW),
+                Received::TimedOut => return NextRequest::Closed(self.timeout_reason()),
             }
         }
     }
 
-    /// Why a connection without an open request is closed: because that was requested, or because its time is over.
-    fn close_reason(&self, close_requested: bool) -> CloseReason {
-        match (close_requested, self.shared.closing()) {
-            (true, true) => CloseReason::ShuttingDown,
-            (true, false) => CloseReason::Evicted,
-            (false, _) if self.is_new => CloseReason::NoRequest,
-            (false, _) => CloseReason::Idle,
+    /// Why a connection is closed that was silent for as long as it may be.
+    fn timeout_reason(&self) -> CloseReason {
+        match self.shared.closing() {
+            true => CloseReason::ShuttingDown,
+            false if self.is_new => CloseReason::NoRequest,
+            false => CloseReason::Idle,
         }
     }
 
@@ -305,9 +325,18 @@
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let answered = async { Ok((&outcome).await) };
-        let streamed = stream_body(&self.stream, &mut rest, writer, received);
+        let mut uploading = UploadingClient {
+            shared,
+            source: self.guard.source,
+            answered_before: !self.is_new,
+            progress: SendingProgress { request_started: true, ..self.progress },
+            stream: &self.stream,
+            evicted: false,
+        };
+        let streamed = async { Err(uploading.stream_body(&mut rest, writer, received).await) };
         let gone = async { Ok(client_gone(&self.stream).await) };
         let outcome = future::or(answered, future::or(gone, streamed)).await;
+        self.evicted = uploading.evicted;
         let complete = rest.is_complete();
         if complete {
             self.parser.push(rest.surplus());
@@ -436,7 +465,7 @@
 
     /// Shuts down this side of the connection, and waits a short time for the client to shut down its own: closing with
     /// unread bytes would reset the connection, and the client could lose its answer. While new connections wait for a
-    /// slot, it only waits until the client's machine has the whole answer.
+    /// slot, it only waits until the client's machine has the whole answer, and not for a client that has stalled.
     async fn close_gracefully(&self) {
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
@@ -456,11 +485,14 @@
         };
         let timeout = async { _ = Timer::after(CLOSE_TIMEOUT).await };
         let slot_needed = async {
-            loop {
-                Timer::after(SLOT_CHECK_INTERVAL).await;
-                if self.shared.slot_awaited() && self.stream.is_drained() {
-                    return;
-                }
+            let may_close = || match self.evicted {
+                true => !self.stream.has_unread_bytes(),
+                false => self.stream.is_drained(),
+            };
+            while !(self.shared.slot_awaited() && may_close()) {
+                let interval =
+                    if self.shared.slot_awaited() { DRAINED_CHECK_INTERVAL } else { SLOT_CHECK_INTERVAL };
+                Timer::after(interval).await;
             }
         };
         future::or(drained, future::or(timeout, slot_needed)).await;
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -1,7 +1,7 @@
 //! What all client connections of a worker share: how many there may be, which have no open request and may be
 //! closed, the ids of open requests, and whether the process still takes requests.
 use super::{AnswerDeadline, DispatcherHandle, RequestSettings};
-use crate::eviction::{self, IdleConnection};
+use crate::eviction::{self, IdleConnection, SendingProgress};
 use crate::limits::{Gauge, LimitShare, Slot};
 use crate::monitor::Monitor;
 use crate::oneshot;
@@ -15,22 +15,28 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 /// Numbers idle connections in the order in which they became idle.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct IdleId(u64);
 
-/// A connection without an open request. Dropping the entry asks the connection's task to close it.
+/// Why a connection should be closed that has no whole request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum CloseRequest {
+    /// A new connection needs its slot.
+    Evicted,
+    /// The process stops taking requests.
+    ShuttingDown,
+}
+
+/// A connection without a whole request.
 struct IdleEntry {
     source: IpAddr,
     /// It has had an answer before.
     answered_before: bool,
-    /// When its last byte came, or when it became idle.
-    since: Instant,
-    /// Bytes of a request have come.
-    request_started: bool,
-    _close: oneshot::Sender<()>,
+    progress: SendingProgress,
+    /// Tells the connection's task that it is evicted. Dropping it tells that the process stops taking requests.
+    evict: oneshot::Sender<CloseRequest>,
 }
 
 /// Proof that a client connection ended with a stated reason: every path that ends one has to return it.
@@ -240,28 +246,30 @@
         self.closing_after_answers.set(true);
     }
 
-    /// Closes all idle connections. The others are closed after their answer.
+    /// Closes all idle connections of which no request has begun. The others are closed after their answer.
     pub fn close(&self) {
         self.closing.set(true);
-        self.idle.borrow_mut().clear();
+        self.idle.borrow_mut().retain(|_, entry| entry.progress.request_started);
     }
 
     pub fn closing(&self) -> bool {
         self.closing.get()
     }
 
-    /// Closes one idle connection. Guards against idle connections that keep new clients out, and against one source,
+    /// Closes one connection without a whole request. Guards against idle connections that keep new clients out, and against one source,
     /// or many silent ones, that takes the slots which other clients need. Returns false if none is idle.
     pub fn evict_idle(&self) -> bool {
         let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
         let candidate = |entry: &IdleEntry| IdleConnection {
             answered_before: entry.answered_before,
-            request_started: entry.request_started,
-            silent_for: entry.since.elapsed(),
+            request_started: entry.progress.request_started,
+            resumed: entry.progress.resumed,
+            silent_for: entry.progress.last_byte_at.elapsed(),
             same_source: sources.get(&entry.source).copied().unwrap_or(0),
         };
         let evicted = eviction::next_to_evict(idle.iter().map(|(id, entry)| (*id, candidate(entry))));
-        evicted.and_then(|id| idle.remove(&id)).is_some()
+        let entry = evicted.and_then(|id| idle.remove(&id));
+        entry.map(|entry| entry.evict.send(CloseRequest::Evicted)).is_some()
     }
 
     /// Closes idle connections while this worker holds more than it may because another process of this sidecar has
@@ -288,52 +296,62 @@
         self.request_ids.insert(id).then(|| OpenRequestId { shared: self, id: id.to_string() })
     }
 
-    /// Registers a connection as idle until the returned guard is dropped. The guard reports when the connection should
-    /// be closed.
-    pub fn enter_idle(&self, source: IpAddr, answered_before: bool) -> IdleGuard<'_> {
-        let id = self.next_idle_id.replace(IdleId(self.next_idle_id.get().0 + 1));
-        let (sender, close) = oneshot::oneshot();
-        if !self.closing.get() {
-            let entry = IdleEntry {
-                source,
-                answered_before,
-                since: Instant::now(),
-                request_started: false,
-                _close: sender,
-            };
-            self.idle.borrow_mut().insert(id, entry);
-            self.notify_waiting();
+    /// Registers a connection without an open request as idle, until the returned guard is dropped. The guard reports
+    /// when the connection should be closed.
+    pub fn enter_idle(
+        &self, source: IpAddr, answered_before: bool, progress: SendingProgress,
+    ) -> IdleGuard<'_> {
+        match self.closing.get() {
+            true => IdleGuard { shared: self, id: self.next_idle_id(), close: oneshot::oneshot().1 },
+            false => self.enter_sending(source, answered_before, progress),
         }
+    }
+
+    /// Registers a connection as one that gives way to those that wait to be accepted, also while the process stops:
+    /// its client is still sending a request, or may do so.
+    pub fn enter_sending(
+        &self, source: IpAddr, answered_before: bool, progress: SendingProgress,
+    ) -> IdleGuard<'_> {
+        let (id, (evict, close)) = (self.next_idle_id(), oneshot::oneshot());
+        self.idle.borrow_mut().insert(id, IdleEntry { source, answered_before, progress, evict });
+        self.notify_waiting();
         IdleGuard { shared: self, id, close }
     }
+
+    fn next_idle_id(&self) -> IdleId {
+        self.next_idle_id.replace(IdleId(self.next_idle_id.get().0 + 1))
+    }
 }
 
-/// Keeps a connection registered as idle. Dropped when it has a request.
+/// Keeps a connection registered as idle. Dropped when it has a whole request.
 pub struct IdleGuard<'a> {
     shared: &'a Connections,
     id: IdleId,
-    close: oneshot::Receiver<()>,
+    close: oneshot::Receiver<CloseRequest>,
 }
 
 impl IdleGuard<'_> {
-    /// Records that bytes of a request have come.
-    pub fn bytes_received(&self) {
+    /// Records that bytes have come.
+    pub fn bytes_received(&self, progress: SendingProgress) {
         if let Some(entry) = self.shared.idle.borrow_mut().get_mut(&self.id) {
-            (entry.request_started, entry.since) = (true, Instant::now());
+            entry.progress = progress;
         }
         // A new connection that was silent until now may have protected others from eviction.
         self.shared.notify_waiting();
     }
 
     /// Waits until the connection should be closed.
-    pub async fn close_requested(&self) {
-        let _ = (&self.close).await;
+    pub async fn close_requested(&self) -> CloseRequest {
+        (&self.close).await.unwrap_or(CloseRequest::ShuttingDown)
     }
 }
 
 impl Drop for IdleGuard<'_> {
     fn drop(&mut self) {
-        self.shared.idle.borrow_mut().remove(&self.id);
-        self.shared.notify_waiting();
+        // An evicted connection has not freed its slot yet: waking the acceptor would evict another one for the same
+        // client.
+        if self.shared.idle.borrow_mut().remove(&self.id).is_some() {
+            self.shared.notify_waiting();
+        }
     }
 }
--- a/sidecar/src/reactor/mod.rs
+++ b/sidecar/src/reactor/mod.rs
@@ -5,6 +5,7 @@
 mod poll;
 mod readiness;
 mod socket;
+mod socket_memory;
 mod tcp_info;
 #[cfg(test)]
 mod tests;
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -1,7 +1,7 @@
 //! The sockets of a thread.
 use super::poll::{Reactor, MAX_EVENT_AGE};
 use super::readiness::Source;
-use super::tcp_info;
+use super::{socket_memory, tcp_info};
 use futures_lite::{AsyncRead, AsyncWrite};
 use rustix::event::{epoll, poll, PollFd, PollFlags, Timespec};
 use rustix::fd::AsFd;
@@ -157,9 +157,28 @@
         if unread < least {
             return None;
         }
+        self.silent_since()
+    }
+
+    /// When the last bytes came, read or not, or else the connection itself. None if the kernel does not tell.
+    fn silent_since(&self) -> Option<Instant> {
         Instant::now().checked_sub(tcp_info::time_since_last_bytes(&self.inner)?)
     }
 
+    /// Whether bytes have come that are not read yet. Asks the kernel, which may know more than the reactor.
+    pub fn has_unread_bytes(&self) -> bool {
+        rustix::io::ioctl_fionread(&self.inner).is_ok_and(|unread| unread > 0)
+    }
+
+    /// Since when the peer has sent nothing although it could. None if it may have to wait until bytes are read here, or
+    /// if the kernel does not tell.
+    pub fn stalled_since(&self) -> Option<Instant> {
+        match socket_memory::receive_buffer_is_full(&self.inner) {
+            Some(false) => self.silent_since(),
+            Some(true) | None => None,
+        }
+    }
+
     /// Whether the peer's machine has all that was written, and nothing is unread here.
     pub fn is_drained(&self) -> bool {
         !self.is_readable() && tcp_info::all_acknowledged(&self.inner)
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -56,7 +56,8 @@
 //!   connection of OTHER. `send-concurrently COUNT WORKLOAD TIMEOUT` sends several without waiting for answers, with
 //!   the ids `concurrent-0` and so on.
 //! - `send-raw ID BYTES` opens a connection and sends bytes; `send-more ID BYTES` sends more on it. In BYTES, `\r` and
-//!   `\n` are control characters, `_` is a space and `*N` is N times an `x`.
+//!   `\n` are control characters, `_` is a space and `*N` is N times an `x`. In those of `open-connections`, `@` is the
+//!   number of the connection.
 //! - `upload ID WORKLOAD TIMEOUT BYTES whole|chunked|slow|truncated` sends a request with a body of so many bytes: as
 //!   fast as it is read, the same in chunks, at 200 kB a second, or closing the connection in the middle.
 //! - `close ID` closes the connection. `expect-closed ID` waits until the program has closed it without sending more.
@@ -1262,9 +1263,12 @@
     }
 
     fn open_connections(&mut self, count: &str, bytes: &str) {
-        for _ in 0..count.parse().expect("a whole number") {
+        for number in 0..count.parse::<usize>().expect("a whole number") {
             let mut stream = self.connect();
-            stream.write_all(decode_bytes(bytes).as_bytes()).expect("the bytes are sent");
+            let bytes = decode_bytes(bytes).replace('@', &number.to_string());
+            // What does not fit into the buffers stays unsent: the connection's client is one that stops half way.
+            stream.set_nonblocking(true).expect("a nonblocking socket");
+            let _ = stream.write(bytes.as_bytes()).expect("the bytes are sent");
             self.idle_connections.push(stream);
         }
     }
