Shutdown: what waits to be accepted is taken in within the limits

Cause: Acceptor::accept_backlog took in the whole accept queue at once when the program stops accepting, each connection with a slot beyond the limit (LimitShare::acquire_over_limit), since whole requests may wait there.

Mend: the queue is emptied within the limit. Beside it: while two processes share the limit, idle connections are closed only as far as they are too many; by reading, all were.

--- a/sidecar/src/http1/acceptor.rs
+++ b/sidecar/src/http1/acceptor.rs
@@ -11,7 +11,7 @@
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest pause after an accept that failed for a shortage of resources.
 const MAX_PAUSE: Duration = Duration::from_millis(50);
@@ -99,6 +99,11 @@
         }
         // If the listener can't be polled, the accept that follows tells why.
         let _ = listener.readable().await;
+        self.make_room().await
+    }
+
+    /// Waits until one more connection may be open, and closes idle connections to make that possible.
+    async fn make_room(&self) -> Slot {
         loop {
             if let Some(slot) = self.connections.try_slot() {
                 return slot;
@@ -127,23 +132,48 @@
         }
     }
 
-    /// Accepts the connections that wait in the kernel's queue: their clients may have written requests.
-    pub fn accept_backlog(self: &Rc<Self>, listener: &Async<TcpListener>) {
-        let mut failures = 0;
-        loop {
+    /// Accepts the connections that wait in the kernel's queue when the program stops accepting, since their clients may
+    /// have written requests. The limit on connections holds meanwhile: clients without a whole request give way. Ends
+    /// when no connection waits any more, or at `until`.
+    pub async fn accept_backlog(&self, listener: &Async<TcpListener>, until: Instant) {
+        let accepted = async {
+            self.accept_waiting(listener).await;
+            true
+        };
+        let timeout = async {
+            Timer::at(until).await;
+            false
+        };
+        if !future::or(accepted, timeout).await {
+            warn!(
+                self.log,
+                "connections in the queue are not accepted, {} open",
+                self.connections.open_count()
+            );
+        }
+    }
+
+    /// Accepts connections until none waits.
+    async fn accept_waiting(&self, listener: &Async<TcpListener>) {
+        let mut failures = Failures::default();
+        while listener.connection_waits() {
+            let slot = self.make_room().await;
             match listener.get_ref().accept() {
                 Ok((stream, _)) => {
+                    failures = Failures::default();
                     if let Ok(stream) = Async::from_stream(stream) {
-                        self.serve(stream, self.connections.slot_over_limit());
+                        self.serve(stream, slot);
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 // One connection failed, or a shortage may be over in a moment: the others are still to be accepted.
-                Err(error) if failures < MAX_FAILURES_WITHOUT_PAUSE => {
+                Err(error) => {
+                    drop(slot);
+                    let failure = accept_failure(&error);
+                    failures.count(failure);
                     self.connections.monitor.system_error(SystemCall::Accept, &error);
-                    failures += 1;
+                    self.recover(failure, failures).await;
                 }
-                Err(error) => return warn!(self.log, "connections in the queue are not accepted: {}", error),
             }
         }
     }
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -202,11 +202,6 @@
         slot
     }
 
-    /// Takes a slot for a connection that is open already and can't be refused.
-    pub fn slot_over_limit(&self) -> Slot {
-        self.limit.acquire_over_limit()
-    }
-
     /// Waits until there may be a slot.
     pub async fn slot_freed(&self) {
         let _ = self.slot_freed.1.recv().await;
@@ -275,8 +270,8 @@
     /// Closes idle connections while this worker holds more than it may because another process of this sidecar has
     /// half of the limit.
     pub fn close_excess_idle(&self) {
-        let idle_count = self.idle.borrow().len();
-        (0..idle_count).take_while(|_| self.limit.exceeds_half()).for_each(|_| _ = self.evict_idle());
+        // Slots are freed later, by the connections' tasks.
+        (0..self.limit.excess_over_half()).take_while(|_| self.evict_idle()).count();
     }
 
     /// Whether new connections wait for a slot.
--- a/sidecar/src/lifecycle/mod.rs
+++ b/sidecar/src/lifecycle/mod.rs
@@ -223,7 +223,10 @@
                     })
                     .await
             }
-            Action::StopAccepting => self.commands.send_and_wait(WorkerCommand::StopAccepting).await,
+            Action::StopAccepting => {
+                let until = self.shutdown.map_or_else(Instant::now, |shutdown| shutdown.accepting_ends_at());
+                self.commands.send_and_wait(|done| WorkerCommand::StopAccepting(until, done)).await
+            }
             Action::Reload => self.reload(reload_config(&self.keys)).await,
             Action::Nothing => {}
         }
--- a/sidecar/src/lifecycle/shutdown.rs
+++ b/sidecar/src/lifecycle/shutdown.rs
@@ -67,12 +67,17 @@
         self.signal_sent_at + self.grace - LAST_ANSWER_MARGIN
     }
 
+    /// Until when clients that wait to be accepted are taken in.
+    pub fn accepting_ends_at(&self) -> Instant {
+        self.last_answer_at() - LAST_REQUEST_TIME
+    }
+
     /// Until when clients are served.
     pub fn serving_ends_at(&self, has_successor: bool) -> Instant {
         let share = if has_successor { SERVING_SHARE_WITH_SUCCESSOR } else { SERVING_SHARE };
         let planned = self.signal_sent_at + UNREADY_NOTICE.max(self.grace.mul_f64(share));
         // A signal that was noticed late leaves less than the usual time to those who route clients here.
         let noticed_by_clients = self.noticed_at + UNREADY_NOTICE;
-        planned.max(noticed_by_clients.min(self.last_answer_at() - LAST_REQUEST_TIME))
+        planned.max(noticed_by_clients.min(self.accepting_ends_at()))
     }
 }
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -79,6 +79,11 @@
         poll_fn(|context| self.source.reads.poll(context, || connection_waits(&self.inner))).await
     }
 
+    /// Whether a connection can be accepted at once. False if the listener can't be polled.
+    pub fn connection_waits(&self) -> bool {
+        connection_waits(&self.inner).is_ok()
+    }
+
     /// Waits for the next connection.
     pub async fn accept(&self) -> Result<(Async<TcpStream>, SocketAddr)> {
         let (stream, peer) =
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -35,6 +35,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
+use std::time::Instant;
 
 /// Commands that may be queued for a worker.
 const MAX_QUEUED_COMMANDS: usize = 64;
@@ -64,8 +65,9 @@
     Handover(Micros),
     /// Report not ready at `/ready`, and answer every request by this time.
     ReportNotReady(Micros),
-    /// Stop accepting, and close each connection after its next answer.
-    StopAccepting(Sender<()>),
+    /// Stop accepting once no connection waits in the kernel's queue, or at this time, and close each connection after its
+    /// next answer.
+    StopAccepting(Instant, Sender<()>),
 }
 
 /// Whether another process of this sidecar runs beside this one.
@@ -474,17 +476,20 @@
                 answer_deadline.set(deadline);
                 dispatcher.send(DispatcherMessage::SetAnswerDeadline(deadline)).await;
             }
-            WorkerCommand::StopAccepting(done) => {
+            WorkerCommand::StopAccepting(until, done) => {
                 if let Some(accepting) = accepting.take() {
                     accepting.cancel().await;
                 }
                 connections.close();
-                // The listener is dropped right after: while open, the kernel would go on accepting connections
-                // that are never served.
                 if let Some(listener) = listener.take().filter(|_| !setup.listener_passed) {
-                    acceptor.accept_backlog(&listener);
+                    let acceptor = acceptor.clone();
+                    tasks.spawn_detached(async move {
+                        acceptor.accept_backlog(&listener, until).await;
+                        // At once: while it is open, the kernel goes on accepting connections that are never served.
+                        drop(listener);
+                        drop(done);
+                    });
                 }
-                drop(done);
             }
         }
     }
