Long requests are answered by their own time, whatever their server takes

Cause: the time of a long request counts from its last byte, which comes while it is passed on.

Mend: the client's task watches the time, from when the last byte came or, where that can't be told without reading, from when the last bytes came that may include it. Then the module is told (Event::TimeOver) and words the answer. A body that can't have been written whole is passed on as before. The answer's own wait counts from the last byte too.

--- a/sidecar/src/dispatcher.rs
+++ b/sidecar/src/dispatcher.rs
@@ -114,6 +114,8 @@
     NewRequest(NewRequest<P>),
     /// The client of a request has gone.
     Withdrawn(CallId),
+    /// The time of a request is over, earlier than its arrival told.
+    TimeOver(CallId),
     /// An attempt has ended.
     AttemptEnded { request: CallId, attempt: HopNo, end: AttemptEnd<P::Answer> },
     /// A list from discovery, or the failure to get one.
@@ -391,6 +393,15 @@
                     self.remove_if_finished(request);
                 }
             }
+            DispatcherMessage::TimeOver(request) => {
+                let now = self.handle.clock.now();
+                let open = self.requests.get_mut(&request).filter(|state| state.reply_to.is_some());
+                let Some(state) = open else { return };
+                state.deadline = state.deadline.min(now);
+                self.handle_event(Event::TimeOver { call: request });
+                self.time_out_attempts(request);
+                self.report_pending_ends();
+            }
             DispatcherMessage::AttemptEnded {
                 request,
                 attempt,
@@ -451,11 +462,7 @@
                 // Running attempts may have been started with a later deadline, so they are ended here.
                 let open = self.requests.iter().filter(|(_, request)| request.reply_to.is_some());
                 let open: Vec<CallId> = open.map(|(id, _)| *id).collect();
-                for id in open {
-                    self.end_attempts(id, |fully_sent| {
-                        Some(if fully_sent { Outcome::TimedOut } else { Outcome::NoConnection })
-                    });
-                }
+                open.into_iter().for_each(|id| self.time_out_attempts(id));
                 self.report_pending_ends();
             }
             DispatcherMessage::ApplySettings(config, restrictions, applied) => {
@@ -589,6 +596,13 @@
         }
     }
 
+    /// Ends the running attempts of a request whose time is over.
+    fn time_out_attempts(&mut self, request: CallId) {
+        self.end_attempts(request, |fully_sent| {
+            Some(if fully_sent { Outcome::TimedOut } else { Outcome::NoConnection })
+        });
+    }
+
     /// Executes the actions that the module has returned, in order.
     fn execute_actions(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -63,7 +63,8 @@
             None => bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
         }
         let chunked = rest.length().is_none();
-        let unread = rest.length().map(|length| length.saturating_sub(buffered.len()) as u64);
+        let received = buffered.len() + rest.surplus().len();
+        let unread = rest.length().map(|length| length.saturating_sub(received) as u64);
         let body = if chunked { encode_chunk(&buffered) } else { buffered };
         let (stream, writer) = BodyStream::new(unread, answer_timeout, client);
         let client_end = client.peer_end();
@@ -198,7 +199,7 @@
         answer.map_or_else(without_answer, |answer| classify(answer, reads_load_reports))
     };
     let timed_out = async {
-        // The time of a streamed request counts from its last byte, which this attempt passes on.
+        // The time of a streamed request counts from its last byte. The client's task tells when it is over.
         if request.stream.is_some() {
             return future::pending().await;
         }
@@ -270,7 +271,7 @@
         let early_answer = async { read_answer(&connection, &mut parser, future::pending()).await.map(Some) };
         // If the endpoint answers before it has the whole request, the rest of the request is not sent.
         match future::or(sent, early_answer).await {
-            Ok(None) => answer_timer = Some(Timer::after(stream.answer_timeout())),
+            Ok(None) => answer_timer = Some(Timer::at(stream.answer_deadline())),
             Ok(Some(incoming)) => return Ok(endpoint_answer(incoming, pool, address, connection, false)),
             Err(_) => return Err(Outcome::NoConnection),
         }
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -11,6 +11,7 @@
 use crate::eviction::SendingProgress;
 use crate::monitor::{Accepted, OpenRequest};
 use crate::reactor::{Async, Timer};
+use crate::timers::duration;
 use futures_lite::future;
 use oakhollow::types::*;
 use oakhollow_config::WorkloadSettings;
@@ -102,8 +103,8 @@
     /// A connection that was just accepted.
     pub fn new(guard: &ConnectionGuard, stream: Async<TcpStream>) -> ClientConnection<'_> {
         let now = Instant::now();
-        let stalled_since = if stream.has_unread_bytes() { None } else { stream.stalled_since() };
-        let progress = SendingProgress::new(stalled_since.unwrap_or(now), now);
+        let silent_since = if stream.unread_bytes() > 0 { None } else { stream.silent_since() };
+        let progress = SendingProgress::new(silent_since.unwrap_or(now), now);
         ClientConnection {
             guard,
             shared: &guard.shared,
@@ -226,7 +227,7 @@
                 }
                 Received::Bytes(None) => return NextRequest::Closed(CloseReason::ClientClosed),
                 // A request may have come that this thread has not been told of yet.
-                Received::CloseRequest(CloseRequest::Evicted) if self.stream.has_unread_bytes() => {
+                Received::CloseRequest(CloseRequest::Evicted) if self.stream.unread_bytes() > 0 => {
                     self.progress.reading_resumed(None, Instant::now());
                     idle = shared.enter_sending(self.guard.source, !self.is_new, self.progress);
                 }
@@ -311,9 +312,6 @@
         let (shared, received) = (self.shared, buffered.len());
         // A streamed body cannot be sent twice, whatever its workload allows, and its time counts from its last byte.
         (params.workload, identity.repeat_safety) = (streamed_workload, RepeatSafety::Unsafe);
-        let max_body_time = body_time(rest.length().unwrap_or(MAX_BODY_BYTES));
-        params.deadline =
-            (params.deadline + Micros(max_body_time.as_micros() as u64)).min(shared.answer_deadline());
         let _registered_id = shared
             .register_request_id(&identity.id)
             .ok_or(HttpError { status: 409, message: "this Request-Id is open" })?;
@@ -322,9 +320,19 @@
         if self.stream.has_ended() {
             return Ok(None);
         }
+        let body = writer.progress();
+        let max_body_time = body_time(rest.length().unwrap_or(MAX_BODY_BYTES));
+        let last_byte_by = body.last_byte_at().unwrap_or_else(|| Instant::now() + max_body_time);
+        params.deadline =
+            (shared.dispatcher.clock.micros_at(last_byte_by) + client_timeout).min(shared.answer_deadline());
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
-        let answered = async { Ok((&outcome).await) };
+        let time_over = async {
+            body.time_over(duration(client_timeout)).await;
+            shared.dispatcher.send(DispatcherMessage::TimeOver(open.request())).await;
+            future::pending().await
+        };
+        let answered = async { Ok(future::or(&outcome, time_over).await) };
         let mut uploading = UploadingClient {
             shared,
             source: self.guard.source,
@@ -486,7 +494,7 @@
         let timeout = async { _ = Timer::after(CLOSE_TIMEOUT).await };
         let slot_needed = async {
             let may_close = || match self.evicted {
-                true => !self.stream.has_unread_bytes(),
+                true => self.stream.unread_bytes() == 0,
                 false => self.stream.is_drained(),
             };
             while !(self.shared.slot_awaited() && may_close()) {
--- a/sidecar/src/http1/upload.rs
+++ b/sidecar/src/http1/upload.rs
@@ -21,15 +21,19 @@
 pub const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The slowest rate at which a client may send a body. The platform promises 64 kB/s.
 const MIN_BODY_BYTES_PER_S: f64 = 48_000.0;
+/// How much of a body a client's machine may hold that has been written and not sent: the kernel's usual limit.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 * 1024 * 1024;
 /// How far apart two readings of the same time may be that the kernel tells.
 const KERNEL_TIME_RESOLUTION: Duration = Duration::from_millis(10);
 /// How many bytes that a client sends ahead are read while its request is open.
 pub const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// How much of a streamed request's body has come.
-struct BodyProgress {
-    /// When its last byte came; none before that.
+pub struct BodyProgress {
+    /// When its last byte came, if that has been read.
     last_byte_at: Cell<Option<Instant>>,
+    /// All of it has been handed to the attempt.
+    handed_over: Cell<bool>,
     /// How many bytes have not been read; none if the request does not state the length of its body.
     unread: Cell<Option<u64>>,
     /// Whether an attempt passes it on, or has done so.
@@ -39,8 +43,46 @@
 }
 
 impl BodyProgress {
+    /// Waits until the time of the request is over, which counts from when its last byte was written. Never ends if that
+    /// byte does not come.
+    pub async fn time_over(&self, timeout: Duration) {
+        loop {
+            let now = Instant::now();
+            let over_at = match self.last_byte_written_at().map(|written_at| written_at + timeout) {
+                Some(over_at) if over_at <= now => return,
+                Some(over_at) => over_at,
+                // If the last byte comes later than now, all of its time is left.
+                None => now + timeout,
+            };
+            Timer::at(over_at.max(now + KERNEL_TIME_RESOLUTION)).await;
+        }
+    }
+
+    /// When the client may have written the last byte at the latest, as far as can be told without reading more. The rest of
+    /// the body may wait in the client's machine while nothing is read here, and a body that does not state its length
+    /// may end with any byte that is unread.
+    fn last_byte_written_at(&self) -> Option<Instant> {
+        let waits_for_reader = || {
+            let client = self.client.upgrade()?;
+            let may_be_written = match self.unread.get() {
+                Some(unread) => {
+                    let not_here = unread.saturating_sub(client.unread_bytes());
+                    not_here <= MAX_SEND_BUFFER_BYTES && client.peer_waits_for_reader()
+                }
+                None => client.unread_bytes() > 0,
+            };
+            client.silent_since().filter(|_| may_be_written)
+        };
+        self.last_byte_at().or_else(waits_for_reader)
+    }
+
+    /// Records that so many bytes were read from the client's connection.
+    fn bytes_read(&self, count: u64) {
+        self.unread.set(self.unread.get().map(|unread| unread.saturating_sub(count)));
+    }
+
     /// When the last byte came. It may wait unread in the client's connection, behind bytes that no attempt has taken.
-    fn last_byte_at(&self) -> Option<Instant> {
+    pub fn last_byte_at(&self) -> Option<Instant> {
         let waits_unread = || self.client.upgrade()?.unread_bytes_came_at(self.unread.get()?);
         self.last_byte_at.get().or_else(waits_unread)
     }
@@ -50,7 +92,7 @@
     fn stalled_since(&self, unread_since: Instant) -> Option<Instant> {
         let client = self.client.upgrade()?;
         let may_be_whole =
-            self.last_byte_at().is_some() || (self.unread.get().is_none() && client.has_unread_bytes());
+            self.last_byte_at().is_some() || (self.unread.get().is_none() && client.unread_bytes() > 0);
         // While no attempt has begun, a client that has filled the buffers may be one that stops half way.
         let without_attempt = || Some(unread_since).filter(|_| !self.taken.get());
         Some(client).filter(|_| !may_be_whole)?.stalled_since().or_else(without_attempt)
@@ -73,6 +115,7 @@
     ) -> (BodyStream, BodyStreamWriter) {
         let progress = Rc::new(BodyProgress {
             last_byte_at: Cell::new(None),
+            handed_over: Cell::new(false),
             unread: Cell::new(unread),
             taken: Cell::new(false),
             client: Rc::downgrade(client),
@@ -89,15 +132,14 @@
         self.parts.borrow().is_none()
     }
 
-    /// How long the answer may take after the last byte of the request.
-    pub fn answer_timeout(&self) -> Duration {
-        duration(self.answer_timeout)
+    /// When the answer is due, if the last byte of the request has come by now.
+    pub fn answer_deadline(&self) -> Instant {
+        self.progress.last_byte_at().unwrap_or_else(Instant::now) + duration(self.answer_timeout)
     }
 
     /// The time left at `now`, which counts from the last byte of the request.
     pub fn time_left(&self, now: Instant) -> Duration {
-        let elapsed = self.progress.last_byte_at().map(|at| now.saturating_duration_since(at));
-        self.answer_timeout().saturating_sub(elapsed.unwrap_or_default())
+        self.answer_deadline().saturating_duration_since(now).min(duration(self.answer_timeout))
     }
 
     /// Passes on the rest of a streamed request as the client sends it.
@@ -109,7 +151,7 @@
             let part = if self.chunked { encode_chunk(&part) } else { part };
             connection.write_more(&part).await.map_err(failed)?;
         }
-        if self.progress.last_byte_at.get().is_none() {
+        if !self.progress.handed_over.get() {
             return Err(Outcome::NoConnection);
         }
         if self.chunked {
@@ -127,20 +169,23 @@
 
 impl BodyStreamWriter {
     /// Waits until the attempt can take another part. Returns false if no attempt reads the body any more.
-    pub async fn write(&self, part: Vec<u8>) -> bool {
-        let unread = self.progress.unread.get().map(|unread| unread.saturating_sub(part.len() as u64));
-        self.progress.unread.set(unread);
+    async fn write(&self, part: Vec<u8>) -> bool {
         match &self.parts {
             Some(parts) => parts.send(part).await.is_ok(),
             None => false,
         }
     }
 
-    /// Marks the body as complete, with its last byte come at that time.
-    pub fn finish(&mut self, last_byte_at: Instant) {
-        self.progress.last_byte_at.set(Some(last_byte_at));
+    /// Tells the attempt that it has been handed the whole body.
+    fn finish(&mut self) {
+        self.progress.handed_over.set(true);
         self.parts = None;
     }
+
+    /// How much of the body has come.
+    pub fn progress(&self) -> Rc<BodyProgress> {
+        self.progress.clone()
+    }
 }
 
 /// How long a client may take to send this many bytes of a body: a third longer than at the rate that the platform
@@ -191,6 +236,9 @@
                 return error;
             }
             received += part.len();
+            if rest.is_complete() {
+                writer.progress.last_byte_at.set(Some(self.stream.last_bytes_came_at()));
+            }
             let mut step = UploadStep::Progress;
             if !part.is_empty() {
                 step = self.pass_on(&writer, part).await;
@@ -201,7 +249,7 @@
             if matches!(step, UploadStep::Progress) {
                 let read_started = Instant::now();
                 let time_left = (REQUEST_READ_TIMEOUT + body_time(received)).saturating_sub(waited);
-                step = self.read_more(rest, time_left).await;
+                step = self.read_more(rest, time_left, &writer.progress).await;
                 waited += read_started.elapsed();
             }
             match step {
@@ -214,7 +262,7 @@
                 }
             }
         }
-        writer.finish(self.stream.last_bytes_came_at());
+        writer.finish();
         while rest.surplus().len() <= MAX_READ_AHEAD_BYTES && read(self.stream, rest.buffer()).await.is_some()
         {
         }
@@ -243,10 +291,15 @@
     }
 
     /// Reads more of the body.
-    async fn read_more(&mut self, rest: &mut BodyReader, time_left: Duration) -> UploadStep {
+    async fn read_more(
+        &mut self, rest: &mut BodyReader, time_left: Duration, body: &BodyProgress,
+    ) -> UploadStep {
         let read = async {
             match read(self.stream, rest.buffer()).await {
-                Some(_) => UploadStep::Progress,
+                Some(count) => {
+                    body.bytes_read(count as u64);
+                    UploadStep::Progress
+                }
                 None => UploadStep::RequestOver,
             }
         };
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -166,13 +166,19 @@
     }
 
     /// When the last bytes came, read or not, or else the connection itself. None if the kernel does not tell.
-    fn silent_since(&self) -> Option<Instant> {
+    pub fn silent_since(&self) -> Option<Instant> {
         Instant::now().checked_sub(tcp_info::time_since_last_bytes(&self.inner)?)
     }
 
-    /// Whether bytes have come that are not read yet. Asks the kernel, which may know more than the reactor.
-    pub fn has_unread_bytes(&self) -> bool {
-        rustix::io::ioctl_fionread(&self.inner).is_ok_and(|unread| unread > 0)
+    /// How many bytes have come that are not read yet. Asks the kernel, which may know more than the reactor; none if it
+    /// does not tell.
+    pub fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(&self.inner).unwrap_or(0)
+    }
+
+    /// Whether unread bytes may keep the peer from sending more. False if the kernel does not tell.
+    pub fn peer_waits_for_reader(&self) -> bool {
+        socket_memory::receive_buffer_is_full(&self.inner).unwrap_or(false)
     }
 
     /// Since when the peer has sent nothing although it could. None if it may have to wait until bytes are read here, or
--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -29,6 +29,7 @@
 //!     the connection in the middle of the body), `stall-body` (stops in the middle, connection left open)
 //!   - Malformed: `conflicting-lengths` (two lengths that differ), `not-http`, `interim-only` (102 answers, no final
 //!     one)
+//!   - Unread: `reads-nothing` (takes connections, and reads from them once the mode changes)
 //!   - Unanswered: `silent` (never answers), `hold` (waits until the mode changes, then does what the new mode says)
 //!   - Not accepting: `not-listening`; `full-backlog` (the accept queue is full: connection attempts stay unanswered
 //!     until `accept-connections`); `address-of:OTHER` (a further name for the address of server OTHER)
@@ -297,7 +298,11 @@
 fn serve(mut stream: TcpStream, server_state: &Mutex<ServerState>) {
     // Otherwise the kernel holds a second answer back until the first one is acknowledged.
     let _ = stream.set_nodelay(true);
-    while let Some((request_head, request_body)) = read_message(&mut stream) {
+    loop {
+        while server_state.lock().expect("server state").mode == "reads-nothing" {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let Some((request_head, request_body)) = read_message(&mut stream) else { break };
         let (mode, answer_body) = {
             let mut state = server_state.lock().expect("server state");
             state.requests += 1;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -221,6 +221,7 @@
             }
             Event::HopEnded(result) => self.hop_ended(result, out),
             Event::CallWithdrawn { call } => self.advance(call, Withdrawn, out),
+            Event::TimeOver { call } => self.time_over(call, out),
             Event::PeerReported { server, slowdown } => self.set_slowdown(server, slowdown),
             Event::ConfigChanged(config) => return self.config_changed(config),
             Event::ShutdownBegun(answer_by) => self.shutdown_begun(answer_by, out),
@@ -281,6 +282,15 @@
 
     // ---- API calls ----
 
+    /// Refuses a call that is queued, and keeps one that is not from being queued or sent again.
+    fn time_over(&mut self, id: CallId, out: &mut Vec<Action>) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            (call.deadline, call.queue_deadline) =
+                (call.deadline.min(self.now), call.queue_deadline.min(self.now));
+        }
+        self.advance(id, Rejected, out);
+    }
+
     fn call_arrived(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
         let Arrival {
             call: id,
--- a/src/types.rs
+++ b/src/types.rs
@@ -293,6 +293,10 @@
     CallWithdrawn {
         call: CallId,
     },
+    /// The time of a call is over, earlier than its arrival told. It must have its answer now; its open hops are ended.
+    TimeOver {
+        call: CallId,
+    },
     TimerFired(TimerToken),
     /// Another balancer reported a server's slowdown: latency relative to that of the idle server.
     PeerReported {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -338,6 +338,9 @@
                 self.deliver(Event::CallWithdrawn { call: CallId(id.parse().expect("an id")) })
             }
             ["wait", time] => self.advance_to(self.now + duration(time)),
+            ["time_over", call] => {
+                self.deliver(Event::TimeOver { call: CallId(call.parse().expect("a call")) })
+            }
             ["shutdown", time] => self.deliver(Event::ShutdownBegun(self.now + duration(time))),
             ["traffic", count, workload, interval, latency] => {
                 let mix = self.mix(workload, latency);
