Scenarios: `pause` waits until all threads of the program are stopped

Cause: the signal that stops the process takes a moment to reach each thread, and a request sent in it is read and passed on before its client closes, as it should be. The check is unchanged, and its message has the last request.

--- a/sidecar/tests/sockets.rs
+++ b/sidecar/tests/sockets.rs
@@ -697,6 +697,18 @@
         assert!(status.expect("the shell runs kill").success());
     }
 
+    /// Whether a signal has stopped all threads of the program. That takes a moment after the signal, in which a thread
+    /// may still read a request.
+    fn is_stopped(&self) -> bool {
+        let pid = self.program.as_ref().expect("the program is started").0.id();
+        let threads = std::fs::read_dir(format!("/proc/{pid}/task")).expect("the program's threads");
+        let is_stopped = |thread: std::fs::DirEntry| {
+            let status = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            status.rsplit(") ").next().is_some_and(|fields| fields.starts_with('T'))
+        };
+        threads.flatten().all(is_stopped)
+    }
+
     fn start_sidecar(&mut self, options: &[&str]) {
         if options.contains(&"passed-socket") {
             self.passed_listener.get_or_insert_with(|| listen().0);
@@ -850,7 +862,8 @@
     fn expect_count(&self, name: &str, expected: &str, count: impl Fn(&ServerState) -> usize) {
         let (server, expected) = (self.find_server(name), expected.parse::<usize>().expect("a whole number"));
         wait_until("the count is reached", || count(&server.state.lock().expect("server state")) >= expected);
-        assert_eq!(count(&server.state.lock().expect("server state")), expected);
+        let state = server.state.lock().expect("server state");
+        assert_eq!(count(&state), expected, "the last request there: {}", state.last_request);
     }
 
     /// Waits for a count, which must be reached within a second: once the request's time limit ends it would be
@@ -1012,7 +1025,10 @@
                     "announced {announced:?}, {elapsed:?} after the timer was started with {timeout:?} left"
                 );
             }
-            ["pause"] => self.signal("STOP"),
+            ["pause"] => {
+                self.signal("STOP");
+                wait_until("all threads are stopped", || self.is_stopped());
+            }
             ["resume"] => self.signal("CONT"),
             ["expect-no-log", ..] => {
                 let (text, log) =
