Review: what the five cases share stands once in common-2.rs

The start of a small deployment (discovery, servers, settings, one sidecar) stood in each case. What is judged is the same.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -32,30 +32,10 @@
             start_server(move |stream| serve(stream, server, &record, &begun, &whole))
         })
         .collect();
-    let entry = |(index, address): (usize, &SocketAddr)| Entry {
-        name: format!("s-{index}"),
-        address: *address,
-        group: 0,
-        status: "active",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = servers.iter().enumerate().map(entry).collect();
-    let discovery = Discovery::start(&record, &entries, Box::new(|_| true));
-    let listen = free_address();
-    let config = format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},
-        "settings":{{"me":0,"balancers":1,
-        "bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.2,"idle_close_s":60.0,"retry_after":true,"max_retry_after_s":2.0}},
-        "discovery":"on_request","rules":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_from":0.3,"fall_multiple":3.0,"fall_s":1.5,"stop_sending_within_s":1.5,"warm_within_s":8.3}},
-        "stages":["portal"],"tier":0,"zone":0,"zones":["a"],
-        "workloads":[{{"name":"view","semantics":"read_like","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0}},
-        {{"name":"book","semantics":"non_idempotent","quoted_time_s":2.5,"abandon_time_s":6.0,"payoff":8.0}}]}}}}"#,
-        discovery.address,
-        list_json(100, true, &entries)
-    );
-    let mut sidecar = Sidecar::start(&folder, "n0", listen, discovery.address, &config);
-    sidecar.wait_ready(ms(10_000));
+    let workloads = r#"[{"name":"view","semantics":"read_like","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0},
+        {"name":"book","semantics":"non_idempotent","quoted_time_s":2.5,"abandon_time_s":6.0,"payoff":8.0}]"#;
+    let sidecar = start_deployment(&record, &folder, &servers, &Setup::with_workloads(workloads));
+    let listen = sidecar.listen;
     let (over, answered) = (flag(false), Arc::new(AtomicU64::new(0)));
     let usual: Vec<_> = (0..USUAL_CLIENTS)
         .map(|client| {
@@ -88,7 +68,9 @@
     for upload in 0..UPLOADS {
         sleep(ms(600));
         let id = format!("b{upload:015x}");
-        let Ok(mut stream) = TcpStream::connect(listen) else { could_not_run("no connection to the sidecar") };
+        let Ok(mut stream) = TcpStream::connect(listen) else {
+            could_not_run("no connection to the sidecar")
+        };
         let _ = stream.set_read_timeout(Some(ms(7_000)));
         let head = format!(
             "POST /book HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {id}\r\nRequest-Class: book\r\nRequest-Timeout-Ms: 6000\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
@@ -132,10 +114,13 @@
         let after = |at: &Instant| at.saturating_duration_since(*closed_at);
         let Some(begun_after) = begun.get(id).map(after) else { continue };
         let text = match whole.get(id).map(after) {
-            Some(whole_after) => format!("was there whole {:.2} s after the close", whole_after.as_secs_f64()),
+            Some(whole_after) => {
+                format!("was there whole {:.2} s after the close", whole_after.as_secs_f64())
+            }
             None => "never came whole".to_string(),
         };
-        let text = format!("an attempt of {id} began {:.2} s after the close and {text}", begun_after.as_secs_f64());
+        let text =
+            format!("an attempt of {id} began {:.2} s after the close and {text}", begun_after.as_secs_f64());
         if begun_after > ALLOWED {
             broken += 1;
             record.say(&format!("BROKEN {text}"));
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -41,30 +41,10 @@
             start_server(move |stream| serve(stream, server, &record, &given))
         })
         .collect();
-    let entry = |(index, address): (usize, &SocketAddr)| Entry {
-        name: format!("s-{index}"),
-        address: *address,
-        group: 0,
-        status: "active",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = servers.iter().enumerate().map(entry).collect();
-    let discovery = Discovery::start(&record, &entries, Box::new(|_| true));
-    let listen = free_address();
-    let config = format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},
-        "settings":{{"me":0,"balancers":1,
-        "bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.2,"idle_close_s":60.0,"retry_after":true,"max_retry_after_s":2.0}},
-        "discovery":"on_request","rules":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_from":0.3,"fall_multiple":3.0,"fall_s":1.5,"stop_sending_within_s":1.5,"warm_within_s":8.3}},
-        "stages":["portal"],"tier":0,"zone":0,"zones":["a"],
-        "workloads":[{{"name":"ledger-view","semantics":"read_like","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0}},
-        {{"name":"book","semantics":"non_idempotent","quoted_time_s":2.5,"abandon_time_s":6.0,"payoff":8.0}}]}}}}"#,
-        discovery.address,
-        list_json(100, true, &entries)
-    );
-    let mut sidecar = Sidecar::start(&folder, "n0", listen, discovery.address, &config);
-    sidecar.wait_ready(ms(10_000));
+    let workloads = r#"[{"name":"ledger-view","semantics":"read_like","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0},
+        {"name":"book","semantics":"non_idempotent","quoted_time_s":2.5,"abandon_time_s":6.0,"payoff":8.0}]"#;
+    let sidecar = start_deployment(&record, &folder, &servers, &Setup::with_workloads(workloads));
+    let listen = sidecar.listen;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let record = record.clone();
@@ -84,7 +64,9 @@
     for Outcome { id, text, whole, ended_at } in &outcomes {
         let cause = match given.get(id) {
             Some(Fate::CutOff) if !whole => "its server was cut off",
-            Some(Fate::Written(at)) if !whole || *ended_at >= *at + HELD_BACK => "its server had written all of it",
+            Some(Fate::Written(at)) if !whole || *ended_at >= *at + HELD_BACK => {
+                "its server had written all of it"
+            }
             _ => continue,
         };
         lost += 1;
@@ -134,7 +116,8 @@
     while let Some(request) = read_request(&mut stream, &mut rest) {
         record.line(&format!("server {server}: runs {}", request.id));
         sleep(ms(30));
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+        let head =
+            format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
         let body = vec![b'x'; BODY_BYTES];
         let (first, others) = body.split_at(FIRST_PIECE_BYTES);
         let mut written = stream.write_all(&[head.as_bytes(), first].concat());
@@ -151,9 +134,12 @@
         };
         given.lock().unwrap().insert(request.id.clone(), fate);
         match written {
-            Ok(()) => record.line(&format!("server {server}: has written all of the answer to {}", request.id)),
+            Ok(()) => {
+                record.line(&format!("server {server}: has written all of the answer to {}", request.id))
+            }
             Err(error) => {
-                return record.line(&format!("server {server}: the answer to {} was cut off: {error}", request.id))
+                return record
+                    .line(&format!("server {server}: the answer to {} was cut off: {error}", request.id))
             }
         }
     }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -33,29 +33,9 @@
             start_server(move |stream| serve(stream, server, &record, &given))
         })
         .collect();
-    let entry = |(index, address): (usize, &SocketAddr)| Entry {
-        name: format!("s-{index}"),
-        address: *address,
-        group: 0,
-        status: "active",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = servers.iter().enumerate().map(entry).collect();
-    let discovery = Discovery::start(&record, &entries, Box::new(|_| true));
-    let listen = free_address();
-    let config = format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},
-        "settings":{{"me":0,"balancers":1,
-        "bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.2,"idle_close_s":60.0,"retry_after":true,"max_retry_after_s":2.0}},
-        "discovery":"on_request","rules":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_from":0.3,"fall_multiple":3.0,"fall_s":1.5,"stop_sending_within_s":1.5,"warm_within_s":8.3}},
-        "stages":["portal"],"tier":0,"zone":0,"zones":["a"],
-        "workloads":[{{"name":"book","semantics":"non_idempotent","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0}}]}}}}"#,
-        discovery.address,
-        list_json(100, true, &entries)
-    );
-    let mut sidecar = Sidecar::start(&folder, "n0", listen, discovery.address, &config);
-    sidecar.wait_ready(ms(10_000));
+    let workloads = r#"[{"name":"book","semantics":"non_idempotent","quoted_time_s":2.0,"abandon_time_s":5.0,"payoff":1.0}]"#;
+    let sidecar = start_deployment(&record, &folder, &servers, &Setup::with_workloads(workloads));
+    let listen = sidecar.listen;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (record, given) = (record.clone(), given.clone());
@@ -65,7 +45,10 @@
     let lost: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
     drop(sidecar);
     drop(folder);
-    record.say(&format!("of {} answers that a server gave whole, {lost} were lost", given.lock().unwrap().len()));
+    record.say(&format!(
+        "of {} answers that a server gave whole, {lost} were lost",
+        given.lock().unwrap().len()
+    ));
     if given.lock().unwrap().is_empty() {
         could_not_run("no server gave an answer");
     }
@@ -98,14 +81,20 @@
         return false;
     };
     let after = ended_at.saturating_duration_since(given_at);
-    record.line(&format!("client: {id} got {text}, {:.2} s after its server had given all", after.as_secs_f64()));
+    record.line(&format!(
+        "client: {id} got {text}, {:.2} s after its server had given all",
+        after.as_secs_f64()
+    ));
     let lost = match answer {
         Answer::Whole(200, body, _) => body.len() != BODY_BYTES || after >= HELD_BACK,
         Answer::Whole(..) => false,
         Answer::Missing(_) => true,
     };
     if lost {
-        record.say(&format!("BROKEN {id}: {text}, {:.2} s after its server had given all", after.as_secs_f64()));
+        record.say(&format!(
+            "BROKEN {id}: {text}, {:.2} s after its server had given all",
+            after.as_secs_f64()
+        ));
     }
     lost
 }
@@ -124,7 +113,8 @@
         }
         answer.extend_from_slice(format!("0\r\n{}\r\n", trailer()).as_bytes());
         if stream.write_all(&answer).is_err() {
-            return record.line(&format!("server {server}: the connection ended under the answer to {}", request.id));
+            return record
+                .line(&format!("server {server}: the connection ended under the answer to {}", request.id));
         }
         record.line(&format!("server {server}: has given all of the answer to {}", request.id));
         given.lock().unwrap().insert(request.id, Instant::now());
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -1,14 +1,13 @@
 //! Stand-ins shared by the cases 6 to 10: discovery, servers, clients, and the start and end of a sidecar. They use
 //! the standard library alone, loopback addresses, and ports that the system chooses.
 #![allow(dead_code)]
-use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -101,14 +100,18 @@
 
 /// The command `run` of deploy/balancer.toml.
 fn run_command() -> String {
-    let text = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|error| could_not_run(&error.to_string()));
-    let value = text.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
+    let text =
+        fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|error| could_not_run(&error.to_string()));
+    let value =
+        text.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
     value.map(str::to_string).unwrap_or_else(|| could_not_run("deploy/balancer.toml has no run"))
 }
 
 impl Sidecar {
     /// Starts a sidecar. `config` is the text of its file, which names the same addresses.
-    pub fn start(folder: &Folder, name: &str, listen: SocketAddr, discovery: SocketAddr, config: &str) -> Sidecar {
+    pub fn start(
+        folder: &Folder, name: &str, listen: SocketAddr, discovery: SocketAddr, config: &str,
+    ) -> Sidecar {
         let own = folder.0.join(format!("{name}-{}", free_address().port()));
         let temporary = own.join("tmp");
         fs::create_dir_all(&temporary).unwrap_or_else(|error| could_not_run(&error.to_string()));
@@ -213,111 +216,97 @@
     format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
 
-/// How discovery treats a call: it gets the number of the call, from 0, and waits or keeps it as long as it likes.
-/// False ends the call without an answer.
-pub type CallPolicy = Box<dyn Fn(u64) -> bool + Send + Sync>;
+/// The version of the list with which discovery starts.
+const FIRST_INDEX: u64 = 100;
 
-struct DiscoveryState {
-    index: u64,
-    entries: BTreeMap<String, Entry>,
-    /// Each change and the index to which it led.
-    changes: Vec<(u64, Entry)>,
-}
-
-/// A stand-in for discovery that behaves as the protocol page says.
+/// A stand-in for discovery that behaves as the protocol page says; its list does not change.
 pub struct Discovery {
     pub address: SocketAddr,
-    state: Arc<(Mutex<DiscoveryState>, Condvar)>,
-    /// When each call's first line was written.
-    pub first_lines: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Discovery {
-    pub fn start(record: &Arc<Record>, entries: &[Entry], policy: CallPolicy) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| could_not_run(&error.to_string()));
+    pub fn start(record: &Arc<Record>, entries: &[Entry]) -> Discovery {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| could_not_run(&error.to_string()));
         let address = listener.local_addr().unwrap();
-        let entries: BTreeMap<String, Entry> =
-            entries.iter().map(|entry| (entry.name.clone(), entry.clone())).collect();
-        let state = Arc::new((Mutex::new(DiscoveryState { index: 100, entries, changes: Vec::new() }), Condvar::new()));
-        let (policy, calls) = (Arc::new(policy), Arc::new(AtomicU64::new(0)));
-        let first_lines = Arc::new(Mutex::new(Vec::new()));
-        let (shared, record, lines) = (state.clone(), record.clone(), first_lines.clone());
+        let (record, entries) = (record.clone(), entries.to_vec());
         spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (state, policy, calls, record, lines) =
-                    (shared.clone(), policy.clone(), calls.clone(), record.clone(), lines.clone());
-                spawn(move || serve_watch(stream, &state, &policy, &calls, &record, &lines));
+                let (record, entries) = (record.clone(), entries.clone());
+                spawn(move || serve_watch(stream, &record, &entries));
             }
         });
-        Discovery { address, state, first_lines }
-    }
-
-    pub fn index(&self) -> u64 {
-        self.state.0.lock().unwrap().index
-    }
-
-    /// Changes an entry; open watches are told at once.
-    pub fn change(&self, entry: Entry) {
-        let mut state = self.state.0.lock().unwrap();
-        state.index += 1;
-        let index = state.index;
-        if entry.status == "left" {
-            state.entries.remove(&entry.name);
-        } else {
-            state.entries.insert(entry.name.clone(), entry.clone());
-        }
-        state.changes.push((index, entry));
-        self.state.1.notify_all();
+        Discovery { address }
     }
 }
 
-fn serve_watch(
-    mut stream: TcpStream, state: &(Mutex<DiscoveryState>, Condvar), policy: &CallPolicy, calls: &AtomicU64,
-    record: &Record, first_lines: &Mutex<Vec<Instant>>,
-) {
+/// Sends what changed since the version that the caller knows, or the whole list, and an empty line every 2 s.
+fn serve_watch(mut stream: TcpStream, record: &Record, entries: &[Entry]) {
     let _ = stream.set_nodelay(true);
     let Some(request) = read_request(&mut stream, &mut Vec::new()) else { return };
-    let number = calls.fetch_add(1, Ordering::Relaxed);
-    record.line(&format!("discovery: call {number}: {}", request.target));
-    if !policy(number) {
-        return record.line(&format!("discovery: call {number} ends without an answer"));
-    }
-    let known = request.target.split("index=").nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-    if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n").is_err()
-    {
-        return;
+    record.line(&format!("discovery: {}", request.target));
+    let known = request.target.split("index=").nth(1).and_then(|text| text.parse::<u64>().ok());
+    let up_to_date = known == Some(FIRST_INDEX);
+    let mut line = list_json(FIRST_INDEX, !up_to_date, if up_to_date { &[] } else { entries });
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut written = stream.write_all(head.as_bytes());
+    while written.is_ok() {
+        written = stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+        line.clear();
+        sleep(ms(2_000));
     }
-    let chunk = |line: &str| format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-    let mut told = 0;
-    loop {
-        let line = {
-            let mut guard = state.0.lock().unwrap();
-            if told > 0 && guard.index == told {
-                guard = state.1.wait_timeout(guard, ms(2_000)).unwrap().0;
-            }
-            let from = if told == 0 { known } else { told };
-            let whole = told == 0 && (known < 100 || known > guard.index);
-            let line = if whole {
-                let entries: Vec<Entry> = guard.entries.values().cloned().collect();
-                list_json(guard.index, true, &entries)
-            } else {
-                let changed: Vec<Entry> =
-                    guard.changes.iter().filter(|(index, _)| *index > from).map(|(_, entry)| entry.clone()).collect();
-                if changed.is_empty() && told > 0 { String::new() } else { list_json(guard.index, false, &changed) }
-            };
-            told = guard.index;
-            line
-        };
-        if stream.write_all(chunk(&line).as_bytes()).is_err() {
-            return;
-        }
-        if !line.is_empty() {
-            record.line(&format!("discovery: call {number} is told {line}"));
-            first_lines.lock().unwrap().push(Instant::now());
-        }
+}
+
+// ---- a small deployment ----
+
+/// What differs between the sidecars of the cases.
+pub struct Setup<'a> {
+    pub name: &'a str,
+    pub seed: &'a str,
+    /// The sidecar's own zone, 0 or 1; all servers stand in zone 0.
+    pub zone: usize,
+    /// The list `settings.workloads`, as JSON.
+    pub workloads: &'a str,
+}
+
+impl<'a> Setup<'a> {
+    /// One sidecar in its servers' zone.
+    pub fn with_workloads(workloads: &'a str) -> Setup<'a> {
+        Setup { name: "n0", seed: "8c1f30d27a5be964", zone: 0, workloads }
     }
 }
 
+/// Starts discovery, which lists these servers, and a sidecar before them; waits until that is ready.
+pub fn start_deployment(
+    record: &Arc<Record>, folder: &Folder, servers: &[SocketAddr], setup: &Setup,
+) -> Sidecar {
+    let entry = |(index, address): (usize, &SocketAddr)| Entry {
+        name: format!("s-{index}"),
+        address: *address,
+        group: 0,
+        status: "active",
+        since_ms: 0,
+    };
+    let entries: Vec<Entry> = servers.iter().enumerate().map(entry).collect();
+    let (discovery, listen) = (Discovery::start(record, &entries), free_address());
+    let (Setup { name, seed, zone, workloads }, known) = (setup, list_json(FIRST_INDEX, true, &entries));
+    let config = format!(
+        r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{seed}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
+        "settings":{{"me":0,"balancers":1,
+        "bounds":{{"cancel":true,"parallel_tries":true,"most_hops":4,"connect_timeout_s":0.2,"idle_close_s":60.0,
+        "retry_after":true,"max_retry_after_s":2.0}},"discovery":"on_request",
+        "rules":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_from":0.3,"fall_multiple":3.0,"fall_s":1.5,
+        "stop_sending_within_s":1.5,"warm_within_s":8.3}},
+        "stages":["portal"],"tier":0,"zone":{zone},"zones":["a","b"],"workloads":{workloads}}}}}"#,
+        discovery = discovery.address
+    );
+    let mut sidecar = Sidecar::start(folder, name, listen, discovery.address, &config);
+    sidecar.wait_ready(ms(10_000));
+    record.line(&format!("sidecar {name} is ready"));
+    sidecar
+}
+
 // ---- messages ----
 
 /// A request as a server reads it.
@@ -382,13 +371,18 @@
 pub fn read_answer(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Answer {
     let missing = |text: &str| Answer::Missing(text.to_string());
     let Some(head) = read_head(stream, rest) else { return missing("no head came") };
-    let Some(status) = head.get(9..12).and_then(|text| text.parse().ok()) else { return missing("no status") };
+    let Some(status) = head.get(9..12).and_then(|text| text.parse().ok()) else {
+        return missing("no status");
+    };
     let stays = !header(&head, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
     if header(&head, "transfer-encoding").is_some() {
         let mut body = Vec::new();
         loop {
             let Some(line) = read_line(stream, rest) else {
-                return Answer::Missing(format!("the connection ended after {} bytes of the body", body.len()));
+                return Answer::Missing(format!(
+                    "the connection ended after {} bytes of the body",
+                    body.len()
+                ));
             };
             let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
             let Ok(size) = size else { return missing("a chunk without a size") };
@@ -443,7 +437,8 @@
 
 /// The usual small answer of a server.
 pub fn sized_answer(body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 /// A flag that threads share.
