Review: a case ends its sidecar also where the disruption is left out

Now every case ends through one function that kills what it started and removes its folder, whatever its verdict.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -129,7 +129,7 @@
         }
     }
     record.say(&format!("of {} clients that left, attempts began too late for {broken}", closed.len()));
-    std::process::exit(i32::from(broken > 0));
+    end(i32::from(broken > 0));
 }
 
 fn serve(
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -76,7 +76,7 @@
     if given.is_empty() {
         could_not_run("no server gave an answer");
     }
-    std::process::exit(i32::from(lost > 0));
+    end(i32::from(lost > 0));
 }
 
 /// What a client got.
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -52,7 +52,7 @@
     if given.lock().unwrap().is_empty() {
         could_not_run("no server gave an answer");
     }
-    std::process::exit(i32::from(lost > 0));
+    end(i32::from(lost > 0));
 }
 
 /// Sends one request. Whether its answer was lost: the server gave it whole, and the client did not have it whole 2 s
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -50,14 +50,19 @@
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
 
-/// Ends the case without a verdict, and all processes that it started.
+/// Ends the case without a verdict.
 pub fn could_not_run(why: &str) -> ! {
     println!("could not run: {why}");
+    end(2)
+}
+
+/// Ends the case with this exit code, and all processes that it started.
+pub fn end(code: i32) -> ! {
     for process in RUNNING.lock().unwrap().iter() {
         let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
     }
     FOLDERS.lock().unwrap().iter().for_each(|folder| _ = fs::remove_dir_all(folder));
-    std::process::exit(2)
+    std::process::exit(code)
 }
 
 /// A folder of this case alone, removed when the case ends.
