Long answers whose servers pause are passed on and no longer cut off

A once-only request gets 502 although it has run, one that may be repeated is cut off at three servers.

Cause: until an answer was passed on, a pause of 1 s counted as the end of a spoilt one, and it was passed on only from 8 KiB of its body, or, without a stated length, with a byte that came more than 1 s after the first. The head tells a long answer, or one that may be long, from a short one, and was not asked.

Change: reading an answer has a module of its own (endpoint_answer.rs). A pause within the head, or before the body of an answer that may be long, is ended by the request's own time; 1 s after the first byte of such a body what has come is passed on; a short body that stalls fails after 1 s as before. The message parser tells in which of these it is (MessageProgress), in place of a tuple of a length and a flag.

Evidence: the new test peers long_answers_of_servers_that_pause_come_whole (42 cases: seven places of the pause, three framings, repeatable or not) failed before and passes.

Price: a spoilt answer that stops within its head is given up by the request's time and not after 1 s; one without a length that stops within its body is passed on and reset after 10 s, where it got 502.

The start of a process stood twice in the tests and is shared now (tests/process).

--- a/sidecar/src/http1/answers.rs
+++ b/sidecar/src/http1/answers.rs
@@ -1,5 +1,6 @@
 //! The answers that clients get.
-use super::attempt::{encode_chunk, EndpointAnswer};
+use super::attempt::encode_chunk;
+use super::endpoint_answer::EndpointAnswer;
 use super::head::{Framing, HttpError};
 use crate::dispatcher::RequestOutcome;
 use oakhollow::types::Micros;
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -1,8 +1,9 @@
 //! One attempt: sends a request to an endpoint and maps what comes back to the outcome that the protocol gives it.
+use super::endpoint_answer::{read_answer, EndpointAnswer};
 use super::head::{Head, HttpError};
 use super::load;
-use super::messages::{BodyReader, Incoming, Message, MessageKind, MessageParser, PartialMessage};
-use super::pool::{EndpointConnection, Pool};
+use super::messages::{BodyReader, Message, MessageKind, MessageParser};
+use super::pool::Pool;
 use super::upload::{BodyStream, BodyStreamWriter};
 use super::Fence;
 use crate::dispatcher::{AttemptEnd, AttemptProgress, LoadReport};
@@ -13,7 +14,7 @@
 use oakhollow::types::{Micros, Outcome};
 use oakhollow_guard::{AttemptPermit, Denial, SendConditions};
 use std::cell::Cell;
-use std::future::{poll_fn, Future};
+use std::future::poll_fn;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,12 +22,6 @@
 
 /// The header with the time that is left for the request, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "Request-Timeout-Ms";
-/// Longest pause in the middle of an answer that is still buffered. After it the attempt has failed.
-const ANSWER_STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How long the beginning of an answer that states no length is buffered before it is passed on.
-const UNSIZED_ANSWER_BUFFER_TIME: Duration = Duration::from_millis(1_000);
-/// How much of a long answer is buffered before it is passed on: enough to show that it has a body at all.
-const MIN_ANSWER_PREFIX_BYTES: usize = 8 * 1024;
 /// How long a peer may accept nothing of a write, or send nothing of a body that is passed on.
 pub const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -127,57 +122,6 @@
     Ok(())
 }
 
-/// An endpoint's answer: complete, or its beginning with the stream of the rest.
-pub struct EndpointAnswer {
-    pub head: Head,
-    pub body: Vec<u8>,
-    pub rest: Option<AnswerBody>,
-}
-
-/// The rest of a long answer, read from the endpoint's connection as it comes.
-pub struct AnswerBody {
-    rest: BodyReader,
-    connection: Rc<EndpointConnection>,
-    pool: Rc<Pool>,
-    address: SocketAddr,
-}
-
-impl AnswerBody {
-    /// The length of the whole body, if the answer states it.
-    pub fn length(&self) -> Option<usize> {
-        self.rest.length()
-    }
-
-    /// Waits for the next part of the body. Empty at its end, none if the answer broke off.
-    pub async fn next_part(&mut self) -> Option<Vec<u8>> {
-        let mut body = Vec::new();
-        loop {
-            self.rest.decode_into(&mut body).ok()?;
-            if !body.is_empty() || self.rest.is_complete() {
-                return Some(body);
-            }
-            let read = async { self.connection.read_buf(self.rest.buffer()).await.ok() };
-            let idle = async {
-                Timer::after(BODY_IDLE_TIMEOUT).await;
-                None
-            };
-            if future::or(read, idle).await? == 0 {
-                self.rest.connection_closed();
-                if !self.rest.is_complete() {
-                    return None;
-                }
-            }
-        }
-    }
-
-    /// Returns the connection to the pool if it can carry another request.
-    pub fn release(self, keep_alive: bool) {
-        if keep_alive && self.rest.is_complete() && self.rest.keeps_alive() {
-            self.pool.put_back(self.address, self.connection);
-        }
-    }
-}
-
 /// Where an attempt goes, and what is checked before its first byte is written.
 pub struct Target {
     pub address: SocketAddr,
@@ -272,7 +216,7 @@
         // If the endpoint answers before it has the whole request, the rest of the request is not sent.
         match future::or(sent, early_answer).await {
             Ok(None) => answer_timer = Some(Timer::at(stream.answer_deadline())),
-            Ok(Some(incoming)) => return Ok(endpoint_answer(incoming, pool, address, connection, false)),
+            Ok(Some(incoming)) => return Ok(EndpointAnswer::new(incoming, pool, address, connection, false)),
             Err(_) => return Err(Outcome::NoConnection),
         }
     }
@@ -291,68 +235,7 @@
     if !keep_alive {
         pool.note_unsolicited_bytes();
     }
-    Ok(endpoint_answer(incoming, pool, address, connection, keep_alive))
-}
-
-fn endpoint_answer(
-    incoming: Incoming, pool: &Rc<Pool>, address: SocketAddr, connection: Rc<EndpointConnection>,
-    reusable: bool,
-) -> EndpointAnswer {
-    match incoming {
-        Incoming::Complete(Message { head, body, keep_alive }) => {
-            if keep_alive && reusable {
-                pool.put_back(address, connection);
-            }
-            EndpointAnswer { head, body, rest: None }
-        }
-        Incoming::Partial(PartialMessage { head, buffered, rest }) => {
-            let rest = Some(AnswerBody { rest, connection, pool: pool.clone(), address });
-            EndpointAnswer { head, body: buffered, rest }
-        }
-    }
-}
-
-/// Reads one answer, or the beginning of a long one. A malformed answer is [`Outcome::Errored`], since the request has
-/// run; only a connection that the endpoint closed or reset is [`Outcome::Broken`].
-async fn read_answer(
-    connection: &EndpointConnection, parser: &mut MessageParser, timed_out: impl Future<Output = ()>,
-) -> Result<Incoming, Outcome> {
-    let timed_out = async {
-        timed_out.await;
-        Err(Outcome::TimedOut)
-    };
-    let read = async {
-        let mut started = None;
-        loop {
-            let read = async { Some(connection.read_buf(parser.buffer()).await) };
-            let stalled = async {
-                match started {
-                    Some(_) => _ = Timer::after(ANSWER_STALL_TIMEOUT).await,
-                    None => future::pending().await,
-                }
-                None
-            };
-            // Guards against using up the request's time with waiting for the end of an answer that never ends.
-            let count =
-                future::or(read, stalled).await.ok_or(Outcome::Errored)?.map_err(|_| Outcome::Broken)?;
-            if count == 0 {
-                return parser.finish_at_close().map(Incoming::Complete).ok_or(Outcome::Broken);
-            }
-            if let Some(incoming) = parser.next_message().map_err(|_| Outcome::Errored)? {
-                return Ok(incoming);
-            }
-            let started_at = *started.get_or_insert_with(Instant::now);
-            let enough_buffered = match parser.body_progress() {
-                Some((received, true)) => received >= MIN_ANSWER_PREFIX_BYTES,
-                Some((received, false)) => received > 0 && started_at.elapsed() >= UNSIZED_ANSWER_BUFFER_TIME,
-                None => false,
-            };
-            if let Some(partial) = enough_buffered.then(|| parser.take_partial()).flatten() {
-                return Ok(Incoming::Partial(partial));
-            }
-        }
-    };
-    future::or(read, timed_out).await
+    Ok(EndpointAnswer::new(incoming, pool, address, connection, keep_alive))
 }
 
 /// The end of an attempt that brought no answer.
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -1,8 +1,9 @@
 //! One client's connection: reads its requests and gives each exactly one answer.
 use super::answers::Answer;
 use super::arrivals::Arrivals;
-use super::attempt::{self, EndpointAnswer, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
+use super::attempt::{self, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
 use super::connections::{CloseRequest, Closed, ConnectionGuard, Connections};
+use super::endpoint_answer::EndpointAnswer;
 use super::head::{Framing, Head, HttpError, MAX_BODY_BYTES};
 use super::messages::{Incoming, Message, MessageKind, MessageParser, PartialMessage};
 use super::upload::{body_time, UploadingClient, MAX_READ_AHEAD_BYTES, REQUEST_READ_TIMEOUT, TOO_SLOW};
--- a/sidecar/src/http1/messages.rs
+++ b/sidecar/src/http1/messages.rs
@@ -113,6 +113,31 @@
     }
 }
 
+/// How far a message has come that is not complete.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum MessageProgress {
+    /// Its head is incomplete, or has not begun.
+    Head,
+    /// Of a body that is buffered whole, so many bytes have come.
+    ShortBody { received: usize },
+    /// Of a body that is longer than what is buffered, so many bytes have come.
+    LongBody { received: usize },
+    /// Of a body whose length is not stated, so many bytes have come.
+    UnsizedBody { received: usize },
+}
+
+impl MessageProgress {
+    /// Whether any of the body has come.
+    pub fn has_body_bytes(self) -> bool {
+        match self {
+            MessageProgress::Head => false,
+            MessageProgress::ShortBody { received }
+            | MessageProgress::LongBody { received }
+            | MessageProgress::UnsizedBody { received } => received > 0,
+        }
+    }
+}
+
 /// Which kind of message a connection receives.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum MessageKind {
@@ -265,15 +290,16 @@
         Ok(if too_long { self.take_partial().map(Incoming::Partial) } else { None })
     }
 
-    /// How much has been received of a body that is longer than what is buffered (true), or whose length is not stated
-    /// (false). None if there is no such body.
-    pub fn body_progress(&self) -> Option<(usize, bool)> {
-        let message = self.current.as_ref()?;
+    /// How far the current message has come.
+    pub fn progress(&self) -> MessageProgress {
+        let Some(message) = &self.current else { return MessageProgress::Head };
+        let received = message.body.len();
         match message.framing {
-            Framing::Length(length) => {
-                (length > MAX_BUFFERED_BODY_BYTES).then_some((message.body.len(), true))
+            Framing::Length(length) if length <= MAX_BUFFERED_BODY_BYTES => {
+                MessageProgress::ShortBody { received }
             }
-            _ => Some((message.body.len(), false)),
+            Framing::Length(_) => MessageProgress::LongBody { received },
+            Framing::Chunked | Framing::UntilClose => MessageProgress::UnsizedBody { received },
         }
     }
 
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -6,6 +6,7 @@
 pub mod chunks;
 pub mod client_connection;
 pub mod connections;
+pub mod endpoint_answer;
 pub mod head;
 pub mod load;
 pub mod messages;
@@ -130,12 +131,12 @@
 
 impl Protocol for Http1 {
     type Content = attempt::OutgoingRequest;
-    type Answer = attempt::EndpointAnswer;
+    type Answer = endpoint_answer::EndpointAnswer;
 
     fn attempt(
         &self, permit: AttemptPermit, content: Rc<attempt::OutgoingRequest>, address: SocketAddr,
         deadline: Instant, progress: Rc<AttemptProgress>,
-    ) -> impl Future<Output = AttemptEnd<attempt::EndpointAnswer>> + 'static {
+    ) -> impl Future<Output = AttemptEnd<endpoint_answer::EndpointAnswer>> + 'static {
         // The flag is taken here, not when the attempt first runs: if the address is retired in between, the attempt
         // must not be sent.
         let target = attempt::Target {
--- a/sidecar/tests/client_departures/main.rs
+++ b/sidecar/tests/client_departures/main.rs
@@ -16,6 +16,8 @@
 //! case is repeated, with five runs at most, and each repetition is printed. If the last run is late too, that is a
 //! violation as well.
 mod ledger;
+#[path = "../process/mod.rs"]
+mod process;
 mod program;
 mod server;
 mod stalls;
--- a/sidecar/tests/client_departures/program.rs
+++ b/sidecar/tests/client_departures/program.rs
@@ -1,12 +1,9 @@
 //! A process of the program, started for one run of a case with a whole core or a fifth of one.
+use crate::process::Process;
 use crate::stalls::Stalls;
-use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
-use std::io::{BufRead, BufReader, Read};
+use rustix::process::{kill_process, Pid, Signal};
 use std::net::SocketAddr;
-use std::os::unix::process::CommandExt;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -24,8 +21,7 @@
 
 pub struct Program {
     pub address: SocketAddr,
-    child: Child,
-    folder: PathBuf,
+    process: Process,
     stop: Arc<AtomicBool>,
     /// Microseconds for which it ran, and for which it was stopped.
     running_and_stopped_us: Arc<[AtomicU64; 2]>,
@@ -34,34 +30,10 @@
 
 impl Program {
     pub fn start(servers: &[SocketAddr]) -> Program {
-        static STARTED: AtomicU32 = AtomicU32::new(0);
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let folder =
-            std::env::temp_dir().join(format!("oakhollow-departures-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("the folder is created");
-        let file = folder.join("sidecar.json");
-        std::fs::write(&file, config(servers)).expect("the configuration file is written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_oakhollow"));
-        command.arg(&file).env("TMPDIR", &folder).stderr(Stdio::piped());
-        // SAFETY: it makes one system call and allocates nothing. The call ends the process with the test: if the test
-        // is killed, no stopped process is left behind.
-        unsafe {
-            command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?));
-        }
-        let mut child = command.spawn().expect("the program starts");
-        let mut log = BufReader::new(child.stderr.take().expect("a piped standard error"));
-        let (mut line, mut address) = (String::new(), None);
-        while address.is_none() && log.read_line(&mut line).is_ok_and(|count| count > 0) {
-            let rest = line.split_once("listening on ").map(|(_, rest)| rest);
-            address = rest.and_then(|rest| rest.split([',', ' ', '\n']).next()?.parse().ok());
-        }
-        // Read to the end: the program does not wait for a reader of its log, but drops lines while the pipe is full.
-        thread::spawn(move || log.read_to_end(&mut Vec::new()));
-        let address = address.unwrap_or_else(|| panic!("the program doesn't listen: {line}"));
+        let process = Process::start(&config(servers));
         Program {
-            address,
-            child,
-            folder,
+            address: process.address,
+            process,
             stop: Arc::default(),
             running_and_stopped_us: Arc::default(),
             throttler: None,
@@ -69,11 +41,11 @@
     }
 
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.process.child.id()
     }
 
     pub fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).expect("the signal is sent");
+        kill_process(Pid::from_child(&self.process.child), signal).expect("the signal is sent");
     }
 
     /// Limits it to a fifth of a core from now on, by stopping it periodically. A stop that lasts longer than intended
@@ -84,7 +56,7 @@
         let add = |time: &AtomicU64, length: Duration| {
             time.fetch_add(length.as_micros() as u64, Ordering::Relaxed);
         };
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.process.child);
         self.throttler = Some(thread::spawn(move || {
             let mut resumed_at = Instant::now();
             while !stop.load(Ordering::Relaxed) {
@@ -120,8 +92,6 @@
         if let Some(throttler) = self.throttler.take() {
             let _ = throttler.join();
         }
-        let _ = (self.child.kill(), self.child.wait());
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- /dev/null
+++ b/sidecar/tests/peers/main.rs
@@ -0,0 +1,16 @@
+//! Clients and servers that behave badly, slowly or unusually, on real sockets against a process of the program. Each test
+//! names in one line the failure that it guards against.
+mod client;
+#[path = "../process/mod.rs"]
+mod process;
+mod program;
+mod server;
+
+mod long_answers;
+
+use std::time::Duration;
+
+/// A length of time in milliseconds.
+const fn ms(length: u64) -> Duration {
+    Duration::from_millis(length)
+}
--- /dev/null
+++ b/sidecar/tests/peers/program.rs
@@ -0,0 +1,46 @@
+//! How the tests configure the program: a list of servers, and limits.
+use crate::process::Process;
+use std::net::SocketAddr;
+
+/// The limits of a process, as its configuration file states them.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub memory_mb: u32,
+    pub sockets: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// Starts a process that serves requests by these servers.
+pub fn start(servers: &[SocketAddr], limits: Limits) -> Process {
+    Process::start(&config(servers, limits))
+}
+
+fn config(servers: &[SocketAddr], limits: Limits) -> String {
+    let entry = |(index, address): (usize, &SocketAddr)| {
+        format!(
+            r#"{{"name":"s{index}","address":"{address}","zone":"a","group":0,"status":"active","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let entries: Vec<String> = servers.iter().enumerate().map(entry).collect();
+    let workload = |(name, semantics)| {
+        format!(
+            r#"{{"name":"{name}","semantics":"{semantics}","group":"cell","memory_span_s":9,"quoted_time_s":8,"abandon_time_s":10,"payoff":1}}"#
+        )
+    };
+    let workloads = [("view", "read_like"), ("pay", "non_idempotent")];
+    let Limits { memory_mb, sockets } = limits;
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+        "limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{{"index":7,"snapshot":true,"endpoints":[{}]}},
+        "settings":{{"me":0,"balancers":1,"zones":["a"],
+        "bounds":{{"most_hops":3,"cancel":true,"parallel_tries":true,"retry_after":true,"connect_timeout_s":1}},
+        "rules":{{"ask_within_s":10,"cold_from":0.3,"fall_s":1.5,"warm_within_s":8}},"workloads":[{}]}}}}"#,
+        entries.join(","),
+        workloads.map(workload).join(",")
+    )
+}
