Chunk lines and trailers may be as long as a head, and none is waited for in vain

Cause: ChunkDecoder::decode looked for the end of each line in the next 256 bytes. A longer trailer line was neither found nor refused until 4 KiB had come, so the body never counted as complete. The same for answers up to 64 KiB (failed after 1 s) and requests (408); chunk lines over 256 bytes were refused.

Change: the limit of a line follows from the decoder's state: a chunk's line, and a trailer in all, may have what a head may have, 16 KiB. A line without an end within its limit is refused as soon as so many bytes have come.

Evidence: two new tests on sockets (answers and requests, five forms, 200 bytes to 200 kB) failed before and pass.

--- a/sidecar/src/http1/chunks.rs
+++ b/sidecar/src/http1/chunks.rs
@@ -1,8 +1,9 @@
 //! Decodes chunked bodies. Does no I/O.
-use super::head::{find, malformed, HttpError, MAX_BODY_BYTES};
+use super::head::{find, malformed, HttpError, MAX_BODY_BYTES, MAX_HEAD_BYTES};
 
-const MAX_CHUNK_LINE_BYTES: usize = 256;
-const MAX_TRAILER_BYTES: usize = 4 * 1024;
+/// The longest line with a chunk's size and extensions, and the longest trailer: what passes in a head passes here.
+const MAX_CHUNK_LINE_BYTES: usize = MAX_HEAD_BYTES;
+const MAX_TRAILER_BYTES: usize = MAX_HEAD_BYTES;
 
 /// Decodes a chunked body as it comes.
 #[derive(Debug, Default)]
@@ -48,10 +49,13 @@
             if self.state == State::DataEnd && !b"\r\n".starts_with(&rest[..rest.len().min(2)]) {
                 return Err(malformed("a chunk is longer than it says"));
             }
-            let Some(length) = find(&rest[..rest.len().min(MAX_CHUNK_LINE_BYTES)], b"\r\n") else {
-                let too_long = rest.len() >= MAX_CHUNK_LINE_BYTES && self.state != State::Trailer;
-                let too_long = too_long || rest.len() >= MAX_TRAILER_BYTES;
-                return if too_long { Err(malformed("a chunk's line is too long")) } else { Ok(position) };
+            let max_line_bytes = self.max_line_bytes();
+            let Some(length) = find(&rest[..rest.len().min(max_line_bytes)], b"\r\n") else {
+                // A longer line is refused as soon as it is: guards against a body that never ends.
+                return match rest.len() < max_line_bytes {
+                    true => Ok(position),
+                    false => Err(malformed("a chunk's line, or the trailer, is too long")),
+                };
             };
             let line = &rest[..length];
             position += length + 2;
@@ -67,16 +71,22 @@
                 State::DataEnd => State::Size,
                 _ if line.is_empty() => State::Done,
                 _ => {
-                    self.trailer_bytes += length;
-                    if self.trailer_bytes > MAX_TRAILER_BYTES {
-                        return Err(malformed("the trailer is too long"));
-                    }
+                    self.trailer_bytes += length + 2;
                     State::Trailer
                 }
             };
         }
     }
 
+    /// How many bytes the next line may have, with its end.
+    fn max_line_bytes(&self) -> usize {
+        match self.state {
+            // The empty line behind the trailer does not count.
+            State::Trailer => MAX_TRAILER_BYTES.saturating_sub(self.trailer_bytes) + 2,
+            _ => MAX_CHUNK_LINE_BYTES,
+        }
+    }
+
     /// Whether the whole body and its trailer have been read.
     pub fn is_done(&self) -> bool {
         self.state == State::Done
--- a/sidecar/tests/peers/main.rs
+++ b/sidecar/tests/peers/main.rs
@@ -6,6 +6,7 @@
 mod program;
 mod server;
 
+mod framing;
 mod long_answers;
 
 use std::time::Duration;
