One peer at full speed no longer keeps others from being heard of

Cause: a socket whose peer is faster than the thread is ready whenever it is looked at. Its task either never waits, or waits for tasks alone, and the executor runs 200 of them before the kernel is polled.

Change: a socket performs four reads and four writes at most between two polls of the kernel, then its task waits for the next one. An upload that is chosen to give way is not closed while its bytes are unread.

Throughput was not measured yet.

--- a/sidecar/src/http1/upload.rs
+++ b/sidecar/src/http1/upload.rs
@@ -351,8 +351,13 @@
             UploadStep::TimedOut
         };
         let evicted = async {
-            self.eviction(self.progress).await;
-            UploadStep::Evicted
+            // Bytes may have come that this thread has not been told of, or that wait for its next turn.
+            loop {
+                self.eviction(self.progress).await;
+                if self.stream.unread_bytes() == 0 {
+                    break UploadStep::Evicted;
+                }
+            }
         };
         let step = future::or(read, future::or(timeout, evicted)).await;
         if matches!(step, UploadStep::Progress) {
--- a/sidecar/src/reactor/poll.rs
+++ b/sidecar/src/reactor/poll.rs
@@ -34,6 +34,10 @@
     pub(super) epoll: OwnedFd,
     pub(super) sources: RefCell<Slab<Rc<Source>>>,
     pub(super) timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
+    /// How often the kernel has been polled.
+    turn: Cell<u64>,
+    /// The tasks that wait until it is polled again.
+    waiting_for_turn: RefCell<Vec<Waker>>,
     /// The next number for a source or timer, so that none is taken for another.
     next_number: Cell<u64>,
     /// When the kernel was last polled. The known readiness may be as old as that.
@@ -85,6 +89,8 @@
             epoll,
             sources: RefCell::default(),
             timers: RefCell::default(),
+            turn: Cell::new(0),
+            waiting_for_turn: RefCell::default(),
             next_number: Cell::new(0),
             polled_at: Cell::new(Instant::now()),
             unconfirmed: RefCell::default(),
@@ -123,7 +129,7 @@
 
     /// Polls the kernel, waiting for events until the next timer if `wait`, and wakes the tasks concerned.
     fn poll(&self, wait: bool) -> Result<()> {
-        let wait = !self.recheck_unconfirmed(wait) && wait;
+        let wait = !self.recheck_unconfirmed(wait) && wait && self.waiting_for_turn.borrow().is_empty();
         let next_timer = self.timers.borrow().first_key_value().map(|((at, _), _)| *at);
         let timeout = if wait {
             next_timer.map(|at| at.saturating_duration_since(Instant::now()))
@@ -132,9 +138,22 @@
         };
         self.poll_events(timeout)?;
         self.wake_expired_timers();
+        self.turn.set(self.turn.get() + 1);
+        // Woken last, so that the tasks with events come before those that only go on.
+        self.waiting_for_turn.take().into_iter().for_each(Waker::wake);
         Ok(())
     }
 
+    /// The number of the current turn: it changes each time the kernel is polled.
+    pub(super) fn turn(&self) -> u64 {
+        self.turn.get()
+    }
+
+    /// Wakes the task after the kernel has been polled the next time.
+    pub(super) fn wake_next_turn(&self, context: &Context) {
+        self.waiting_for_turn.borrow_mut().push(context.waker().clone());
+    }
+
     /// Queues a socket for [`Reactor::recheck_unconfirmed`].
     pub(super) fn recheck_later(&self, source: &Rc<Source>) {
         if !source.queued.replace(true) {
--- a/sidecar/src/reactor/readiness.rs
+++ b/sidecar/src/reactor/readiness.rs
@@ -53,15 +53,21 @@
     }
 }
 
+/// How many operations in each direction a socket may perform between two polls of the kernel. Guards against one peer at
+/// full speed whose task finds its socket ready whenever it looks, and so keeps others from being heard of.
+const MAX_OPERATIONS_PER_TURN: u32 = 4;
+
 /// The state of reading or of writing: whether it may be tried, and the task that waits for it.
 pub(super) struct Direction {
     pub(super) ready: Cell<bool>,
     pub(super) waker: Cell<Option<Waker>>,
+    /// The last turn of the reactor in which an operation was performed, and how many were in it.
+    performed: Cell<(u64, u32)>,
 }
 
 impl Direction {
     pub(super) fn new(ready: bool) -> Direction {
-        Direction { ready: Cell::new(ready), waker: Cell::default() }
+        Direction { ready: Cell::new(ready), waker: Cell::default(), performed: Cell::default() }
     }
 
     pub(super) fn set_ready(&self) {
@@ -79,6 +85,19 @@
         self.waker.set(Some(waker));
     }
 
+    /// Whether one more operation may be performed in this turn of the reactor, and if so counts it.
+    pub(super) fn may_perform(&self, turn: u64) -> bool {
+        let performed = match self.performed.get() {
+            (last_turn, count) if last_turn == turn => count,
+            _ => 0,
+        };
+        let may_perform = performed < MAX_OPERATIONS_PER_TURN;
+        if may_perform {
+            self.performed.set((turn, performed + 1));
+        }
+        may_perform
+    }
+
     /// Performs an I/O operation when ready. If it would block, waits for readiness.
     pub(super) fn poll<R>(
         &self, context: &Context, mut operation: impl FnMut() -> Result<R>,
--- a/sidecar/src/reactor/socket.rs
+++ b/sidecar/src/reactor/socket.rs
@@ -1,6 +1,6 @@
 //! The sockets of a thread.
 use super::poll::{Reactor, MAX_EVENT_AGE};
-use super::readiness::Source;
+use super::readiness::{Direction, Source};
 use super::{socket_memory, tcp_info};
 use futures_lite::{AsyncRead, AsyncWrite};
 use rustix::event::{epoll, poll, PollFd, PollFlags, Timespec};
@@ -225,6 +225,16 @@
         .await
     }
 
+    /// Whether the operation has to wait for the next turn of the reactor, since this socket has had its share of this one. The
+    /// task is woken then.
+    fn waits_for_turn(&self, direction: &Direction, context: &Context) -> bool {
+        let waits = direction.ready.get() && !direction.may_perform(self.reactor.turn());
+        if waits {
+            self.reactor.wake_next_turn(context);
+        }
+        waits
+    }
+
     /// Whether there is something to read, an end or an error included, as far as the reactor knows.
     pub fn is_readable(&self) -> bool {
         self.source.reads.ready.get()
@@ -233,6 +243,9 @@
 
 impl AsyncRead for &Async<TcpStream> {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context, buffer: &mut [u8]) -> Poll<Result<usize>> {
+        if self.waits_for_turn(&self.source.reads, context) {
+            return Poll::Pending;
+        }
         let space = buffer.len();
         let read = self.source.reads.poll(context, || (&self.inner).read(buffer));
         // A read that leaves space in the buffer has usually taken all there was, and the next bytes bring an event.
@@ -254,6 +267,9 @@
 
 impl AsyncWrite for &Async<TcpStream> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
+        if self.waits_for_turn(&self.source.writes, context) {
+            return Poll::Pending;
+        }
         self.source.writes.poll(context, || (&self.inner).write(bytes))
     }
 
--- a/sidecar/tests/peers/main.rs
+++ b/sidecar/tests/peers/main.rs
@@ -1,13 +1,16 @@
 //! Clients and servers that behave badly, slowly or unusually, on real sockets against a process of the program. Each test
 //! names in one line the failure that it guards against.
 mod client;
+mod crowd;
 #[path = "../process/mod.rs"]
 mod process;
 mod program;
 mod server;
 
+mod floods;
 mod framing;
 mod long_answers;
+mod memory;
 
 use std::time::Duration;
 
--- a/sidecar/tests/peers/program.rs
+++ b/sidecar/tests/peers/program.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 /// The limits of a process, as its configuration file states them.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Limits {
     pub memory_mb: u32,
     pub sockets: u32,
