A request that must not be repeated does not run again when its id comes again

Cause: an id was known for as long as its request was open. When its client left, or was told 502, the id was free, although a server may have run the request.

Change: ids have a module of their own (request_ids.rs, out of connections.rs).

Open: the other process of an upgrade has ids of its own.

--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -25,6 +25,18 @@
 /// How long a peer may accept nothing of a write, or send nothing of a body that is passed on.
 pub const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Whether an attempt of a request has begun to be written, so that an endpoint may have run it. Shared by the attempts and the
+/// client's connection.
+#[derive(Clone, Default)]
+pub struct MayHaveRun(Rc<Cell<bool>>);
+
+impl MayHaveRun {
+    /// Whether it may have run. Does not change any more once the client has gone.
+    pub fn get(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A request as it is sent to endpoints, except for the timeout header, which each attempt computes anew.
 pub struct OutgoingRequest {
     /// The request line and the headers, without the blank line at their end.
@@ -32,6 +44,7 @@
     body: Vec<u8>,
     /// Whether the client has gone.
     client_end: PeerEnd,
+    may_have_run: MayHaveRun,
     stream: Option<BodyStream>,
 }
 
@@ -43,7 +56,13 @@
         if !body.is_empty() || method != "GET" {
             bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
         }
-        Ok(OutgoingRequest { head: bytes, body, client_end, stream: None })
+        Ok(OutgoingRequest {
+            head: bytes,
+            body,
+            client_end,
+            may_have_run: MayHaveRun::default(),
+            stream: None,
+        })
     }
 
     /// A request of which only the first part of the body has been read; the rest is written to what is returned
@@ -63,7 +82,13 @@
         let body = if chunked { encode_chunk(&buffered) } else { buffered };
         let (stream, writer) = BodyStream::new(unread, answer_timeout, client);
         let client_end = client.peer_end();
-        Ok((OutgoingRequest { head: bytes, body, client_end, stream: Some(stream) }, writer))
+        let may_have_run = MayHaveRun::default();
+        Ok((OutgoingRequest { head: bytes, body, client_end, may_have_run, stream: Some(stream) }, writer))
+    }
+
+    /// Tells whether an endpoint may have run it.
+    pub fn may_have_run(&self) -> MayHaveRun {
+        self.may_have_run.clone()
     }
 
     /// The request line and the headers that are passed on, and the method.
@@ -206,6 +231,7 @@
         }
     };
     progress.send_started.set(true);
+    request.may_have_run.0.set(true);
     let mut parser = MessageParser::new(MessageKind::Answer);
     let write_failed = |error: std::io::Error| {
         target.monitor.system_error(SystemCall::Transfer, &error);
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -1,11 +1,12 @@
 //! One client's connection: reads its requests and gives each exactly one answer.
 use super::answers::Answer;
 use super::arrivals::Arrivals;
-use super::attempt::{self, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
+use super::attempt::{self, MayHaveRun, OutgoingRequest, LAST_CHUNK, TIMEOUT_HEADER};
 use super::connections::{CloseRequest, Closed, ConnectionGuard, Connections};
 use super::endpoint_answer::EndpointAnswer;
 use super::head::{Framing, Head, HttpError, MAX_BODY_BYTES};
 use super::messages::{Incoming, Message, MessageKind, MessageParser, PartialMessage};
+use super::request_ids::{IdConflict, RegisteredId, ReleasedId};
 use super::upload::{body_time, read_ahead, UploadingClient, REQUEST_READ_TIMEOUT, TOO_SLOW};
 use super::DispatcherMessage;
 use crate::dispatcher::{RequestOutcome, RequestParams};
@@ -76,14 +77,22 @@
     /// The client speaks HTTP/1.0, which has no chunked encoding.
     http10: bool,
     /// The request that it answers; none if no request was accepted.
-    request: Option<(OpenRequest, AnswerKind)>,
+    request: Option<AnsweredRequest>,
+}
+
+/// A request that has its answer.
+struct AnsweredRequest {
+    open: OpenRequest,
+    kind: AnswerKind,
+    /// Its id, to be remembered if its client may not get to know the answer; none if it may run again.
+    id: Option<ReleasedId>,
 }
 
 /// The answer to a request; none if its client left before the answer.
 type AnswerUnlessGone = Option<RequestAnswer>;
 
 /// An answer, and the request that it answers if that was accepted.
-type RequestAnswer = (Answer, Option<(OpenRequest, AnswerKind)>);
+type RequestAnswer = (Answer, Option<AnsweredRequest>);
 
 /// What identifies a request, besides the parameters that the dispatcher needs.
 struct RequestIdentity {
@@ -158,13 +167,22 @@
         let PendingAnswer { answer, keep_alive, http10, request } = pending;
         let framing = answer.framing(http10);
         let keep_alive = keep_alive && self.shared.keeps_alive() && framing != Framing::UntilClose;
-        if let Some((open, kind)) = &request {
+        if let Some(AnsweredRequest { open, kind, .. }) = &request {
             open.answer_begun(*kind);
         }
         let broken = self.write_answer(answer, keep_alive, framing).await.err();
         let reason = broken.or_else(|| (!keep_alive).then_some(CloseReason::LastAnswer));
-        if let Some((open, _)) = request {
+        if let Some(AnsweredRequest { open, kind, id }) = request {
             open.close(reason);
+            let untold = broken.is_some() || self.stream.has_ended();
+            let outcome_unknown = match kind {
+                AnswerKind::Refused => false,
+                AnswerKind::Failed => true,
+                AnswerKind::Served => untold,
+            };
+            if let Some(id) = id.filter(|_| outcome_unknown) {
+                id.remember(Instant::now());
+            }
         }
         if reason == Some(CloseReason::LastAnswer) {
             self.close_gracefully().await;
@@ -270,15 +288,14 @@
         let (params, _, _, identity) = self.read_request(&request.head, came_at)?;
         // Guards against two different open requests with the same id: endpoints could not tell them apart.
         let shared = self.shared;
-        let _registered_id = shared
-            .register_request_id(&identity.id)
-            .ok_or(HttpError { status: 409, message: "this Request-Id is open" })?;
+        let registered_id = shared.register_request_id(&identity.id)?;
         // Guards against an attempt for a client that left before its request was read: it may have waited to be
         // accepted.
         if self.stream.has_ended() {
             return Ok(None);
         }
         let outgoing = OutgoingRequest::buffered(request, self.stream.peer_end())?;
+        let id = UnsafeId::new(registered_id, outgoing.may_have_run(), identity.repeat_safety);
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let answered = async { (&outcome).await };
@@ -287,8 +304,9 @@
         let outcome: Option<RequestOutcome<_>> =
             future::or(answered, future::or(client_gone(stream), read_ahead)).await;
         match outcome {
-            Some(outcome) => Ok(Some(request_answer(outcome, open))),
+            Some(outcome) => Ok(Some(request_answer(outcome, open, id.release()))),
             None => {
+                id.client_gone();
                 self.withdraw(open).await;
                 Ok(None)
             }
@@ -304,11 +322,10 @@
         let (mut params, client_timeout, streamed_workload, mut identity) =
             self.read_request(&head, came_at)?;
         let (shared, received) = (self.shared, buffered.len());
+        let declared_safety = identity.repeat_safety;
         // A streamed body cannot be sent twice, whatever its workload allows, and its time counts from its last byte.
         (params.workload, identity.repeat_safety) = (streamed_workload, RepeatSafety::Unsafe);
-        let _registered_id = shared
-            .register_request_id(&identity.id)
-            .ok_or(HttpError { status: 409, message: "this Request-Id is open" })?;
+        let registered_id = shared.register_request_id(&identity.id)?;
         let (outgoing, writer) =
             OutgoingRequest::streamed(&head, buffered, &rest, client_timeout, &self.stream)?;
         if self.stream.has_ended() {
@@ -319,6 +336,7 @@
         let last_byte_by = body.last_byte_at().unwrap_or_else(|| Instant::now() + max_body_time);
         params.deadline =
             (shared.dispatcher.clock.micros_at(last_byte_by) + client_timeout).min(shared.answer_deadline());
+        let id = UnsafeId::new(registered_id, outgoing.may_have_run(), declared_safety);
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let time_over = async {
@@ -345,15 +363,17 @@
             self.arrivals.record(rest.surplus().len(), self.stream.last_bytes_came_at());
         }
         match outcome {
-            Ok(Some(outcome)) => Ok(Some((request_answer(outcome, open), complete))),
+            Ok(Some(outcome)) => Ok(Some((request_answer(outcome, open, id.release()), complete))),
             Ok(None) => {
+                id.client_gone();
                 self.withdraw(open).await;
                 Ok(None)
             }
             // The request was accepted before its body failed: the error is its answer.
             Err(error) => {
                 shared.dispatcher.send(DispatcherMessage::Withdrawn(open.request())).await;
-                Ok(Some(((error.into(), Some((open, AnswerKind::Failed))), false)))
+                let request = AnsweredRequest { open, kind: AnswerKind::Failed, id: id.release() };
+                Ok(Some(((error.into(), Some(request)), false)))
             }
         }
     }
@@ -506,14 +526,52 @@
     }
 }
 
+/// The id of an open request, and whether a second one with it must not run.
+struct UnsafeId {
+    id: RegisteredId,
+    may_have_run: MayHaveRun,
+    repeat_safety: RepeatSafety,
+}
+
+impl UnsafeId {
+    fn new(id: RegisteredId, may_have_run: MayHaveRun, repeat_safety: RepeatSafety) -> UnsafeId {
+        UnsafeId { id, may_have_run, repeat_safety }
+    }
+
+    /// Frees the id. Returns it if the request may have run and must not run again.
+    fn release(self) -> Option<ReleasedId> {
+        let id = self.id.release();
+        Some(id).filter(|_| self.repeat_safety == RepeatSafety::Unsafe && self.may_have_run.get())
+    }
+
+    /// The client has gone before its answer.
+    fn client_gone(self) {
+        if let Some(id) = self.release() {
+            id.remember(Instant::now());
+        }
+    }
+}
+
 /// The outcome of a request as the answer to it.
-fn request_answer(outcome: RequestOutcome<EndpointAnswer>, open: OpenRequest) -> RequestAnswer {
+fn request_answer(
+    outcome: RequestOutcome<EndpointAnswer>, open: OpenRequest, id: Option<ReleasedId>,
+) -> RequestAnswer {
     let kind = match &outcome {
         RequestOutcome::Served(_) => AnswerKind::Served,
         RequestOutcome::Refused { .. } => AnswerKind::Refused,
         RequestOutcome::Failed => AnswerKind::Failed,
     };
-    (outcome.into(), Some((open, kind)))
+    (outcome.into(), Some(AnsweredRequest { open, kind, id }))
+}
+
+impl From<IdConflict> for HttpError {
+    fn from(conflict: IdConflict) -> HttpError {
+        let message = match conflict {
+            IdConflict::Open => "this Request-Id is open",
+            IdConflict::MayHaveRun => "the request with this Request-Id may have run",
+        };
+        HttpError { status: 409, message }
+    }
 }
 
 /// Waits until the client leaves, then returns none. Notices it wherever the request waits, even behind unread bytes:
--- a/sidecar/src/http1/connections.rs
+++ b/sidecar/src/http1/connections.rs
@@ -1,5 +1,6 @@
 //! What all client connections of a worker share: how many there may be, which have no open request and may be
 //! closed, the ids of open requests, and whether the process still takes requests.
+use super::request_ids::{IdConflict, RegisteredId, RequestIds};
 use super::{AnswerDeadline, DispatcherHandle, RequestSettings};
 use crate::eviction::{self, IdleConnection, SendingProgress};
 use crate::limits::{Gauge, LimitShare, Slot};
@@ -9,12 +10,11 @@
 use oakhollow::types::Micros;
 use oakhollow_guard::CloseReason;
 use std::cell::{Cell, RefCell};
-use std::collections::hash_map::RandomState;
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::hash::BuildHasher;
+use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
+use std::time::Instant;
 
 /// Numbers idle connections in the order in which they became idle.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -88,41 +88,6 @@
     }
 }
 
-/// The id of an open request. Dropping it frees the id.
-pub struct OpenRequestId<'a> {
-    shared: &'a Connections,
-    id: String,
-}
-
-impl Drop for OpenRequestId<'_> {
-    fn drop(&mut self) {
-        self.shared.request_ids.remove(&self.id);
-    }
-}
-
-/// The ids of all open requests of all workers, in shards so that workers seldom wait for each other's locks.
-#[derive(Default)]
-pub struct OpenRequestIds {
-    shards: [Mutex<HashSet<Box<str>>>; 16],
-    hash: RandomState,
-}
-
-impl OpenRequestIds {
-    fn shard(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
-        let shard = &self.shards[self.hash.hash_one(id) as usize % self.shards.len()];
-        shard.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns false if a request with this id is open already.
-    fn insert(&self, id: &str) -> bool {
-        self.shard(id).insert(id.into())
-    }
-
-    fn remove(&self, id: &str) {
-        self.shard(id).remove(id);
-    }
-}
-
 /// What all client connections of a worker share.
 pub struct Connections {
     pub dispatcher: Rc<DispatcherHandle>,
@@ -137,7 +102,7 @@
     idle: RefCell<BTreeMap<IdleId, IdleEntry>>,
     /// How many connections each address has.
     sources: RefCell<HashMap<IpAddr, usize>>,
-    request_ids: Arc<OpenRequestIds>,
+    request_ids: Arc<RequestIds>,
     /// Wakes the acceptor when there may be a slot.
     slot_freed: (Sender<()>, Receiver<()>),
     /// Whether new connections wait for a slot.
@@ -152,7 +117,7 @@
 impl Connections {
     pub fn new(
         dispatcher: Rc<DispatcherHandle>, request_settings: RequestSettings, monitor: Rc<Monitor>,
-        limit: (Rc<LimitShare>, Gauge), request_ids: Arc<OpenRequestIds>, answer_deadline: AnswerDeadline,
+        limit: (Rc<LimitShare>, Gauge), request_ids: Arc<RequestIds>, answer_deadline: AnswerDeadline,
     ) -> Rc<Connections> {
         let (limit, gauge) = limit;
         Rc::new(Connections {
@@ -286,9 +251,9 @@
         }
     }
 
-    /// Adds an id to those of the open requests. Returns none if it is among them already.
-    pub fn register_request_id(&self, id: &str) -> Option<OpenRequestId<'_>> {
-        self.request_ids.insert(id).then(|| OpenRequestId { shared: self, id: id.to_string() })
+    /// Registers the id of a request until the returned guard is dropped.
+    pub fn register_request_id(&self, id: &str) -> Result<RegisteredId, IdConflict> {
+        self.request_ids.register(id, Instant::now())
     }
 
     /// Registers a connection without an open request as idle, until the returned guard is dropped. The guard reports
--- a/sidecar/src/http1/mod.rs
+++ b/sidecar/src/http1/mod.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod messages;
 pub mod pool;
+pub mod request_ids;
 pub mod upload;
 pub mod watch;
 
--- a/sidecar/src/workers.rs
+++ b/sidecar/src/workers.rs
@@ -5,8 +5,9 @@
 use crate::endpoint_list::PeerDrains;
 use crate::endpoint_registry::MaintenanceMark;
 use crate::http1::acceptor::Acceptor;
-use crate::http1::connections::{Connections, OpenRequestIds};
+use crate::http1::connections::Connections;
 use crate::http1::pool::Pool;
+use crate::http1::request_ids::RequestIds;
 use crate::http1::{
     AnswerDeadline, Dispatcher, DispatcherHandle, DispatcherMessage, Fence, Http1, RequestSettings,
 };
@@ -239,7 +240,7 @@
     pub metrics: Arc<Metrics>,
     /// Requests a subscription to the list.
     pub subscribe: Sender<()>,
-    pub ids: Arc<OpenRequestIds>,
+    pub ids: Arc<RequestIds>,
     /// The listener is the platform's, so connections that wait in its queue are left to the next process.
     pub listener_passed: bool,
     /// The predecessor process has sent its snapshot and still runs.
--- a/sidecar/tests/peers/main.rs
+++ b/sidecar/tests/peers/main.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod long_answers;
 mod memory;
+mod reused_ids;
 
 use std::time::Duration;
 
