Long requests are answered by their time also while a server reads them slowly

Cause: the rest of a body may wait, written, in the client's machine. Its last byte was taken to be written when the last bytes came, and a server that reads slowly lets some come always.

Change: the time of a body with a stated length counts from the first check, ten times a second, at which no more than 4 MiB were missing while the full buffer kept the client from sending.

Evidence: the new test requests_that_a_server_reads_slowly_are_answered_by_their_time (24 cases) failed before and passes; a second one, that they are served where there is time, passes before and after.

Price: a client whose machine holds less than 4 MiB is still writing then, and its request fails earlier than its time. Open: chunked bodies, whose end can't be told.

--- a/sidecar/src/http1/upload.rs
+++ b/sidecar/src/http1/upload.rs
@@ -29,6 +29,8 @@
 /// How long an attempt waits at most for bytes that are on their way, and how often it looks whether they still come.
 const MAX_ARRIVAL_WAIT: Duration = Duration::from_millis(20);
 const ARRIVAL_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// How often it is checked whether the rest of a body may have been written that is not here.
+const WRITTEN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How far apart two readings of the same time may be that the kernel tells.
 const KERNEL_TIME_RESOLUTION: Duration = Duration::from_millis(10);
 /// How many bytes that a client sends ahead are read while its request is open.
@@ -42,6 +44,8 @@
     handed_over: Cell<bool>,
     /// How many bytes have not been read; none if the request does not state the length of its body.
     unread: Cell<Option<u64>>,
+    /// Since when the client may have written all of it, although the rest is not here.
+    may_be_written_since: Cell<Option<Instant>>,
     /// Whether an attempt passes it on, or has done so.
     taken: Cell<bool>,
     /// The client's connection, until it is closed.
@@ -52,32 +56,42 @@
     /// Waits until the time of the request is over, which counts from when its last byte was written. Never ends if that
     /// byte does not come.
     pub async fn time_over(&self, timeout: Duration) {
+        let mut checked_at = Instant::now();
         loop {
+            self.note_whether_written(checked_at);
             let now = Instant::now();
             let over_at = match self.last_byte_written_at().map(|written_at| written_at + timeout) {
                 Some(over_at) if over_at <= now => return,
-                Some(over_at) => over_at,
-                // If the last byte comes later than now, all of its time is left.
-                None => now + timeout,
+                Some(over_at) => over_at.min(now + WRITTEN_CHECK_INTERVAL),
+                None => now + WRITTEN_CHECK_INTERVAL,
             };
+            checked_at = now;
             Timer::at(over_at.max(now + KERNEL_TIME_RESOLUTION)).await;
         }
     }
 
-    /// When the client may have written the last byte at the latest, as far as can be told without reading more. The rest of
-    /// the body may wait in the client's machine while nothing is read here, and a body that does not state its length
+    /// Notes since when the rest of a body of a stated length may have been written although it is not here, as far as can be
+    /// told at this check and the last one, at `last_check`.
+    fn note_whether_written(&self, last_check: Instant) {
+        let may_be_written = || {
+            let (client, unread) = (self.client.upgrade()?, self.unread.get()?);
+            let not_here = unread.saturating_sub(client.unread_bytes());
+            Some(not_here <= MAX_SEND_BUFFER_BYTES && client.peer_waits_for_reader())
+        };
+        let since = self.may_be_written_since.get().unwrap_or(last_check);
+        self.may_be_written_since.set(Some(since).filter(|_| may_be_written().unwrap_or(false)));
+    }
+
+    /// When the client may have written the last byte, as far as can be told without reading more. The rest of
+    /// the body may wait in the client's machine while little is read here, and a body that does not state its length
     /// may end with any byte that is unread.
     fn last_byte_written_at(&self) -> Option<Instant> {
-        let waits_for_reader = || {
-            let client = self.client.upgrade()?;
-            let may_be_written = match self.unread.get() {
-                Some(unread) => {
-                    let not_here = unread.saturating_sub(client.unread_bytes());
-                    not_here <= MAX_SEND_BUFFER_BYTES && client.peer_waits_for_reader()
-                }
-                None => client.unread_bytes() > 0,
-            };
-            client.silent_since().filter(|_| may_be_written)
+        let waits_for_reader = || match self.unread.get() {
+            Some(_) => self.may_be_written_since.get(),
+            None => {
+                let client = self.client.upgrade()?;
+                client.silent_since().filter(|_| client.unread_bytes() > 0)
+            }
         };
         self.last_byte_at().or_else(waits_for_reader)
     }
@@ -137,6 +151,7 @@
             last_byte_at: Cell::new(None),
             handed_over: Cell::new(false),
             unread: Cell::new(unread),
+            may_be_written_since: Cell::new(None),
             taken: Cell::new(false),
             client: Rc::downgrade(client),
         });
--- a/sidecar/tests/peers/main.rs
+++ b/sidecar/tests/peers/main.rs
@@ -12,6 +12,7 @@
 mod long_answers;
 mod memory;
 mod reused_ids;
+mod slow_servers;
 
 use std::time::Duration;
 
