--- a/sidecar/tests/peers/main.rs
+++ b/sidecar/tests/peers/main.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod long_answers;
 mod memory;
+mod replaced_servers;
 mod reused_ids;
 mod slow_servers;
 
