Upgrades: both processes know which requests must not run again

Cause: each process knew its own ids alone.

Change: the two tell each other of once-only requests that may have run, by the stable hash of the id: all that are known when they meet, then each before its first attempt's first byte.

--- a/config/src/maintenance.rs
+++ b/config/src/maintenance.rs
@@ -32,6 +32,8 @@
     list: Option<DiscoveryList>,
     #[serde(default, rename = "servers", skip_serializing_if = "Vec::is_empty")]
     health: Vec<HealthRecord>,
+    #[serde(default, rename = "requests", skip_serializing_if = "std::ops::Not::not")]
+    exchanges_requests: bool,
 }
 
 /// The offset of a process's clock from the monotonic clock of its host, which all processes since one boot
@@ -85,6 +87,8 @@
     pub list: Option<DiscoveryList>,
     /// What was learned about the health of the servers.
     pub learned: LearnedHealth,
+    /// Whether the process understands [`HandoverMessage::UnsafeRequests`].
+    pub exchanges_requests: bool,
 }
 
 impl HealthRecord {
@@ -143,6 +147,10 @@
     /// The sender accepts no more connections.
     #[serde(rename = "parting")]
     StoppedAccepting,
+    /// Requests that must not be repeated and may have run at the sender: the stable hashes of their ids. The first one on a
+    /// connection tells that the sender understands this message; a process sends it only to one that does.
+    #[serde(rename = "requests")]
+    UnsafeRequests(Vec<u64>),
 }
 
 impl HandoverMessage {
@@ -189,6 +197,7 @@
             clock,
             list: state.list,
             health,
+            exchanges_requests: state.exchanges_requests,
         };
         to_json(&snapshot)
     }
@@ -236,7 +245,7 @@
         let learned = snapshot.health.into_iter().filter_map(HealthRecord::into_health).collect();
         Ok((
             MaintenanceMarks { in_maintenance: snapshot.in_maintenance, returned },
-            HandoverState { list: snapshot.list, learned },
+            HandoverState { list: snapshot.list, learned, exchanges_requests: snapshot.exchanges_requests },
         ))
     }
 }
--- a/sidecar/src/handover.rs
+++ b/sidecar/src/handover.rs
@@ -2,6 +2,7 @@
 //! sends a snapshot as one line; then each side sends its maintenance marks, a line each. The end of the connection
 //! means that the other process has ended.
 use crate::endpoint_registry::{lock, MaintenanceMark, SharedRegistry};
+use crate::http1::request_ids::RequestIds;
 use crate::limits::SharedLimit;
 use crate::line_io::{read_line, with_timeout, write_line};
 use crate::maintenance_store::MaintenanceStore;
@@ -19,7 +20,7 @@
 use slog::{info, warn, Logger};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a new process waits for the snapshot of its predecessor.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -35,22 +36,44 @@
 type Link = (Sender<HandoverMessage>, Receiver<HandoverMessage>);
 type LinkWriter = WriteHalf<Uninterrupted<Async<UnixStream>>>;
 
+/// A link to another process, as those that send to it see it.
+struct OpenLink {
+    messages: Sender<HandoverMessage>,
+    /// Whether the other process understands [`HandoverMessage::UnsafeRequests`].
+    exchanges_requests: bool,
+}
+
 /// The links to other processes of this sidecar, if there are any.
 #[derive(Clone, Default)]
-pub struct HandoverLinks(Arc<Mutex<Vec<Sender<HandoverMessage>>>>);
+pub struct HandoverLinks(Arc<Mutex<Vec<OpenLink>>>);
 
 impl HandoverLinks {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Sender<HandoverMessage>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<OpenLink>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds a link, which receives every message sent from now on.
     fn open(&self) -> Link {
         let (link, messages) = bounded(MAX_QUEUED_LINES);
-        self.lock().push(link.clone());
+        self.lock().push(OpenLink { messages: link.clone(), exchanges_requests: false });
         (link, messages)
     }
 
+    /// From now on this link is told of requests that must not be repeated. Returns false if it was before.
+    fn begin_exchanging_requests(&self, link: &Sender<HandoverMessage>) -> bool {
+        let mut links = self.lock();
+        let open = links.iter_mut().find(|other| other.messages.same_channel(link));
+        open.is_some_and(|open| !std::mem::replace(&mut open.exchanges_requests, true))
+    }
+
+    /// Tells all other processes of a request that must not be repeated and may have run, by the hash of its id.
+    pub fn send_unsafe_request(&self, hash: u64) {
+        let links = self.lock();
+        for link in links.iter().filter(|link| link.exchanges_requests) {
+            let _ = link.messages.try_send(HandoverMessage::UnsafeRequests(vec![hash]));
+        }
+    }
+
     /// Sends a mark to all other processes except the one from which it was received.
     pub fn send_maintenance(&self, mark: &MaintenanceMark, except: Option<&Sender<HandoverMessage>>) {
         let MaintenanceMark { name, in_maintenance, set_at } = mark.clone();
@@ -71,7 +94,10 @@
 
     fn send(&self, message: HandoverMessage, except: Option<&Sender<HandoverMessage>>) {
         let links = self.lock();
-        let others = links.iter().filter(|link| !except.is_some_and(|except| link.same_channel(except)));
+        let others = links
+            .iter()
+            .map(|link| &link.messages)
+            .filter(|link| !except.is_some_and(|except| link.same_channel(except)));
         others.for_each(|link| _ = link.try_send(message.clone()));
     }
 
@@ -126,6 +152,7 @@
     pub commands: CommandBroadcaster,
     pub store: Arc<MaintenanceStore>,
     pub connection_limits: [SharedLimit; 2],
+    pub request_ids: Arc<RequestIds>,
     pub clock: Clock,
     pub log: Logger,
 }
@@ -134,8 +161,12 @@
     /// Exchanges lines with the predecessor, if there is one, and waits for successors.
     pub async fn run(self, predecessor: Option<Predecessor>) {
         let exchange_with_predecessor = async {
-            if let Some(Predecessor { reader, writer, .. }) = predecessor {
-                self.exchange_lines(reader, writer, self.links.open(), Sharing::WithPredecessor).await;
+            if let Some(Predecessor { reader, writer, state, .. }) = predecessor {
+                let link = self.links.open();
+                if state.exchanges_requests {
+                    self.exchange_requests(&link.0);
+                }
+                self.exchange_lines(reader, writer, link, Sharing::WithPredecessor).await;
             }
             future::pending::<()>().await
         };
@@ -169,7 +200,9 @@
             let (reader, mut writer) = io::split(Uninterrupted(stream));
             let learned = self.learned().await;
             let (marks, list, link) = self.snapshot();
-            let snapshot = self.store.serialize(&marks, HandoverState { list: Some(list), learned });
+            let snapshot = self
+                .store
+                .serialize(&marks, HandoverState { list: Some(list), learned, exchanges_requests: true });
             if write_line(&mut writer, &snapshot).await {
                 self.exchange_lines(BufReader::new(reader), writer, link, Sharing::WithSuccessor).await;
             } else {
@@ -187,7 +220,7 @@
 
     /// Removes a link.
     fn close(&self, link: &Sender<HandoverMessage>) {
-        self.links.lock().retain(|other| !other.same_channel(link));
+        self.links.lock().retain(|other| !other.messages.same_channel(link));
     }
 
     /// Shares limits and marks with another process until that ends.
@@ -217,6 +250,10 @@
                         info!(self.log, "the other process has stopped accepting");
                         self.commands.send(WorkerCommand::SetSharing(Sharing::Alone)).await;
                     }
+                    Ok(HandoverMessage::UnsafeRequests(hashes)) => {
+                        self.request_ids.remember_unsafe_requests(hashes, Instant::now());
+                        self.exchange_requests(&link);
+                    }
                     Err(error) => return warn!(self.log, "malformed line from the other process: {}", error),
                 }
             }
@@ -233,6 +270,13 @@
         self.set_sharing(Sharing::Alone).await;
     }
 
+    /// Tells a process that understands it of the requests that may have run here, and from now on of each further one.
+    fn exchange_requests(&self, link: &Sender<HandoverMessage>) {
+        if self.links.begin_exchanging_requests(link) {
+            let _ = link.try_send(HandoverMessage::UnsafeRequests(self.request_ids.unsafe_requests()));
+        }
+    }
+
     /// What one worker's module has learned. Any worker will do, since all of them learn about the same.
     async fn learned(&self) -> LearnedHealth {
         let (reply_to, learned) = bounded(1);
@@ -272,7 +316,6 @@
     use slog::{o, Discard};
     use std::io::Write;
     use std::thread;
-    use std::time::Instant;
 
     /// The marks that a new process gets from a predecessor that sends only `sent`, and how long that takes. Without
     /// `sent` the predecessor has exited and left its socket file behind. A predecessor whose text ends in `!` closes
--- a/sidecar/src/http1/attempt.rs
+++ b/sidecar/src/http1/attempt.rs
@@ -4,6 +4,7 @@
 use super::load;
 use super::messages::{BodyReader, Message, MessageKind, MessageParser};
 use super::pool::Pool;
+use super::request_ids::RunMarker;
 use super::upload::{BodyStream, BodyStreamWriter};
 use super::Fence;
 use crate::dispatcher::{AttemptEnd, AttemptProgress, LoadReport};
@@ -28,12 +29,23 @@
 /// Whether an attempt of a request has begun to be written, so that an endpoint may have run it. Shared by the attempts and the
 /// client's connection.
 #[derive(Clone, Default)]
-pub struct MayHaveRun(Rc<Cell<bool>>);
+pub struct MayHaveRun(Rc<(Cell<bool>, Option<RunMarker>)>);
 
 impl MayHaveRun {
+    /// It has not run. `marker` is told when it may have, if it must not be repeated.
+    pub fn new(marker: Option<RunMarker>) -> MayHaveRun {
+        MayHaveRun(Rc::new((Cell::new(false), marker)))
+    }
+
     /// Whether it may have run. Does not change any more once the client has gone.
     pub fn get(&self) -> bool {
-        self.0.get()
+        self.0 .0.get()
+    }
+
+    fn set(&self) {
+        if let (false, Some(marker)) = (self.0 .0.replace(true), &self.0 .1) {
+            marker.mark();
+        }
     }
 }
 
@@ -50,26 +62,22 @@
 
 impl OutgoingRequest {
     /// A request whose body is buffered whole.
-    pub fn buffered(request: Message, client_end: PeerEnd) -> Result<OutgoingRequest, HttpError> {
+    pub fn buffered(
+        request: Message, client_end: PeerEnd, may_have_run: MayHaveRun,
+    ) -> Result<OutgoingRequest, HttpError> {
         let Message { head, body, .. } = request;
         let (mut bytes, method) = OutgoingRequest::forwarded_head(&head)?;
         if !body.is_empty() || method != "GET" {
             bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
         }
-        Ok(OutgoingRequest {
-            head: bytes,
-            body,
-            client_end,
-            may_have_run: MayHaveRun::default(),
-            stream: None,
-        })
+        Ok(OutgoingRequest { head: bytes, body, client_end, may_have_run, stream: None })
     }
 
     /// A request of which only the first part of the body has been read; the rest is written to what is returned
     /// with it.
     pub fn streamed(
         head: &Head, buffered: Vec<u8>, rest: &BodyReader, answer_timeout: Micros,
-        client: &Rc<Async<TcpStream>>,
+        client: &Rc<Async<TcpStream>>, may_have_run: MayHaveRun,
     ) -> Result<(OutgoingRequest, BodyStreamWriter), HttpError> {
         let (mut bytes, _) = OutgoingRequest::forwarded_head(head)?;
         match rest.length() {
@@ -82,15 +90,9 @@
         let body = if chunked { encode_chunk(&buffered) } else { buffered };
         let (stream, writer) = BodyStream::new(unread, answer_timeout, client);
         let client_end = client.peer_end();
-        let may_have_run = MayHaveRun::default();
         Ok((OutgoingRequest { head: bytes, body, client_end, may_have_run, stream: Some(stream) }, writer))
     }
 
-    /// Tells whether an endpoint may have run it.
-    pub fn may_have_run(&self) -> MayHaveRun {
-        self.may_have_run.clone()
-    }
-
     /// The request line and the headers that are passed on, and the method.
     fn forwarded_head(head: &Head) -> Result<(Vec<u8>, &str), HttpError> {
         let (method, target, _) = head.request_line()?;
@@ -231,7 +233,7 @@
         }
     };
     progress.send_started.set(true);
-    request.may_have_run.0.set(true);
+    request.may_have_run.set();
     let mut parser = MessageParser::new(MessageKind::Answer);
     let write_failed = |error: std::io::Error| {
         target.monitor.system_error(SystemCall::Transfer, &error);
--- a/sidecar/src/http1/client_connection.rs
+++ b/sidecar/src/http1/client_connection.rs
@@ -288,14 +288,13 @@
         let (params, _, _, identity) = self.read_request(&request.head, came_at)?;
         // Guards against two different open requests with the same id: endpoints could not tell them apart.
         let shared = self.shared;
-        let registered_id = shared.register_request_id(&identity.id)?;
+        let id = UnsafeId::new(shared.register_request_id(&identity.id)?, identity.repeat_safety);
         // Guards against an attempt for a client that left before its request was read: it may have waited to be
         // accepted.
         if self.stream.has_ended() {
             return Ok(None);
         }
-        let outgoing = OutgoingRequest::buffered(request, self.stream.peer_end())?;
-        let id = UnsafeId::new(registered_id, outgoing.may_have_run(), identity.repeat_safety);
+        let outgoing = OutgoingRequest::buffered(request, self.stream.peer_end(), id.may_have_run.clone())?;
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let answered = async { (&outcome).await };
@@ -325,9 +324,15 @@
         let declared_safety = identity.repeat_safety;
         // A streamed body cannot be sent twice, whatever its workload allows, and its time counts from its last byte.
         (params.workload, identity.repeat_safety) = (streamed_workload, RepeatSafety::Unsafe);
-        let registered_id = shared.register_request_id(&identity.id)?;
-        let (outgoing, writer) =
-            OutgoingRequest::streamed(&head, buffered, &rest, client_timeout, &self.stream)?;
+        let id = UnsafeId::new(shared.register_request_id(&identity.id)?, declared_safety);
+        let (outgoing, writer) = OutgoingRequest::streamed(
+            &head,
+            buffered,
+            &rest,
+            client_timeout,
+            &self.stream,
+            id.may_have_run.clone(),
+        )?;
         if self.stream.has_ended() {
             return Ok(None);
         }
@@ -336,7 +341,6 @@
         let last_byte_by = body.last_byte_at().unwrap_or_else(|| Instant::now() + max_body_time);
         params.deadline =
             (shared.dispatcher.clock.micros_at(last_byte_by) + client_timeout).min(shared.answer_deadline());
-        let id = UnsafeId::new(registered_id, outgoing.may_have_run(), declared_safety);
         let open = self.accept(&params, identity);
         let outcome = shared.dispatcher.submit(open.request(), params, outgoing).await;
         let time_over = async {
@@ -534,8 +538,9 @@
 }
 
 impl UnsafeId {
-    fn new(id: RegisteredId, may_have_run: MayHaveRun, repeat_safety: RepeatSafety) -> UnsafeId {
-        UnsafeId { id, may_have_run, repeat_safety }
+    fn new(id: RegisteredId, repeat_safety: RepeatSafety) -> UnsafeId {
+        let marker = (repeat_safety == RepeatSafety::Unsafe).then(|| id.run_marker());
+        UnsafeId { id, may_have_run: MayHaveRun::new(marker), repeat_safety }
     }
 
     /// Frees the id. Returns it if the request may have run and must not run again.
--- a/sidecar/src/http1/request_ids.rs
+++ b/sidecar/src/http1/request_ids.rs
@@ -1,9 +1,8 @@
 //! The ids of requests that are open, and of requests unsafe to repeat that may have run although nobody was told so. A request
 //! with such an id is turned away: endpoints could not tell it from the earlier one, or would run it twice.
-use std::collections::hash_map::RandomState;
+use oakhollow_config::stable_hash;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::BuildHasher;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long an id is remembered after its request ended without a known outcome.
@@ -22,16 +21,21 @@
     MayHaveRun,
 }
 
-/// The ids of all workers' requests.
+/// Tells other processes of a request that must not be repeated and may have run, by the hash of its id.
+type Announce = Box<dyn Fn(u64) + Send + Sync>;
+
+/// The ids of all workers' requests. Hashes of them mean the same at all processes.
 #[derive(Default)]
 pub struct RequestIds {
     shards: [Mutex<Shard>; SHARDS],
-    hash: RandomState,
+    announce: OnceLock<Announce>,
 }
 
 #[derive(Default)]
 struct Shard {
     open: HashSet<Box<str>>,
+    /// Those of open requests that must not be repeated and may have run.
+    may_have_run: HashSet<u64>,
     remembered: RememberedIds,
 }
 
@@ -76,7 +80,7 @@
 
     /// Registers the id of a request that is read `now`, until the returned guard is dropped.
     pub fn register(self: &Arc<RequestIds>, id: &str, now: Instant) -> Result<RegisteredId, IdConflict> {
-        let hash = self.hash.hash_one(id);
+        let hash = stable_hash(id);
         let mut shard = self.shard(hash);
         shard.remembered.forget_expired(now);
         if shard.remembered.counts.contains_key(&hash) {
@@ -87,6 +91,27 @@
         }
         Ok(RegisteredId { ids: self.clone(), id: id.into() })
     }
+
+    /// Sets how other processes are told of requests that may have run from now on.
+    pub fn set_announce(&self, announce: impl Fn(u64) + Send + Sync + 'static) {
+        // Set once, at the start of the process.
+        let _ = self.announce.set(Box::new(announce));
+    }
+
+    /// The hashes of the ids of all requests that must not be repeated and may have run.
+    pub fn unsafe_requests(&self) -> Vec<u64> {
+        let of_shard = |shard: &Mutex<Shard>| {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let remembered = shard.remembered.counts.keys().copied();
+            shard.may_have_run.iter().copied().chain(remembered).collect::<Vec<u64>>()
+        };
+        self.shards.iter().flat_map(of_shard).collect()
+    }
+
+    /// Remembers requests that may have run at another process.
+    pub fn remember_unsafe_requests(&self, hashes: Vec<u64>, now: Instant) {
+        hashes.into_iter().for_each(|hash| self.shard(hash).remembered.insert(hash, now));
+    }
 }
 
 /// The id of an open request. Dropping it frees the id.
@@ -96,16 +121,39 @@
 }
 
 impl RegisteredId {
+    /// What notes that the request, which must not be repeated, may have run from now on.
+    pub fn run_marker(&self) -> RunMarker {
+        RunMarker { ids: self.ids.clone(), hash: stable_hash(&self.id) }
+    }
+
     /// Frees the id. What is returned can still remember it.
     pub fn release(self) -> ReleasedId {
-        ReleasedId { ids: self.ids.clone(), hash: self.ids.hash.hash_one(&*self.id) }
+        ReleasedId { ids: self.ids.clone(), hash: stable_hash(&self.id) }
     }
 }
 
 impl Drop for RegisteredId {
     fn drop(&mut self) {
-        let hash = self.ids.hash.hash_one(&*self.id);
-        self.ids.shard(hash).open.remove(&self.id);
+        let hash = stable_hash(&self.id);
+        let mut shard = self.ids.shard(hash);
+        shard.open.remove(&self.id);
+        shard.may_have_run.remove(&hash);
+    }
+}
+
+/// Notes that a request that must not be repeated may have run.
+pub struct RunMarker {
+    ids: Arc<RequestIds>,
+    hash: u64,
+}
+
+impl RunMarker {
+    /// An attempt is about to be written.
+    pub fn mark(&self) {
+        self.ids.shard(self.hash).may_have_run.insert(self.hash);
+        if let Some(announce) = self.ids.announce.get() {
+            announce(self.hash);
+        }
     }
 }
 
--- a/sidecar/src/lifecycle/start.rs
+++ b/sidecar/src/lifecycle/start.rs
@@ -6,6 +6,7 @@
 use crate::console::{self, Console};
 use crate::endpoint_registry::{lock, EndpointRegistry, SharedRegistry};
 use crate::handover::{HandoverLinks, HandoverTask, Predecessor};
+use crate::http1::request_ids::RequestIds;
 use crate::http1::watch::{self, Watch};
 use crate::lease::Lease;
 use crate::limits::SharedLimit;
@@ -106,6 +107,7 @@
         let connection_limits =
             [SharedLimit::new(max_connections, workers), SharedLimit::new(max_connections, workers)];
         let metrics = Arc::new(Metrics::new());
+        let request_ids = Arc::<RequestIds>::default();
         let main_thread = Progress::not_watched();
         let setup = WorkerSetup {
             settings,
@@ -123,7 +125,7 @@
             main_thread: main_thread.clone(),
             metrics: metrics.clone(),
             subscribe,
-            ids: Arc::default(),
+            ids: request_ids.clone(),
             listener_passed,
             has_predecessor,
         };
@@ -168,12 +170,15 @@
         if let Some(store) = store.filter(|_| listener_passed) {
             let (handover_links, registry, commands) =
                 (handover_links.clone(), registry.clone(), commands.clone());
+            let links = handover_links.clone();
+            request_ids.set_announce(move |hash| links.send_unsafe_request(hash));
             let handover_task = HandoverTask {
                 links: handover_links,
                 registry,
                 commands,
                 store,
                 connection_limits,
+                request_ids,
                 clock,
                 log: log.clone(),
             };
--- a/sidecar/tests/peers/reused_ids.rs
+++ b/sidecar/tests/peers/reused_ids.rs
@@ -1,8 +1,9 @@
 //! Requests with the id of an earlier one whose client does not know what became of it.
 use crate::client::{connect, head, new_id, read_answer, Workload};
 use crate::process::Process;
-use crate::program::{self, Limits};
+use crate::program::{self, Limits, Upgrades};
 use crate::{ms, server};
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -14,6 +15,9 @@
 /// How long servers work on a request.
 const WORK: Duration = ms(400);
 
+/// What two processes need to know of each other, and the old one to stop accepting.
+const HANDOVER_TIME: Duration = ms(500);
+
 /// Servers that count the requests that they run.
 struct Servers {
     addresses: Vec<SocketAddr>,
@@ -156,3 +160,32 @@
     assert_eq!(status(program.address, Workload::Pay, &id, 0), Ok(200));
     assert_eq!(status(program.address, Workload::Pay, &id, 0), Ok(200));
 }
+
+/// Guards against a second run at the other process of an upgrade: of a request that is open at the old one, whose client left
+/// before the upgrade, or left during it.
+#[test]
+fn a_request_that_comes_again_at_the_next_process_does_not_run_twice() {
+    let servers = Servers::start();
+    let upgrades = Upgrades::new(&servers.addresses, Limits::default());
+    let old = upgrades.start_process();
+    let [open, left_before, left_during] = [new_id(), new_id(), new_id()];
+    let first = send(old.address, Workload::Pay, &left_before, 0);
+    servers.wait_until_run(1);
+    drop(first);
+    let leaving = send(old.address, Workload::Pay, &left_during, 0);
+    let mut staying = send(old.address, Workload::Pay, &open, 0);
+    servers.wait_until_run(3);
+    let new = upgrades.start_process();
+    thread::sleep(HANDOVER_TIME);
+    kill_process(Pid::from_child(&old.child), Signal::TERM).expect("SIGTERM is sent");
+    drop(leaving);
+    assert_eq!(read_answer(&mut staying).map(|answer| answer.status), Ok(200));
+    // From now on only the new process accepts.
+    thread::sleep(HANDOVER_TIME);
+    let ran = servers.ran.load(Ordering::SeqCst);
+    for (id, case) in [(&open, "open"), (&left_before, "left before"), (&left_during, "left during")] {
+        let _ = status(new.address, Workload::Pay, id, 0);
+        assert_eq!(servers.ran.load(Ordering::SeqCst), ran, "{case}");
+    }
+    assert_eq!(status(new.address, Workload::Pay, &new_id(), 0), Ok(200));
+}
